--- /dev/null
+++ b/src/main/java/spanrill/Control.java
@@ -0,0 +1,973 @@
+package spanrill;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of a front. The interface (settings, events, actions) is SessionControl.java.
+ *
+ * <p>In reading order: tuned values, state, events, choice of holder, set-up and its outcomes, the sweep
+ * (rungs, then moves), health, cold pacing. The ordinary path is the paper's: the holder with the smallest
+ * PI = J x SL + K x NS + H x FWI takes the session, the rung follows the room on the link, and a shortfall
+ * CCQ that stays above SO = M x second-best PI moves it. All else is a guard with its own comment.
+ */
+public final class Control implements SessionControl {
+    // The index. SL is a share of the link, so J = 1 makes one point of use the unit of PI.
+    private static final double J = 1;
+    // NS is set-up delay over the class's aim: a delay of a whole aim weighs as a fifth of a link.
+    private static final double K = 0.2;
+    // FWI is equal for all holders: it only raises SO a little for heavy sessions.
+    private static final double H = 0.02;
+    // CCQ is the worth lost to short delivery (missing share x stall); it must outweigh half a full link.
+    private static final double M = 0.5;
+    // Shortfall is averaged over y; the excess must last z: notes come each second, about a second late, and
+    // rungs are given that long to help first.
+    private static final double Y_MS = 3000;
+    private static final double Z_MS = 2000;
+    private static final double MOVE_EVERY_MS = 30_000;
+    // The rung rule: top rung up to the mark, one lower per step of use above it. Rates swing from second to
+    // second, so the last step ends just under a full link.
+    private static final double MARK = 0.85;
+    private static final double STEP = 0.035;
+    private static final double RUNG_EVERY_MS = 10_000;
+    // Room wanted before playing sessions are stepped, in steps: smaller differences are noise. Up asks for
+    // more, as each change costs worth and a mistaken one is paid twice.
+    private static final double DOWN_SLACK = 0.5;
+    private static final double UP_SLACK = 1.0;
+    // A set-up that would ask for more than this of a link even at its lowest rung is refused: it would take
+    // several times its own worth from those that play there.
+    private static final double REFUSE_AT = 1.05;
+    // Weight of a new figure against the old one kept up to date: single figures are noisy.
+    private static final double FIGURE_WEIGHT = 0.6;
+    // Reports that come with outcomes are about this late.
+    private static final double REPORT_LATE_MS = 600;
+    // A figure older than this counts as unheard (it fades into the average until then).
+    private static final double STALE_MS = 12_000;
+    // Trust returns slowly: use seen above a full link fades from SL over this time.
+    private static final double SCAR_MS = 15_000;
+    // One attempt waits for this share of the class's aim where it may be sent again.
+    private static final double ATTEMPT_SHARE = 0.6;
+    // A server that failed is left alone for this long, doubling up to the longest.
+    private static final double AVOID_MS = 2000;
+    private static final double AVOID_MOST_MS = 16_000;
+    // A server is silent when its notes are this many intervals overdue while most others' go on.
+    private static final double SILENT_TELLS = 1.7;
+    private static final double OTHERS_HEARD = 0.6;
+    // Share of a cold server's budget that the fronts together may use.
+    private static final double COLD_SAFETY = 0.7;
+    // After this front's own start its list may hide restarts for this long.
+    private static final double OWN_START_MS = 6000;
+    // A request waits for a cold server's next turn up to this share of its aim.
+    private static final double HOLD_SHARE = 0.7;
+    private static final double RETRY_AFTER_MS = 1000;
+    private static final double SWEEP_MS = 250;
+    // Answers are given this long before the viewer's time is up.
+    private static final double ANSWER_MARGIN_MS = 20;
+    // Tenants' and fronts' arrival rates are averaged over this time.
+    private static final double RATE_MS = 10_000;
+
+    private final Settings set;
+    private final Actions act;
+    private final SplittableRandom random;
+    private final Map<String, ServiceClass> classes = new HashMap<>();
+    private final Map<String, Tenant> tenants = new HashMap<>();
+    private final Map<String, double[]> tenantRate = new HashMap<>();
+    private final Map<String, Holder> holders = new LinkedHashMap<>();
+    private final Map<Integer, List<Holder>> cells = new HashMap<>();
+    private final Rack[] racks;
+    private final Map<String, Session> sessions = new LinkedHashMap<>();
+    private final Map<String, Left> lefts = new HashMap<>();
+    private final ArrayDeque<Double> taken = new ArrayDeque<>();
+    private final ArrayDeque<Double> further = new ArrayDeque<>();
+    private final double ladderStep;
+    private double startedAt;
+
+    /** A link or an uplink: its last figure, and this front's changes which that cannot yet contain. */
+    private static final class Pool {
+        private double capacity;
+        private double figure = Double.NaN;
+        private double at;
+        private double scar;
+        private double scarAt;
+        private double own;
+        private final ArrayDeque<double[]> changes = new ArrayDeque<>();
+
+        /** Notes a change of this front's load; a factor above 1 counts what other fronts do alike. */
+        void change(double now, double kb, double factor) {
+            own = Math.max(0, own + kb);
+            changes.add(new double[] {now, kb * factor});
+        }
+
+        private double since(double time) {
+            double sum = 0;
+            for (double[] change : changes) {
+                sum += change[0] > time ? change[1] : 0;
+            }
+            return sum / capacity;
+        }
+
+        /** A figure measured at a time: the old one, kept up to date by own changes, is drawn towards it. */
+        void heard(double measured, double value, double weight) {
+            if (!Double.isFinite(value) || (!Double.isNaN(figure) && measured < at)) {
+                return;
+            }
+            double old = Double.isNaN(figure) || measured - at > STALE_MS ? value
+                    : figure + since(at) - since(measured);
+            figure = Math.max(0, old + weight * (value - old));
+            at = measured;
+            while (!changes.isEmpty() && changes.peek()[0] <= at) {
+                changes.poll();
+            }
+            if (value > 1 && value - 1 > scar(measured)) {
+                scar = value - 1;
+                scarAt = measured;
+            }
+        }
+
+        double scar(double now) {
+            return Math.max(0, scar * (1 - (now - scarAt) / SCAR_MS));
+        }
+
+        boolean fresh(double now) {
+            return !Double.isNaN(figure) && now - at < STALE_MS;
+        }
+
+        double use(double now, double average) {
+            double age = Double.isNaN(figure) ? 1 : Math.min(1, (now - at) / STALE_MS);
+            double base = age == 1 ? average : figure * (1 - age * age) + average * age * age;
+            return Math.max(0, base + since(age == 1 ? now - STALE_MS : at));
+        }
+
+        /** All that is asked over what this front asks: what each front corrects, all do in proportion. */
+        double factor(double use, int fronts) {
+            return Math.min(Math.max(use * capacity / Math.max(own, 1), 1), 2.0 * fronts);
+        }
+    }
+
+    private static final class Rack {
+        private final Pool uplink = new Pool();
+        private double links;
+    }
+
+    private static final class Holder {
+        private Server server;
+        private Rack rack;
+        private double places;
+        private final Pool link = new Pool();
+        private final Set<Session> playing = new LinkedHashSet<>();
+        private int out;
+        private double delay = Double.NaN;
+        private double heardAt = Double.NEGATIVE_INFINITY;
+        private double missing;
+        private double missingAt = Double.NEGATIVE_INFINITY;
+        private double missingMean;
+        private double movedKb;
+        private int failures;
+        private double failedAt = Double.NEGATIVE_INFINITY;
+        private double avoidUntil = Double.NEGATIVE_INFINITY;
+        private double fullUntil = Double.NEGATIVE_INFINITY;
+        private double coldUntil = Double.NEGATIVE_INFINITY;
+        private final ArrayDeque<Double> coldSends = new ArrayDeque<>();
+    }
+
+    private static final class Session {
+        private Request request;
+        private ServiceClass type;
+        private double value;
+        private double deadline;
+        private double takenAt;
+        private int rung;
+        private double kb;
+        private Holder holder;
+        private boolean out;
+        private boolean playing;
+        private boolean waiting;
+        private boolean mayHaveRun;
+        private int attempts;
+        private double playingAt;
+        private double changedAt = Double.NEGATIVE_INFINITY;
+        private double overSince = Double.NaN;
+        private double movedAt = Double.NEGATIVE_INFINITY;
+        private final Set<Holder> tried = new HashSet<>();
+    }
+
+    /** What is remembered of a session on the move: the holder it left, and what is kept for it elsewhere. */
+    private record Left(Holder left, Holder target, double kb, double at) { }
+
+    /** One front's decisions; randomness comes from the seed alone. */
+    public Control(Settings settings, long seed, Actions actions) {
+        set = settings;
+        act = actions;
+        random = new SplittableRandom(seed);
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        settings.tenants().forEach(t -> tenants.put(t.name(), t));
+        racks = new Rack[Math.max(1, settings.racks())];
+        Arrays.setAll(racks, i -> new Rack());
+        int top = settings.rungKb().size() - 1;
+        ladderStep = top < 2 ? 1 : Math.max(0.1, Math.log(stepWorth(1) / stepWorth(top)) / (top - 1));
+    }
+
+    // ---- events
+
+    @Override
+    public void start(double now) {
+        startedAt = now;
+        act.timer("sweep", SWEEP_MS * (0.2 + random.nextDouble()));
+    }
+
+    @Override
+    public void servers(double now, ListKind kind, List<Server> list) {
+        if (kind == ListKind.FAILED) {
+            return;
+        }
+        Set<String> named = new HashSet<>();
+        for (Server server : list) {
+            named.add(server.id());
+            Holder holder = holders.computeIfAbsent(server.id(), id -> new Holder());
+            double before = holder.server == null ? Double.NaN : holder.server.startedAt();
+            boolean first = holder.server == null;
+            holder.server = server;
+            holder.rack = racks[Math.floorMod(server.cell(), racks.length)];
+            double began = server.startedAt();
+            if (!Double.isNaN(began) && began != before) {
+                holder.coldUntil = Math.max(holder.coldUntil, began + set.rules().coldMs());
+                if (!first) {
+                    restarted(holder);
+                }
+            }
+            if (first && now - startedAt < OWN_START_MS) {
+                // Guards against a list kept from before this front's own start: any server may be cold.
+                holder.coldUntil = Math.max(holder.coldUntil,
+                        startedAt + Math.min(OWN_START_MS, set.rules().coldMs()));
+            }
+        }
+        if (kind != ListKind.CHANGES) {
+            for (Holder holder : holders.values()) {
+                Server s = holder.server;
+                if (!named.contains(s.id())) {
+                    holder.server = new Server(s.id(), s.zone(), s.kind(), s.cell(), ServerState.GONE,
+                            s.weight(), s.startedAt());
+                }
+            }
+        }
+        arrange();
+    }
+
+    /** A process that started anew carries nothing over: neither its figures nor its failures. */
+    private void restarted(Holder holder) {
+        holder.failures = 0;
+        holder.avoidUntil = Double.NEGATIVE_INFINITY;
+        holder.link.figure = Double.NaN;
+        holder.missing = 0;
+        holder.missingMean = 0;
+    }
+
+    /** Sorts the servers by cell and sets the capacity of links and uplinks from the settings. */
+    private void arrange() {
+        cells.clear();
+        double weights = 0;
+        double places = 0;
+        int count = 0;
+        for (Rack rack : racks) {
+            rack.links = 0;
+        }
+        boolean even = true;
+        double one = Double.NaN;
+        for (Holder holder : holders.values()) {
+            holder.places = placesOf(holder.server.kind());
+            if (holder.server.state() == ServerState.GONE) {
+                continue;
+            }
+            cells.computeIfAbsent(holder.server.cell(), c -> new ArrayList<>()).add(holder);
+            double weight = weight(holder);
+            even &= Double.isNaN(one) || weight == one;
+            one = weight;
+            weights += weight;
+            places += holder.places;
+            count++;
+        }
+        double total = 0;
+        for (Holder holder : holders.values()) {
+            // Where the list gives no sizes, the places of its kind tell a server's size.
+            double size = even && places > 0 ? holder.places * count / places * weights / count
+                    : weight(holder);
+            holder.link.capacity = Math.max(1, size * set.weightKb());
+            if (holder.server.state() != ServerState.GONE) {
+                holder.rack.links += holder.link.capacity;
+                total += holder.link.capacity;
+            }
+        }
+        double share = set.uplinkKb() * racks.length / Math.max(1, total);
+        for (Rack rack : racks) {
+            rack.uplink.capacity = Math.max(1, rack.links * share);
+        }
+    }
+
+    private static double weight(Holder holder) {
+        double weight = holder.server.weight();
+        return Double.isFinite(weight) && weight > 0 ? weight : 1;
+    }
+
+    private double placesOf(String kind) {
+        double least = Double.MAX_VALUE;
+        for (Kind k : set.kinds()) {
+            if (k.name().equals(kind)) {
+                return k.places();
+            }
+            least = Math.min(least, k.places());
+        }
+        return least;
+    }
+
+    @Override
+    public void request(double now, Request request) {
+        Session session = take(now, request);
+        taken.add(now);
+        Left left = request.key() == null ? null : lefts.get(request.key());
+        if (request.moved() && left != null) {
+            session.movedAt = left.at;
+            session.tried.add(left.left);
+            load(now, left.target, -left.kb, 1);
+        }
+        if (session.type == null) {
+            finish(session);
+            act.refuse(request.id(), retryAfter());
+            return;
+        }
+        place(now, session);
+    }
+
+    private Session take(double now, Request request) {
+        Session session = new Session();
+        session.request = request;
+        session.type = classes.get(request.className());
+        session.takenAt = now;
+        session.deadline = now + request.leftMs();
+        if (session.type != null) {
+            session.value = session.type.worth() * tenantWorth(now, request.tenant());
+            session.rung = session.type.floor();
+        }
+        sessions.put(request.id(), session);
+        return session;
+    }
+
+    /** Guards tenants' shares: sessions of one that sends beyond its quota count by what they earn. */
+    private double tenantWorth(double now, String name) {
+        Tenant tenant = name == null ? null : tenants.get(name);
+        if (tenant == null || !(tenant.quotaPerS() > 0)) {
+            return 1;
+        }
+        double[] rate = tenantRate.computeIfAbsent(name, n -> new double[] {0, now});
+        rate[0] = rate[0] * Math.exp((rate[1] - now) / RATE_MS) + 1;
+        rate[1] = now;
+        double perS = rate[0] * 1000 / RATE_MS * set.fronts();
+        double within = Math.min(1, tenant.quotaPerS() / perS);
+        return within + (1 - within) * set.overShareWorth();
+    }
+
+    @Override
+    public void takenOver(double now, Request request, String server) {
+        Session session = take(now, request);
+        Holder holder = holders.get(server);
+        if (session.type == null || holder == null) {
+            finish(session);
+            return;
+        }
+        session.holder = holder;
+        session.playing = true;
+        session.playingAt = now;
+        session.attempts = 1;
+        session.mayHaveRun = true;
+        session.kb = kb(session.type, session.rung);
+        holder.playing.add(session);
+        holder.link.own += session.kb;
+        holder.rack.uplink.own += session.kb;
+        holder.heardAt = now;
+        // A server that has sessions under way did not start just now.
+        if (Double.isNaN(holder.server.startedAt())) {
+            holder.coldUntil = Double.NEGATIVE_INFINITY;
+        }
+    }
+
+    @Override
+    public void playing(double now, String id, String server, double tookMs) {
+        Session session = sessions.get(id);
+        if (session == null || session.holder == null || !session.out) {
+            return;
+        }
+        Holder holder = session.holder;
+        session.out = false;
+        holder.out--;
+        session.playing = true;
+        session.playingAt = now;
+        holder.playing.add(session);
+        holder.delay = Double.isNaN(holder.delay) ? tookMs : 0.7 * holder.delay + 0.3 * tookMs;
+        well(now, holder);
+    }
+
+    @Override
+    public void note(double now, String id, String server, NoteKind kind, double value) {
+        Holder holder = holders.get(server);
+        Session session = sessions.get(id);
+        if (kind == NoteKind.RUNG) {
+            if (session != null && session.holder == holder && session.playing) {
+                setRung(now, session, (int) value, 0);
+                session.changedAt = Double.NEGATIVE_INFINITY;
+            }
+            return;
+        }
+        if (holder == null) {
+            return;
+        }
+        // At set-up a note is fresh, later ones are see_ms late.
+        boolean atSetUp = session != null && session.playing && now - session.playingAt < set.seeMs() / 2;
+        double measured = now - (atSetUp ? 0 : set.seeMs());
+        if (measured > holder.failedAt) {
+            holder.heardAt = now;
+            if (holder.failures > 0) {
+                well(now, holder);
+            }
+        }
+        switch (kind) {
+            case DELIVERED -> {
+                holder.missing = value < 0.98 ? 1 - value : 0;
+                holder.missingAt = now;
+                if (value < 0.98) {
+                    // The shortfall is the link's or the uplink's: the fuller of the two is raised to it.
+                    Pool pool = holder.link.use(now, 0) >= holder.rack.uplink.use(now, 0) ? holder.link
+                            : holder.rack.uplink;
+                    pool.heard(measured, Math.max(1 / Math.max(value, 0.2), pool.figure), FIGURE_WEIGHT);
+                }
+            }
+            case LINK_USE -> holder.link.heard(measured, value, FIGURE_WEIGHT);
+            default -> holder.rack.uplink.heard(measured, value, FIGURE_WEIGHT / 2);
+        }
+    }
+
+    @Override
+    public void ended(double now, String id, boolean closed, Outcome outcome, String server, Load load) {
+        Session session = sessions.get(id);
+        Holder holder = server == null ? null : holders.get(server);
+        if (holder != null && load != null) {
+            holder.link.heard(now - REPORT_LATE_MS, load.link(), FIGURE_WEIGHT / 2);
+            holder.rack.uplink.heard(now - REPORT_LATE_MS, load.uplink(), FIGURE_WEIGHT / 3);
+        }
+        if (holder != null) {
+            switch (outcome) {
+                case OK -> well(now, holder);
+                case FULL -> holder.fullUntil = now + set.seeMs();
+                case TIMEOUT, CONNECT_FAILED, RESET -> failed(now, holder);
+                default -> { }
+            }
+        }
+        if (session == null) {
+            return;
+        }
+        boolean wasOut = session.out;
+        release(now, session);
+        if (closed) {
+            finish(session);
+            return;
+        }
+        if (!wasOut) {
+            return;
+        }
+        session.mayHaveRun |= !outcome.neverRan();
+        session.tried.add(holder);
+        if (session.mayHaveRun && session.type.once()) {
+            finish(session);
+            act.fail(id);
+        } else if (outcome == Outcome.MOOT) {
+            giveUp(session);
+        } else {
+            place(now, session);
+        }
+    }
+
+    @Override
+    public void gone(double now, String id) {
+        Session session = sessions.get(id);
+        if (session != null) {
+            release(now, session);
+            finish(session);
+        }
+    }
+
+    @Override
+    public void timer(double now, String token) {
+        if (token.equals("sweep")) {
+            act.timer("sweep", SWEEP_MS);
+            sweep(now);
+            return;
+        }
+        Session session = sessions.get(token);
+        if (session != null && session.waiting) {
+            session.waiting = false;
+            place(now, session);
+        }
+    }
+
+    // ---- choice of holder
+
+    /** Sends the session to the holder with the smallest index, or gives its final answer. */
+    private void place(double now, Session session) {
+        ServiceClass type = session.type;
+        if (now > session.deadline - ANSWER_MARGIN_MS || session.attempts >= set.maxAttempts()
+                || (session.attempts > 0 && !mayGoFurther(now)) || seatsTaken(session)) {
+            giveUp(session);
+            return;
+        }
+        Holder best = null;
+        double bestPi = Double.MAX_VALUE;
+        double turn = Double.MAX_VALUE;
+        double average = averageUse(now);
+        for (Holder holder : holdersOf(session.request)) {
+            if (!usable(now, holder, session)) {
+                continue;
+            }
+            double wait = coldWait(now, holder);
+            if (wait > 0) {
+                turn = Math.min(turn, wait);
+                continue;
+            }
+            double pi = index(now, holder, session, average);
+            if (pi < bestPi) {
+                bestPi = pi;
+                best = holder;
+            }
+        }
+        if (best == null) {
+            double until = Math.min(session.takenAt + HOLD_SHARE * type.aimMs(), session.deadline);
+            if (now + turn < until - ANSWER_MARGIN_MS) {
+                session.waiting = true;
+                act.timer(session.request.id(), turn);
+            } else {
+                giveUp(session);
+            }
+            return;
+        }
+        double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
+        if (floorUse > REFUSE_AT && !session.mayHaveRun && session.attempts == 0) {
+            giveUp(session);
+            return;
+        }
+        send(now, session, best, average);
+    }
+
+    private List<Holder> holdersOf(Request request) {
+        List<Holder> found = new ArrayList<>();
+        for (int i = 0; i < Math.min(request.copies(), set.cells()); i++) {
+            found.addAll(cells.getOrDefault(Math.floorMod(request.home() + i, set.cells()), List.of()));
+        }
+        return found;
+    }
+
+    /** PI of a holder for a session: load, set-up delay with the price of crossing zones, title weight. */
+    private double index(double now, Holder holder, Session session, double average) {
+        double sl = use(now, holder, average) + scar(now, holder)
+                + share(now, holder, kb(session.type, set.rungKb().size() / 2));
+        double delay = Double.isNaN(holder.delay) ? 0 : holder.delay / session.type.aimMs();
+        boolean crosses = set.zone() != null && !set.zone().equals(holder.server.zone());
+        double ns = delay + (crosses ? set.crossZonePrice() / K : 0);
+        double fwi = (double) session.rung / set.rungKb().size();
+        return J * sl + K * ns + H * fwi;
+    }
+
+    /** Use of the tighter of link and uplink, as last heard and with own changes since. */
+    private double use(double now, Holder holder, double average) {
+        return Math.max(holder.link.use(now, average), holder.rack.uplink.use(now, average));
+    }
+
+    private static double scar(double now, Holder holder) {
+        return Math.max(holder.link.scar(now), holder.rack.uplink.scar(now));
+    }
+
+    private double share(double now, Holder holder, double kb) {
+        double warmth = now < holder.coldUntil ? set.rules().coldShare() : 1;
+        return kb / Math.min(holder.link.capacity * warmth, holder.rack.uplink.capacity);
+    }
+
+    private double averageUse(double now) {
+        double sum = 0;
+        int heard = 0;
+        for (Holder holder : holders.values()) {
+            if (holder.server.state() != ServerState.GONE && holder.link.fresh(now)) {
+                sum += holder.link.figure;
+                heard++;
+            }
+        }
+        return heard == 0 ? MARK : sum / heard;
+    }
+
+    private boolean usable(double now, Holder holder, Session session) {
+        if (holder.server.state() != ServerState.READY || session.tried.contains(holder)
+                || now < holder.fullUntil || now < holder.avoidUntil) {
+            return false;
+        }
+        // A server that failed is tried again by one session at a time that may be sent elsewhere after.
+        return holder.failures == 0 || (holder.out == 0 && !session.type.once());
+    }
+
+    private boolean seatsTaken(Session session) {
+        int seats = session.type.seats();
+        if (seats == 0) {
+            return false;
+        }
+        int held = 0;
+        for (Session other : sessions.values()) {
+            if (other != session && (other.out || other.playing) && other.type == session.type
+                    && String.valueOf(other.request.title()).equals(session.request.title())) {
+                held++;
+            }
+        }
+        return held >= seats;
+    }
+
+    // ---- set-up and its outcomes
+
+    private void send(double now, Session session, Holder holder, double average) {
+        int rung = rungFor(now, session, holder, average);
+        if (rung != session.type.floor() || session.attempts > 0) {
+            act.rate(session.request.id(), rung);
+        }
+        session.rung = rung;
+        session.kb = kb(session.type, rung);
+        session.holder = holder;
+        session.out = true;
+        holder.out++;
+        load(now, holder, session.kb, 1);
+        if (session.attempts > 0) {
+            further.add(now);
+        }
+        session.attempts++;
+        if (now < holder.coldUntil || holder.failures > 0) {
+            holder.coldSends.add(now);
+        }
+        // An attempt that may be sent again is given up early; one paid for has only this chance.
+        double until = session.type.once() ? session.deadline
+                : Math.min(session.deadline, now + ATTEMPT_SHARE * session.type.aimMs());
+        act.send(session.request.id(), until, holder.server.id());
+    }
+
+    private void giveUp(Session session) {
+        finish(session);
+        if (session.mayHaveRun && session.type.once()) {
+            act.fail(session.request.id());
+        } else {
+            act.refuse(session.request.id(), retryAfter());
+        }
+    }
+
+    private double retryAfter() {
+        return Math.min(RETRY_AFTER_MS, set.maxRetryAfterMs());
+    }
+
+    /** Keeps the budget of further attempts, where one is stated. */
+    private boolean mayGoFurther(double now) {
+        Rules rules = set.rules();
+        if (Double.isNaN(rules.spareAttempts()) && Double.isNaN(rules.attemptShare())) {
+            return true;
+        }
+        trim(taken, now - rules.attemptWindowMs());
+        trim(further, now - rules.attemptWindowMs());
+        double spare = Double.isNaN(rules.spareAttempts()) ? 0 : rules.spareAttempts();
+        double part = Double.isNaN(rules.attemptShare()) ? 0 : rules.attemptShare();
+        return further.size() + 1 <= spare + part * taken.size();
+    }
+
+    private static void trim(ArrayDeque<Double> times, double before) {
+        while (!times.isEmpty() && times.peek() <= before) {
+            times.poll();
+        }
+    }
+
+    /** Takes the session off its holder. */
+    private void release(double now, Session session) {
+        if (session.holder != null) {
+            session.holder.out -= session.out ? 1 : 0;
+            session.holder.playing.remove(session);
+            load(now, session.holder, -session.kb, 1);
+        }
+        session.holder = null;
+        session.kb = 0;
+        session.out = false;
+        session.playing = false;
+    }
+
+    private void finish(Session session) {
+        session.waiting = false;
+        sessions.remove(session.request.id());
+    }
+
+    private static void load(double now, Holder holder, double kb, double factor) {
+        holder.link.change(now, kb, factor);
+        holder.rack.uplink.change(now, kb, factor);
+    }
+
+    // ---- rungs
+
+    private double kb(ServiceClass type, int rung) {
+        return type.scale() * set.rungKb().get(rung);
+    }
+
+    /** Worth per kB of the step up to a rung of the ladder. */
+    private double stepWorth(int rung) {
+        return Math.max(1e-9, set.rungWorth().get(rung) - set.rungWorth().get(rung - 1))
+                / (set.rungKb().get(rung) - set.rungKb().get(rung - 1));
+    }
+
+    /**
+     * How many steps of use above the mark a rung of this session is worth keeping: 0 for the top rung of an
+     * ordinary session, one more for each rung below; more where a step down loses more worth per kB.
+     */
+    private double level(Session session, int rung) {
+        if (rung <= session.type.floor()) {
+            return Double.MAX_VALUE;
+        }
+        double worth = stepWorth(rung) * session.value / session.type.scale();
+        return Math.max(0, Math.log(worth / stepWorth(set.rungKb().size() - 1)) / ladderStep);
+    }
+
+    private int top(Session session) {
+        return Math.max(session.type.floor(), Math.min(session.request.top(),
+                Math.min(session.type.top(), set.rungKb().size() - 1)));
+    }
+
+    /** The rung rule at set-up: the highest rung whose load still finds the use its steps allow. */
+    private int rungFor(double now, Session session, Holder holder, double average) {
+        double use = use(now, holder, average) + scar(now, holder);
+        int rung = top(session);
+        while (rung > session.type.floor()
+                && use + share(now, holder, kb(session.type, rung)) > MARK + STEP * level(session, rung)) {
+            rung--;
+        }
+        return rung;
+    }
+
+    private void setRung(double now, Session session, int rung, double factor) {
+        double kb = kb(session.type, rung) - session.kb;
+        if (factor > 0) {
+            load(now, session.holder, kb, factor);
+        } else {
+            session.holder.link.own += kb;
+            session.holder.rack.uplink.own += kb;
+        }
+        session.kb += kb;
+        session.rung = rung;
+        session.changedAt = now;
+    }
+
+    /** Steps sessions of one link or uplink down by this front's part of the excess, then up into room. */
+    private void stepRungs(double now, Pool pool, List<Session> playing, double average) {
+        if (!pool.fresh(now) || playing.isEmpty()) {
+            return;
+        }
+        double use = pool.use(now, average);
+        double factor = pool.factor(use, set.fronts());
+        List<Session> free = new ArrayList<>(playing);
+        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS);
+        free.sort(Comparator.comparingDouble(s -> level(s, s.rung)));
+        for (Session session : free) {
+            double steps = (use - MARK) / STEP - DOWN_SLACK;
+            if (session.rung <= session.type.floor() || level(session, session.rung) >= steps) {
+                break;
+            }
+            act.rate(session.request.id(), session.rung - 1);
+            setRung(now, session, session.rung - 1, factor);
+            use = pool.use(now, average);
+        }
+    }
+
+    private void stepUp(double now, Rack rack, List<Session> playing, double average) {
+        List<Session> free = new ArrayList<>(playing);
+        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS || now - s.playingAt < set.seeMs()
+                || s.rung >= top(s) || !s.holder.link.fresh(now) || !rack.uplink.fresh(now)
+                || s.holder.server.state() != ServerState.READY || s.holder.failures > 0);
+        free.sort(Comparator.comparingDouble(s -> -level(s, s.rung + 1)));
+        for (Session session : free) {
+            double more = kb(session.type, session.rung + 1) - session.kb;
+            double allowed = MARK + STEP * (level(session, session.rung + 1) - UP_SLACK);
+            Pool link = session.holder.link;
+            double linkUse = link.use(now, average);
+            double rackUse = rack.uplink.use(now, average);
+            double factor = Math.max(link.factor(linkUse, set.fronts()),
+                    rack.uplink.factor(rackUse, set.fronts()));
+            if (linkUse + link.scar(now) + more * factor / link.capacity <= allowed
+                    && rackUse + rack.uplink.scar(now) + more * factor / rack.uplink.capacity <= allowed) {
+                act.rate(session.request.id(), session.rung + 1);
+                setRung(now, session, session.rung + 1, factor);
+            }
+        }
+    }
+
+    // ---- the sweep: rungs first, then moves
+
+    private void sweep(double now) {
+        double average = averageUse(now);
+        Map<Rack, List<Session>> byRack = new LinkedHashMap<>();
+        for (Holder holder : holders.values()) {
+            if (!holder.playing.isEmpty()) {
+                byRack.computeIfAbsent(holder.rack, r -> new ArrayList<>()).addAll(holder.playing);
+            }
+        }
+        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
+            stepRungs(now, entry.getKey().uplink, entry.getValue(), average);
+        }
+        for (Holder holder : holders.values()) {
+            stepRungs(now, holder.link, new ArrayList<>(holder.playing), average);
+        }
+        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
+            stepUp(now, entry.getKey(), entry.getValue(), average);
+        }
+        for (Holder holder : holders.values()) {
+            watch(now, holder);
+            moves(now, holder, average);
+        }
+        lefts.values().removeIf(left -> now - left.at > MOVE_EVERY_MS);
+    }
+
+    /** Keeps the shortfall of a holder averaged over y; a silent or leaving server delivers nothing. */
+    private void watch(double now, Holder holder) {
+        if (silent(now, holder)) {
+            failed(now, holder);
+        }
+        double missing = now - holder.missingAt < 2500 ? holder.missing : 0;
+        boolean lost = holder.server.state() != ServerState.READY || holder.failures > 0;
+        double part = SWEEP_MS / Y_MS;
+        holder.missingMean += part * ((lost ? 1 : missing) - holder.missingMean);
+        holder.movedKb *= 1 - SWEEP_MS / (Y_MS + Z_MS);
+    }
+
+    private void moves(double now, Holder holder, double average) {
+        double ccq = set.stall() * holder.missingMean;
+        double clears = holder.missingMean * holder.link.own;
+        for (Session session : new ArrayList<>(holder.playing)) {
+            if (now - session.playingAt < Y_MS || now - session.movedAt < MOVE_EVERY_MS) {
+                continue;
+            }
+            double second = Double.MAX_VALUE;
+            double best = Double.MAX_VALUE;
+            Holder target = null;
+            for (Holder other : holdersOf(session.request)) {
+                if (other != holder && (!usable(now, other, session) || coldWait(now, other) > 0)) {
+                    continue;
+                }
+                double pi = index(now, other, session, average);
+                second = Math.min(second, Math.max(pi, best));
+                if (pi < best) {
+                    best = pi;
+                }
+                if (other != holder && (target == null
+                        || pi < index(now, target, session, average))) {
+                    target = other;
+                }
+            }
+            if (target == null || ccq <= M * second) {
+                session.overSince = Double.NaN;
+                continue;
+            }
+            if (Double.isNaN(session.overSince)) {
+                session.overSince = now + random.nextDouble() * Z_MS / 2;
+            }
+            double floorUse = use(now, target, average) + scar(now, target)
+                    + share(now, target, kb(session.type, session.type.floor()));
+            if (now - session.overSince < Z_MS || holder.movedKb >= clears || floorUse > MARK) {
+                continue;
+            }
+            holder.movedKb += session.kb;
+            session.movedAt = now;
+            load(now, target, session.kb, 1);
+            if (session.request.key() != null) {
+                lefts.put(session.request.key(), new Left(holder, target, session.kb, now));
+            }
+            act.move(session.request.id());
+        }
+    }
+
+    // ---- health
+
+    /** A server failed an attempt, lost a session or fell silent: it is left alone, then tried by one. */
+    private void failed(double now, Holder holder) {
+        if (now - holder.failedAt > set.seeMs() || holder.failures == 0) {
+            holder.failures++;
+            double avoid = Math.min(AVOID_MOST_MS, AVOID_MS * Math.pow(2, holder.failures - 1.0));
+            holder.avoidUntil = now + avoid * (0.8 + 0.4 * random.nextDouble());
+            if (holder.failures == 1) {
+                act.log("avoiding " + holder.server.id());
+            }
+        }
+        holder.failedAt = now;
+    }
+
+    /** A server showed itself well; after a failure it may have started anew, so it counts as cold. */
+    private void well(double now, Holder holder) {
+        if (holder.failures > 0) {
+            holder.coldUntil = Math.max(holder.coldUntil, now + set.rules().coldMs());
+            act.log("trusting " + holder.server.id());
+        }
+        holder.failures = 0;
+        holder.avoidUntil = Double.NEGATIVE_INFINITY;
+        holder.heardAt = now;
+    }
+
+    /** Guards against servers that vanish: notes due stay out while most other servers' go on. */
+    private boolean silent(double now, Holder holder) {
+        if (set.tellMs() <= 0 || holder.failures > 0 || holder.playing.isEmpty()) {
+            return false;
+        }
+        double oldest = holder.playing.iterator().next().playingAt;
+        double due = SILENT_TELLS * set.tellMs() + set.seeMs();
+        if (now - Math.max(oldest, holder.heardAt) < due) {
+            return false;
+        }
+        int others = 0;
+        int heard = 0;
+        for (Holder other : holders.values()) {
+            if (other != holder && !other.playing.isEmpty() && other.failures == 0) {
+                others++;
+                heard += now - other.heardAt < set.tellMs() ? 1 : 0;
+            }
+        }
+        return others > 1 && heard >= OTHERS_HEARD * others;
+    }
+
+    // ---- cold pacing
+
+    /**
+     * Guards cold servers: the time until this front may send one its next set-up. The fronts share the
+     * budget with no word between them: each keeps a fixed part of it, and where a part is less than one
+     * set-up they take turns by their number, a whole window apart.
+     */
+    private double coldWait(double now, Holder holder) {
+        if (now >= holder.coldUntil && holder.failures == 0) {
+            return 0;
+        }
+        Rules rules = set.rules();
+        double budget = COLD_SAFETY * rules.fallMultiple() * rules.coldShare() * holder.places
+                / rules.coldMs() * rules.fallMs();
+        int fronts = Math.max(1, set.fronts());
+        trim(holder.coldSends, now - rules.fallMs());
+        int part = (int) (budget / fronts);
+        if (part >= 1) {
+            return holder.coldSends.size() < part ? 0 : holder.coldSends.peek() + rules.fallMs() - now;
+        }
+        double window = Math.max(1, 1 / budget) * rules.fallMs();
+        double round = 2 * window * fronts;
+        double phase = now - Math.floor(now / round) * round - 2 * window * (set.me() % fronts);
+        if (phase >= 0 && phase < window && holder.coldSends.isEmpty()) {
+            return 0;
+        }
+        double next = phase < 0 ? -phase : round - phase;
+        return Math.max(1, next);
+    }
+}
--- /dev/null
+++ b/src/main/java/spanrill/simhost/Main.java
@@ -0,0 +1,36 @@
+package spanrill.simhost;
+
+import java.io.BufferedOutputStream;
+import java.io.BufferedReader;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+
+/** Entry point: {@code java -jar spanrill.jar simhost}. */
+public final class Main {
+    private Main() { }
+
+    /** Runs the adapter on standard input and output, or prints the usage. */
+    public static void main(String[] args) throws IOException {
+        if (args.length != 1 || !args[0].equals("simhost")) {
+            System.err.println("usage: java -jar spanrill.jar simhost");
+            System.exit(2);
+        }
+        BufferedReader in = new BufferedReader(new InputStreamReader(
+                new FileInputStream(FileDescriptor.in), StandardCharsets.UTF_8), 1 << 16);
+        Writer out = new OutputStreamWriter(
+                new BufferedOutputStream(new FileOutputStream(FileDescriptor.out), 1 << 16),
+                StandardCharsets.UTF_8);
+        try {
+            new Simhost(out).run(in);
+        } catch (WireException e) {
+            System.err.println("simhost: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+}
