--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -76,6 +77,8 @@
     // Tenants' and fronts' arrival rates are averaged over this time.
     private static final double RATE_MS = 10_000;
 
+    private static final double NEVER = Double.NEGATIVE_INFINITY;
+
     private final Settings set;
     private final Actions act;
     private final SplittableRandom random;
@@ -94,12 +97,9 @@
 
     /** A link or an uplink: its last figure, and this front's changes which that cannot yet contain. */
     private static final class Pool {
-        private double capacity;
-        private double figure = Double.NaN;
-        private double at;
-        private double scar;
-        private double scarAt;
-        private double own;
+        private double capacity = 1, own;
+        private double figure = Double.NaN, at;
+        private double scar, scarAt;
         private final ArrayDeque<double[]> changes = new ArrayDeque<>();
 
         /** Notes a change of this front's load; a factor above 1 counts what other fronts do alike. */
@@ -165,39 +165,23 @@
         private double places;
         private final Pool link = new Pool();
         private final Set<Session> playing = new LinkedHashSet<>();
-        private int out;
+        private int out, failures;
         private double delay = Double.NaN;
-        private double heardAt = Double.NEGATIVE_INFINITY;
-        private double missing;
-        private double missingAt = Double.NEGATIVE_INFINITY;
-        private double missingMean;
-        private double movedKb;
-        private int failures;
-        private double failedAt = Double.NEGATIVE_INFINITY;
-        private double avoidUntil = Double.NEGATIVE_INFINITY;
-        private double fullUntil = Double.NEGATIVE_INFINITY;
-        private double coldUntil = Double.NEGATIVE_INFINITY;
+        private double missing, missingMean, movedKb;
+        private double heardAt = NEVER, missingAt = NEVER, failedAt = NEVER;
+        private double avoidUntil = NEVER, fullUntil = NEVER, coldUntil = NEVER;
         private final ArrayDeque<Double> coldSends = new ArrayDeque<>();
     }
 
     private static final class Session {
         private Request request;
         private ServiceClass type;
-        private double value;
-        private double deadline;
-        private double takenAt;
-        private int rung;
-        private double kb;
         private Holder holder;
-        private boolean out;
-        private boolean playing;
-        private boolean waiting;
-        private boolean mayHaveRun;
-        private int attempts;
-        private double playingAt;
-        private double changedAt = Double.NEGATIVE_INFINITY;
-        private double overSince = Double.NaN;
-        private double movedAt = Double.NEGATIVE_INFINITY;
+        private int rung, attempts;
+        private double value, kb;
+        private boolean out, playing, waiting, mayHaveRun;
+        private double takenAt, deadline, playingAt, overSince = Double.NaN;
+        private double changedAt = NEVER, movedAt = NEVER;
         private final Set<Holder> tried = new HashSet<>();
     }
 
@@ -266,7 +250,7 @@
     /** A process that started anew carries nothing over: neither its figures nor its failures. */
     private void restarted(Holder holder) {
         holder.failures = 0;
-        holder.avoidUntil = Double.NEGATIVE_INFINITY;
+        holder.avoidUntil = NEVER;
         holder.link.figure = Double.NaN;
         holder.missing = 0;
         holder.missingMean = 0;
@@ -275,41 +259,25 @@
     /** Sorts the servers by cell and sets the capacity of links and uplinks from the settings. */
     private void arrange() {
         cells.clear();
-        double weights = 0;
-        double places = 0;
-        int count = 0;
+        List<Holder> listed = new ArrayList<>(holders.values());
+        listed.removeIf(holder -> holder.server.state() == ServerState.GONE);
+        boolean even = listed.stream().mapToDouble(Control::weight).distinct().count() <= 1;
+        double places = listed.stream().mapToDouble(h -> placesOf(h.server.kind())).average().orElse(1);
         for (Rack rack : racks) {
             rack.links = 0;
         }
-        boolean even = true;
-        double one = Double.NaN;
-        for (Holder holder : holders.values()) {
-            holder.places = placesOf(holder.server.kind());
-            if (holder.server.state() == ServerState.GONE) {
-                continue;
-            }
+        double total = 1;
+        for (Holder holder : listed) {
             cells.computeIfAbsent(holder.server.cell(), c -> new ArrayList<>()).add(holder);
-            double weight = weight(holder);
-            even &= Double.isNaN(one) || weight == one;
-            one = weight;
-            weights += weight;
-            places += holder.places;
-            count++;
-        }
-        double total = 0;
-        for (Holder holder : holders.values()) {
+            holder.places = placesOf(holder.server.kind());
             // Where the list gives no sizes, the places of its kind tell a server's size.
-            double size = even && places > 0 ? holder.places * count / places * weights / count
-                    : weight(holder);
+            double size = weight(holder) * (even ? holder.places / places : 1);
             holder.link.capacity = Math.max(1, size * set.weightKb());
-            if (holder.server.state() != ServerState.GONE) {
-                holder.rack.links += holder.link.capacity;
-                total += holder.link.capacity;
-            }
+            holder.rack.links += holder.link.capacity;
+            total += holder.link.capacity;
         }
-        double share = set.uplinkKb() * racks.length / Math.max(1, total);
         for (Rack rack : racks) {
-            rack.uplink.capacity = Math.max(1, rack.links * share);
+            rack.uplink.capacity = Math.max(1, rack.links * set.uplinkKb() * racks.length / total);
         }
     }
 
@@ -319,14 +287,8 @@
     }
 
     private double placesOf(String kind) {
-        double least = Double.MAX_VALUE;
-        for (Kind k : set.kinds()) {
-            if (k.name().equals(kind)) {
-                return k.places();
-            }
-            least = Math.min(least, k.places());
-        }
-        return least;
+        return set.kinds().stream().filter(k -> k.name().equals(kind)).mapToDouble(Kind::places).findFirst()
+                .orElse(set.kinds().stream().mapToDouble(Kind::places).min().orElse(1));
     }
 
     @Override
@@ -395,7 +357,7 @@
         holder.heardAt = now;
         // A server that has sessions under way did not start just now.
         if (Double.isNaN(holder.server.startedAt())) {
-            holder.coldUntil = Double.NEGATIVE_INFINITY;
+            holder.coldUntil = NEVER;
         }
     }
 
@@ -422,7 +384,7 @@
         if (kind == NoteKind.RUNG) {
             if (session != null && session.holder == holder && session.playing) {
                 setRung(now, session, (int) value, 0);
-                session.changedAt = Double.NEGATIVE_INFINITY;
+                session.changedAt = NEVER;
             }
             return;
         }
@@ -444,8 +406,9 @@
                 holder.missingAt = now;
                 if (value < 0.98) {
                     // The shortfall is the link's or the uplink's: the fuller of the two is raised to it.
-                    Pool pool = holder.link.use(now, 0) >= holder.rack.uplink.use(now, 0) ? holder.link
-                            : holder.rack.uplink;
+                    Pool uplink = holder.rack.uplink;
+                    Pool pool = holder.link.fresh(now) && uplink.use(now, 0) > holder.link.use(now, 0)
+                            ? uplink : holder.link;
                     pool.heard(measured, Math.max(1 / Math.max(value, 0.2), pool.figure), FIGURE_WEIGHT);
                 }
             }
@@ -623,14 +586,9 @@
         if (seats == 0) {
             return false;
         }
-        int held = 0;
-        for (Session other : sessions.values()) {
-            if (other != session && (other.out || other.playing) && other.type == session.type
-                    && String.valueOf(other.request.title()).equals(session.request.title())) {
-                held++;
-            }
-        }
-        return held >= seats;
+        return sessions.values().stream().filter(other -> (other.out || other.playing)
+                && other.type == session.type
+                && Objects.equals(other.request.title(), session.request.title())).count() >= seats;
     }
 
     // ---- set-up and its outcomes
@@ -855,24 +813,12 @@
             if (now - session.playingAt < Y_MS || now - session.movedAt < MOVE_EVERY_MS) {
                 continue;
             }
-            double second = Double.MAX_VALUE;
-            double best = Double.MAX_VALUE;
-            Holder target = null;
-            for (Holder other : holdersOf(session.request)) {
-                if (other != holder && (!usable(now, other, session) || coldWait(now, other) > 0)) {
-                    continue;
-                }
-                double pi = index(now, other, session, average);
-                second = Math.min(second, Math.max(pi, best));
-                if (pi < best) {
-                    best = pi;
-                }
-                if (other != holder && (target == null
-                        || pi < index(now, target, session, average))) {
-                    target = other;
-                }
-            }
-            if (target == null || ccq <= M * second) {
+            List<Holder> others = holdersOf(session.request);
+            others.removeIf(o -> o != holder && (!usable(now, o, session) || coldWait(now, o) > 0));
+            others.sort(Comparator.comparingDouble(o -> index(now, o, session, average)));
+            Holder target = others.stream().filter(o -> o != holder).findFirst().orElse(null);
+            if (target == null
+                    || ccq <= M * index(now, others.get(Math.min(1, others.size() - 1)), session, average)) {
                 session.overSince = Double.NaN;
                 continue;
             }
@@ -916,7 +862,7 @@
             act.log("trusting " + holder.server.id());
         }
         holder.failures = 0;
-        holder.avoidUntil = Double.NEGATIVE_INFINITY;
+        holder.avoidUntil = NEVER;
         holder.heardAt = now;
     }
 
@@ -956,12 +902,13 @@
         double budget = COLD_SAFETY * rules.fallMultiple() * rules.coldShare() * holder.places
                 / rules.coldMs() * rules.fallMs();
         int fronts = Math.max(1, set.fronts());
-        trim(holder.coldSends, now - rules.fallMs());
         int part = (int) (budget / fronts);
         if (part >= 1) {
+            trim(holder.coldSends, now - rules.fallMs());
             return holder.coldSends.size() < part ? 0 : holder.coldSends.peek() + rules.fallMs() - now;
         }
         double window = Math.max(1, 1 / budget) * rules.fallMs();
+        trim(holder.coldSends, now - window);
         double round = 2 * window * fronts;
         double phase = now - Math.floor(now / round) * round - 2 * window * (set.me() % fronts);
         if (phase >= 0 && phase < window && holder.coldSends.isEmpty()) {
--- a/src/main/java/spanrill/SessionControl.java
+++ b/src/main/java/spanrill/SessionControl.java
@@ -6,8 +6,8 @@
  * The whole interface of the decision module: the settings it starts with, the events a front tells it, and
  * the actions it asks of the front. One object decides for one front.
  *
- * <p>All times are milliseconds on the front's own clock, which only advances; every event carries the time at
- * which it is told. Events are told one after the other, never from two threads at once. Actions are called
+ * <p>All times are milliseconds on the front's own clock, which only advances; every event carries the time
+ * at which it is told. Events are told one after the other, never from two threads at once. Actions are called
  * from within the event methods and take effect at once. A figure that is not known is {@link Double#NaN}, a
  * text that is not known is null. The module keeps no thread and no clock of its own.
  */
@@ -47,7 +47,7 @@
     /** What the list says of a server. */
     enum ServerState { READY, DRAINING, GONE }
 
-    /** What kind of list came: changes only, the whole list, the whole list as last kept, or a failed call. */
+    /** What kind of list came: changes only, the whole, the whole as last kept, or none (a failed call). */
     enum ListKind { CHANGES, WHOLE, KEPT, FAILED }
 
     /** What a note about a playing session tells. */
