--- a/src/main/java/spanrill/SessionControl.java
+++ b/src/main/java/spanrill/SessionControl.java
@@ -7,9 +7,9 @@
  * the actions it asks of the front. One object decides for one front.
  *
  * <p>All times are milliseconds on the front's own clock, which only advances; every event carries the time
- * at which it is told. Events are told one after the other, never from two threads at once. Actions are called
- * from within the event methods and take effect at once. A figure that is not known is {@link Double#NaN}, a
- * text that is not known is null. The module keeps no thread and no clock of its own.
+ * at which it is told. Events are told one after the other, never from two threads at once. Actions are
+ * called from within the event methods and take effect at once. A figure that is not known is
+ * {@link Double#NaN}, a text that is not known is null. The module keeps no thread and no clock of its own.
  */
 public interface SessionControl {
 
