--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -43,8 +43,8 @@
     private static final double RUNG_EVERY_MS = 10_000;
     // Room wanted before playing sessions are stepped, in steps: smaller differences are noise. Up asks for
     // more, as each change costs worth and a mistaken one is paid twice.
-    private static final double DOWN_SLACK = 0.5;
-    private static final double UP_SLACK = 1.0;
+    private static final double DOWN_SLACK = 1.0;
+    private static final double UP_SLACK = 2.5;
     // A set-up that would ask for more than this of a link even at its lowest rung is refused: it would take
     // several times its own worth from those that play there.
     private static final double REFUSE_AT = 1.05;
