--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -38,8 +38,8 @@
     private static final double MOVE_EVERY_MS = 30_000;
     // The rung rule: top rung up to the mark, one lower per step of use above it. Rates swing from second to
     // second, so the last step ends just under a full link.
-    private static final double MARK = 0.85;
-    private static final double STEP = 0.035;
+    private static final double MARK = 0.90;
+    private static final double STEP = 0.03;
     private static final double RUNG_EVERY_MS = 10_000;
     // Room wanted before playing sessions are stepped, in steps: smaller differences are noise. Up asks for
     // more, as each change costs worth and a mistaken one is paid twice.
