--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -45,9 +45,9 @@
     // more, as each change costs worth and a mistaken one is paid twice.
     private static final double DOWN_SLACK = 1.0;
     private static final double UP_SLACK = 2.5;
-    // A set-up that would ask for more than this of a link even at its lowest rung is refused: it would take
-    // several times its own worth from those that play there.
-    private static final double REFUSE_AT = 1.05;
+    // Refusal is the step below the lowest rung: taken where even the floor's load finds no use its level
+    // allows, and this many steps more, as some of the load will be stepped down.
+    private static final double REFUSE_SLACK = 0.5;
     // Weight of a new figure against the old one kept up to date: single figures are noisy.
     private static final double FIGURE_WEIGHT = 0.6;
     // Reports that come with outcomes are about this late.
@@ -520,7 +520,8 @@
             return;
         }
         double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
-        if (floorUse > REFUSE_AT && !session.mayHaveRun && session.attempts == 0) {
+        double bearable = MARK + STEP * (level(session, type.floor()) + REFUSE_SLACK);
+        if (floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
             giveUp(session);
             return;
         }
@@ -689,10 +690,9 @@
      * ordinary session, one more for each rung below; more where a step down loses more worth per kB.
      */
     private double level(Session session, int rung) {
-        if (rung <= session.type.floor()) {
-            return Double.MAX_VALUE;
-        }
-        double worth = stepWorth(rung) * session.value / session.type.scale();
+        int floor = session.type.floor();
+        double worth = (rung > floor ? stepWorth(rung) : set.rungWorth().get(floor) / set.rungKb().get(floor))
+                * session.value / session.type.scale();
         return Math.max(0, Math.log(worth / stepWorth(set.rungKb().size() - 1)) / ladderStep);
     }
 
