Scars are kept for links alone

Cause: an uplink past full is mostly the fronts' own load, and its scar kept playing sessions from room that had come back.

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -538,7 +538,7 @@
 
     /** PI of a holder for a session: load, set-up delay with the price of crossing zones, title weight. */
     private double index(double now, Holder holder, Session session, double average) {
-        double sl = use(now, holder, average) + scar(now, holder)
+        double sl = use(now, holder, average) + holder.link.scar(now)
                 + share(now, holder, kb(session.type, set.rungKb().size() / 2));
         double delay = Double.isNaN(holder.delay) ? 0 : holder.delay / session.type.aimMs();
         boolean crosses = set.zone() != null && !set.zone().equals(holder.server.zone());
@@ -552,10 +552,6 @@
         return Math.max(holder.link.use(now, average), holder.rack.uplink.use(now, average));
     }
 
-    private static double scar(double now, Holder holder) {
-        return Math.max(holder.link.scar(now), holder.rack.uplink.scar(now));
-    }
-
     private double share(double now, Holder holder, double kb) {
         double warmth = now < holder.coldUntil ? set.rules().coldShare() : 1;
         return kb / Math.min(holder.link.capacity * warmth, holder.rack.uplink.capacity);
@@ -703,7 +699,7 @@
 
     /** The rung rule at set-up: the highest rung whose load still finds the use its steps allow. */
     private int rungFor(double now, Session session, Holder holder, double average) {
-        double use = use(now, holder, average) + scar(now, holder);
+        double use = use(now, holder, average) + holder.link.scar(now);
         int rung = top(session);
         while (rung > session.type.floor()
                 && use + share(now, holder, kb(session.type, rung)) > MARK + STEP * level(session, rung)) {
@@ -761,7 +757,7 @@
             double factor = Math.max(link.factor(linkUse, set.fronts()),
                     rack.uplink.factor(rackUse, set.fronts()));
             if (linkUse + link.scar(now) + more * factor / link.capacity <= allowed
-                    && rackUse + rack.uplink.scar(now) + more * factor / rack.uplink.capacity <= allowed) {
+                    && rackUse + more * factor / rack.uplink.capacity <= allowed) {
                 act.rate(session.request.id(), session.rung + 1);
                 setRung(now, session, session.rung + 1, factor);
             }
@@ -825,7 +821,7 @@
             if (Double.isNaN(session.overSince)) {
                 session.overSince = now + random.nextDouble() * Z_MS / 2;
             }
-            double floorUse = use(now, target, average) + scar(now, target)
+            double floorUse = use(now, target, average) + target.link.scar(now)
                     + share(now, target, kb(session.type, session.type.floor()));
             if (now - session.overSince < Z_MS || holder.movedKb >= clears || floorUse > MARK) {
                 continue;
