--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -405,9 +405,11 @@
                 holder.missing = value < 0.98 ? 1 - value : 0;
                 holder.missingAt = now;
                 if (value < 0.98) {
-                    // Guards against figures that stay out: what the link's own figure does not explain is
-                    // booked to the uplink.
-                    Pool pool = holder.link.fresh(now) && holder.link.use(now, 0) < 1 ? holder.rack.uplink
+                    // The shortfall is the link's or the uplink's: the fuller of the two is raised to it.
+                    // Guards against figures that stay out: an uplink unheard is the fuller if the link is not.
+                    Pool uplink = holder.rack.uplink;
+                    double known = now - uplink.at > 2 * set.tellMs() + set.seeMs() ? 1 : uplink.use(now, 0);
+                    Pool pool = holder.link.fresh(now) && known > holder.link.use(now, 0) ? uplink
                             : holder.link;
                     pool.heard(measured, Math.max(1 / Math.max(value, 0.2), pool.figure), FIGURE_WEIGHT);
                 }
