--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -40,14 +40,15 @@
     // second, so the last step ends just under a full link.
     private static final double MARK = 0.90;
     private static final double STEP = 0.03;
+    private static final double FULL = 1.0;
     private static final double RUNG_EVERY_MS = 10_000;
-    // Room wanted before playing sessions are stepped, in steps: smaller differences are noise. Up asks for
+    // Room wanted before playing sessions are stepped: smaller differences are noise. Up asks for
     // more, as each change costs worth and a mistaken one is paid twice.
-    private static final double DOWN_SLACK = 1.0;
-    private static final double UP_SLACK = 2.5;
+    private static final double DOWN_SLACK = 0.03;
+    private static final double UP_SLACK = 0.075;
     // Refusal is the step below the lowest rung: taken where even the floor's load finds no use its level
-    // allows, and this many steps more, as some of the load will be stepped down.
-    private static final double REFUSE_SLACK = 0.5;
+    // allows, and a little more, as some of the load will be stepped down.
+    private static final double REFUSE_SLACK = 0.015;
     // Weight of a new figure against the old one kept up to date: single figures are noisy.
     private static final double FIGURE_WEIGHT = 0.6;
     // Reports that come with outcomes are about this late.
@@ -522,7 +523,7 @@
             return;
         }
         double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
-        double bearable = MARK + STEP * (level(session, type.floor()) + REFUSE_SLACK);
+        double bearable = allowed(level(session, type.floor())) + REFUSE_SLACK;
         if (floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
             giveUp(session);
             return;
@@ -699,12 +700,17 @@
                 Math.min(session.type.top(), set.rungKb().size() - 1)));
     }
 
+    /** The use up to which a level is kept: one step for each level above the mark, full at the most. */
+    private static double allowed(double level) {
+        return Math.min(FULL, MARK + STEP * level);
+    }
+
     /** The rung rule at set-up: the highest rung whose load still finds the use its steps allow. */
     private int rungFor(double now, Session session, Holder holder, double average) {
         double use = use(now, holder, average) + holder.link.scar(now);
         int rung = top(session);
         while (rung > session.type.floor()
-                && use + share(now, holder, kb(session.type, rung)) > MARK + STEP * level(session, rung)) {
+                && use + share(now, holder, kb(session.type, rung)) > allowed(level(session, rung))) {
             rung--;
         }
         return rung;
@@ -734,8 +740,8 @@
         free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS);
         free.sort(Comparator.comparingDouble(s -> level(s, s.rung)));
         for (Session session : free) {
-            double steps = (use - MARK) / STEP - DOWN_SLACK;
-            if (session.rung <= session.type.floor() || level(session, session.rung) >= steps) {
+            if (session.rung <= session.type.floor()
+                    || use <= allowed(level(session, session.rung)) + DOWN_SLACK) {
                 break;
             }
             act.rate(session.request.id(), session.rung - 1);
@@ -752,7 +758,7 @@
         free.sort(Comparator.comparingDouble(s -> -level(s, s.rung + 1)));
         for (Session session : free) {
             double more = kb(session.type, session.rung + 1) - session.kb;
-            double allowed = MARK + STEP * (level(session, session.rung + 1) - UP_SLACK);
+            double allowed = allowed(level(session, session.rung + 1)) - UP_SLACK;
             Pool link = session.holder.link;
             double linkUse = link.use(now, average);
             double rackUse = rack.uplink.use(now, average);
