--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -788,7 +788,10 @@
         for (Holder holder : holders.values()) {
             stepRungs(now, holder.link, new ArrayList<>(holder.playing), average);
         }
-        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
+        // Guards against first figures, which ramp up with the sessions that a front finds at its start.
+        boolean settled = now - startedAt > OWN_START_MS;
+        for (Map.Entry<Rack, List<Session>> entry : settled ? byRack.entrySet() : Set.<Map.Entry<Rack,
+                List<Session>>>of()) {
             stepUp(now, entry.getKey(), entry.getValue(), average);
         }
         for (Holder holder : holders.values()) {
