--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -53,6 +53,8 @@
     private static final double FIGURE_WEIGHT = 0.6;
     // Reports that come with outcomes are about this late.
     private static final double REPORT_LATE_MS = 600;
+    // Figures are smoothed before they are told: this much of the time before them is not yet in them.
+    private static final double SMOOTH_MS = 800;
     // A figure older than this counts as unheard (it fades into the average until then).
     private static final double STALE_MS = 12_000;
     // Trust returns slowly: use seen above a full link fades from SL over this time.
@@ -394,7 +396,7 @@
         }
         // At set-up a note is fresh, later ones are see_ms late.
         boolean atSetUp = session != null && session.playing && now - session.playingAt < set.seeMs() / 2;
-        double measured = now - (atSetUp ? 0 : set.seeMs());
+        double measured = now - (atSetUp ? 0 : set.seeMs() + SMOOTH_MS);
         if (measured > holder.failedAt) {
             holder.heardAt = now;
             if (holder.failures > 0) {
@@ -788,10 +790,7 @@
         for (Holder holder : holders.values()) {
             stepRungs(now, holder.link, new ArrayList<>(holder.playing), average);
         }
-        // Guards against first figures, which ramp up with the sessions that a front finds at its start.
-        boolean settled = now - startedAt > OWN_START_MS;
-        for (Map.Entry<Rack, List<Session>> entry : settled ? byRack.entrySet() : Set.<Map.Entry<Rack,
-                List<Session>>>of()) {
+        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
             stepUp(now, entry.getKey(), entry.getValue(), average);
         }
         for (Holder holder : holders.values()) {
