Tenants' quotas are read as one sum split by share; returning viewers are no new asking

Cause: quotas come as whole numbers, so a share of 0.3 came as 0 and was taken for no quota; refused viewers who came again counted as new load.

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -53,8 +53,6 @@
     private static final double FIGURE_WEIGHT = 0.6;
     // Reports that come with outcomes are about this late.
     private static final double REPORT_LATE_MS = 600;
-    // Figures are smoothed before they are told: this much of the time before them is not yet in them.
-    private static final double SMOOTH_MS = 800;
     // A figure older than this counts as unheard (it fades into the average until then).
     private static final double STALE_MS = 12_000;
     // Trust returns slowly: use seen above a full link fades from SL over this time.
@@ -319,24 +317,28 @@
         session.takenAt = now;
         session.deadline = now + request.leftMs();
         if (session.type != null) {
-            session.value = session.type.worth() * tenantWorth(now, request.tenant());
+            session.value = session.type.worth() * tenantWorth(now, request);
             session.rung = session.type.floor();
         }
         sessions.put(request.id(), session);
         return session;
     }
 
-    /** Guards tenants' shares: sessions of one that sends beyond its quota count by what they earn. */
-    private double tenantWorth(double now, String name) {
-        Tenant tenant = name == null ? null : tenants.get(name);
-        if (tenant == null || !(tenant.quotaPerS() > 0)) {
+    /**
+     * Guards tenants' shares: sessions of one that asks beyond its quota count by what they earn. A viewer
+     * that comes again is no new asking. Quotas may come as whole numbers: their sum is split by share.
+     */
+    private double tenantWorth(double now, Request request) {
+        Tenant tenant = request.tenant() == null ? null : tenants.get(request.tenant());
+        double quota = set.tenants().stream().mapToDouble(Tenant::quotaPerS).filter(q -> q > 0).sum();
+        if (tenant == null || quota == 0) {
             return 1;
         }
-        double[] rate = tenantRate.computeIfAbsent(name, n -> new double[] {0, now});
-        rate[0] = rate[0] * Math.exp((rate[1] - now) / RATE_MS) + 1;
+        double[] rate = tenantRate.computeIfAbsent(tenant.name(), n -> new double[] {0, now});
+        rate[0] = rate[0] * Math.exp((rate[1] - now) / RATE_MS) + (request.returning() ? 0 : 1);
         rate[1] = now;
-        double perS = rate[0] * 1000 / RATE_MS * set.fronts();
-        double within = Math.min(1, tenant.quotaPerS() / perS);
+        double perS = Math.max(1e-6, rate[0] * 1000 / RATE_MS * set.fronts());
+        double within = Math.min(1, tenant.share() * quota / perS);
         return within + (1 - within) * set.overShareWorth();
     }
 
@@ -396,7 +398,7 @@
         }
         // At set-up a note is fresh, later ones are see_ms late.
         boolean atSetUp = session != null && session.playing && now - session.playingAt < set.seeMs() / 2;
-        double measured = now - (atSetUp ? 0 : set.seeMs() + SMOOTH_MS);
+        double measured = now - (atSetUp ? 0 : set.seeMs());
         if (measured > holder.failedAt) {
             holder.heardAt = now;
             if (holder.failures > 0) {
--- a/src/main/java/spanrill/SessionControl.java
+++ b/src/main/java/spanrill/SessionControl.java
@@ -81,9 +81,10 @@
      * A tenant.
      *
      * @param name its name
+     * @param share its share of the service
      * @param quotaPerS new sessions a second, over all fronts, within its share; NaN: not limited
      */
-    record Tenant(String name, double quotaPerS) { }
+    record Tenant(String name, double share, double quotaPerS) { }
 
     /**
      * A kind of server.
@@ -166,9 +167,10 @@
      * @param copies cells in a row that hold it
      * @param top highest rung that this viewer can use
      * @param moved true when it comes back from a move of this front
+     * @param returning true when it is not the viewer's first try
      */
     record Request(String id, String className, String tenant, String key, String title, double leftMs,
-            int home, int copies, int top, boolean moved) { }
+            int home, int copies, int top, boolean moved, boolean returning) { }
 
     /**
      * A load report of a server.
--- a/src/main/java/spanrill/simhost/SetupReader.java
+++ b/src/main/java/spanrill/simhost/SetupReader.java
@@ -75,7 +75,7 @@
         int count = pairs.containsKey("tenants.count") ? integer("tenants.count") : 0;
         for (int i = 0; i < count; i++) {
             String at = "tenants." + i + ".";
-            tenants.add(new Tenant(text(at + "name"), optional(at + "quota_per_s")));
+            tenants.add(new Tenant(text(at + "name"), number(at + "share"), optional(at + "quota_per_s")));
         }
         return tenants;
     }
--- a/src/main/java/spanrill/simhost/Simhost.java
+++ b/src/main/java/spanrill/simhost/Simhost.java
@@ -23,6 +23,7 @@
  */
 final class Simhost {
     private static final int MOVED = 8;
+    private static final int AGAIN = 16;
 
     private final Writer out;
     private final StringBuilder reply = new StringBuilder();
@@ -225,7 +226,8 @@
         int copies = line.integer("span");
         int top = line.integer("top");
         int marks = line.integer("marks");
-        return new Request(id, category, org, key, title, left, home, copies, top, (marks & MOVED) != 0);
+        return new Request(id, category, org, key, title, left, home, copies, top, (marks & MOVED) != 0,
+                (marks & (MOVED | AGAIN)) != 0);
     }
 
     private Load load(Line line, List<String> names) {
--- a/src/test/java/spanrill/ControlTest.java
+++ b/src/test/java/spanrill/ControlTest.java
@@ -8,6 +8,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import spanrill.SessionControl.ListKind;
 import spanrill.SessionControl.NoteKind;
@@ -90,7 +91,7 @@
         front.control.ended(front.now, "r1", true, Outcome.CANCELLED, left, null);
         SessionControl.Request old = front.request("r2", "free", 3000);
         front.control.request(front.now, new SessionControl.Request("r2", "free", null, "kr1", "title",
-                old.leftMs(), 0, 4, 4, true));
+                old.leftMs(), 0, 4, 4, true, true));
         assertNotEquals(left, front.sentTo("r2"));
         assertNotNull(front.sentTo("r2"));
     }
@@ -204,4 +205,33 @@
         front.control.timer(front.now, "none");
         assertEquals(0, front.count("send") + front.count("fail") + front.count("refuse"));
     }
+
+    @Test
+    void aTenantWhoseRoundedQuotaIsZeroIsHeldToItsShare() {
+        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(List.of(
+                new SessionControl.Tenant("big", 0.7, 1), new SessionControl.Tenant("small", 0.3, 0))));
+        f.list(ListKind.KEPT, ServerState.READY, Double.NaN, 0, 1, 2, 3);
+        f.run(15_000);
+        f.play("r0", "free");
+        f.run(1500);
+        for (int i = 0; i < 20; i++) {
+            f.control.request(f.now, new SessionControl.Request("s" + i, "free", "small", null, "title", 3000,
+                    0, 4, 4, false, false));
+            String server = f.sentTo("s" + i);
+            f.control.ended(f.now, "s" + i, false, Outcome.ERROR, server, null);
+            f.control.gone(f.now, "s" + i);
+        }
+        for (int i = 0; i < 6; i++) {
+            f.run(1000);
+            f.control.note(f.now, "r0", f.sentTo("r0"), NoteKind.UPLINK_USE, 0.95);
+        }
+        f.said.clear();
+        f.control.request(f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4,
+                false, false));
+        f.control.request(f.now, new SessionControl.Request("s", "free", "small", null, "title", 3000, 0, 4, 4,
+                false, false));
+        assertEquals(1, f.count("send b "));
+        assertEquals(0, f.count("rate b 0"));
+        assertEquals(1, f.count("refuse s ") + (f.count("send s ") - f.count("rate s ")), f.said.toString());
+    }
 }
--- a/src/test/java/spanrill/ScriptedFront.java
+++ b/src/test/java/spanrill/ScriptedFront.java
@@ -37,6 +37,15 @@
                 maxAttempts, 2000, 0.04, 0.1, rules);
     }
 
+    /** The same with tenants. */
+    static Settings withTenants(List<SessionControl.Tenant> tenants) {
+        Settings s = settings(3, 3, rules());
+        return new Settings(s.me(), s.fronts(), s.zone(), s.classes(), tenants, s.kinds(), s.rungKb(),
+                s.rungWorth(), s.cells(), s.racks(), s.linksKb(), s.weightKb(), s.uplinkKb(), s.stall(),
+                s.changeCostMs(), s.seeMs(), s.tellMs(), s.maxAttempts(), s.maxRetryAfterMs(),
+                s.crossZonePrice(), s.overShareWorth(), s.rules());
+    }
+
     static Rules rules() {
         return new Rules(12_000, 0.4, 2, 1500, Double.NaN, Double.NaN, Double.NaN);
     }
@@ -58,7 +67,7 @@
     }
 
     Request request(String id, String type, double left) {
-        return new Request(id, type, null, "k" + id, "title", left, 0, 4, 4, false);
+        return new Request(id, type, null, "k" + id, "title", left, 0, 4, 4, false, false);
     }
 
     /** Tells a request and gives the server it was sent to, or null. */
