After its own start a front paces for 3 s, uses its whole turn, and refuses on heard figures alone

Cause: each fresh front paced every server for 6 s, one set-up a turn; not shortage (links were at half of full right after), not servers (none failed).

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -67,8 +67,8 @@
     private static final double OTHERS_HEARD = 0.6;
     // Share of a cold server's budget that the fronts together may use.
     private static final double COLD_SAFETY = 0.7;
-    // After this front's own start its list may hide restarts for this long.
-    private static final double OWN_START_MS = 6000;
+    // After this front's own start its list may hide restarts for this long: they are listed soon.
+    private static final double OWN_START_MS = 3000;
     // A request waits for a cold server's next turn up to this share of its aim.
     private static final double HOLD_SHARE = 0.7;
     private static final double RETRY_AFTER_MS = 1000;
@@ -126,9 +126,7 @@
                     : figure + since(at) - since(measured);
             figure = Math.max(0, old + weight * (value - old));
             at = measured;
-            while (!changes.isEmpty() && changes.peek()[0] <= at) {
-                changes.poll();
-            }
+            changes.removeIf(change -> change[0] <= at);
             if (value > 1 && value - 1 > scar(measured)) {
                 scar = value - 1;
                 scarAt = measured;
@@ -175,15 +173,23 @@
     }
 
     private static final class Session {
-        private Request request;
-        private ServiceClass type;
+        private final Request request;
+        private final ServiceClass type;
+        private final double takenAt, deadline;
         private Holder holder;
         private int rung, attempts;
         private double value, kb;
         private boolean out, playing, waiting, mayHaveRun;
-        private double takenAt, deadline, playingAt, overSince = Double.NaN;
+        private double playingAt, overSince = Double.NaN;
         private double changedAt = NEVER, movedAt = NEVER;
         private final Set<Holder> tried = new HashSet<>();
+
+        Session(Request request, ServiceClass type, double now) {
+            this.request = request;
+            this.type = type;
+            takenAt = now;
+            deadline = now + request.leftMs();
+        }
     }
 
     /** What is remembered of a session on the move: the holder it left, and what is kept for it elsewhere. */
@@ -236,13 +242,11 @@
                         startedAt + Math.min(OWN_START_MS, set.rules().coldMs()));
             }
         }
-        if (kind != ListKind.CHANGES) {
-            for (Holder holder : holders.values()) {
-                Server s = holder.server;
-                if (!named.contains(s.id())) {
-                    holder.server = new Server(s.id(), s.zone(), s.kind(), s.cell(), ServerState.GONE,
-                            s.weight(), s.startedAt());
-                }
+        for (Holder holder : holders.values()) {
+            Server s = holder.server;
+            if (kind != ListKind.CHANGES && !named.contains(s.id())) {
+                holder.server = new Server(s.id(), s.zone(), s.kind(), s.cell(), ServerState.GONE, s.weight(),
+                        s.startedAt());
             }
         }
         arrange();
@@ -311,11 +315,7 @@
     }
 
     private Session take(double now, Request request) {
-        Session session = new Session();
-        session.request = request;
-        session.type = classes.get(request.className());
-        session.takenAt = now;
-        session.deadline = now + request.leftMs();
+        Session session = new Session(request, classes.get(request.className()), now);
         if (session.type != null) {
             session.value = session.type.worth() * tenantWorth(now, request);
             session.rung = session.type.floor();
@@ -528,7 +528,8 @@
         }
         double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
         double bearable = allowed(level(session, type.floor())) + REFUSE_SLACK;
-        if (floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
+        boolean heard = best.link.fresh(now) || best.rack.uplink.fresh(now);
+        if (heard && floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
             giveUp(session);
             return;
         }
@@ -648,9 +649,7 @@
     }
 
     private static void trim(ArrayDeque<Double> times, double before) {
-        while (!times.isEmpty() && times.peek() <= before) {
-            times.poll();
-        }
+        times.removeIf(time -> time <= before);
     }
 
     /** Takes the session off its holder. */
@@ -667,7 +666,6 @@
     }
 
     private void finish(Session session) {
-        session.waiting = false;
         sessions.remove(session.request.id());
     }
 
@@ -733,8 +731,8 @@
         session.changedAt = now;
     }
 
-    /** Steps sessions of one link or uplink down by this front's part of the excess, then up into room. */
-    private void stepRungs(double now, Pool pool, List<Session> playing, double average) {
+    /** Steps sessions of one link or uplink down by this front's part of the excess. */
+    private void stepDown(double now, Pool pool, List<Session> playing, double average) {
         if (!pool.fresh(now) || playing.isEmpty()) {
             return;
         }
@@ -786,15 +784,9 @@
                 byRack.computeIfAbsent(holder.rack, r -> new ArrayList<>()).addAll(holder.playing);
             }
         }
-        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
-            stepRungs(now, entry.getKey().uplink, entry.getValue(), average);
-        }
-        for (Holder holder : holders.values()) {
-            stepRungs(now, holder.link, new ArrayList<>(holder.playing), average);
-        }
-        for (Map.Entry<Rack, List<Session>> entry : byRack.entrySet()) {
-            stepUp(now, entry.getKey(), entry.getValue(), average);
-        }
+        byRack.forEach((rack, playing) -> stepDown(now, rack.uplink, playing, average));
+        holders.values().forEach(h -> stepDown(now, h.link, new ArrayList<>(h.playing), average));
+        byRack.forEach((rack, playing) -> stepUp(now, rack, playing, average));
         for (Holder holder : holders.values()) {
             watch(now, holder);
             moves(now, holder, average);
@@ -919,7 +911,7 @@
         trim(holder.coldSends, now - window);
         double round = 2 * window * fronts;
         double phase = now - Math.floor(now / round) * round - 2 * window * (set.me() % fronts);
-        if (phase >= 0 && phase < window && holder.coldSends.isEmpty()) {
+        if (phase >= 0 && phase < window && holder.coldSends.size() < Math.max(1, (int) budget)) {
             return 0;
         }
         double next = phase < 0 ? -phase : round - phase;
