--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -411,7 +411,7 @@
                 holder.missingAt = now;
                 if (value < 0.98) {
                     // The shortfall is the link's or the uplink's: the fuller of the two is raised to it.
-                    // Guards against figures that stay out: an uplink unheard is the fuller if the link is not.
+                    // Guards against figures that stay out: an uplink unheard counts as full.
                     Pool uplink = holder.rack.uplink;
                     double known = now - uplink.at > 2 * set.tellMs() + set.seeMs() ? 1 : uplink.use(now, 0);
                     Pool pool = holder.link.fresh(now) && known > holder.link.use(now, 0) ? uplink
@@ -911,7 +911,7 @@
         trim(holder.coldSends, now - window);
         double round = 2 * window * fronts;
         double phase = now - Math.floor(now / round) * round - 2 * window * (set.me() % fronts);
-        if (phase >= 0 && phase < window && holder.coldSends.size() < Math.max(1, (int) budget)) {
+        if (phase >= 0 && phase < window && holder.coldSends.size() < Math.max(1, Math.floor(budget))) {
             return 0;
         }
         double next = phase < 0 ? -phase : round - phase;
--- a/src/test/java/spanrill/ControlTest.java
+++ b/src/test/java/spanrill/ControlTest.java
@@ -228,8 +228,8 @@
         f.said.clear();
         f.control.request(f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4,
                 false, false));
-        f.control.request(f.now, new SessionControl.Request("s", "free", "small", null, "title", 3000, 0, 4, 4,
-                false, false));
+        f.control.request(f.now, new SessionControl.Request("s", "free", "small", null, "title", 3000, 0, 4,
+                4, false, false));
         assertEquals(1, f.count("send b "));
         assertEquals(0, f.count("rate b 0"));
         assertEquals(1, f.count("refuse s ") + (f.count("send s ") - f.count("rate s ")), f.said.toString());
