--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -100,7 +100,7 @@
     private static final class Pool {
         private double capacity = 1, own;
         private double figure = Double.NaN, at;
-        private double scar, scarAt;
+        private double scar, scarAt, downAt = NEVER;
         private final ArrayDeque<double[]> changes = new ArrayDeque<>();
 
         /** Notes a change of this front's load; a factor above 1 counts what other fronts do alike. */
@@ -748,6 +748,7 @@
             }
             act.rate(session.request.id(), session.rung - 1);
             setRung(now, session, session.rung - 1, factor);
+            pool.downAt = now;
             use = pool.use(now, average);
         }
     }
@@ -762,6 +763,10 @@
             double more = kb(session.type, session.rung + 1) - session.kb;
             double allowed = allowed(level(session, session.rung + 1)) - UP_SLACK;
             Pool link = session.holder.link;
+            // Guards against see-saws: room just made by steps down is not given away again at once.
+            if (now - Math.max(link.downAt, rack.uplink.downAt) < RUNG_EVERY_MS) {
+                continue;
+            }
             double linkUse = link.use(now, average);
             double rackUse = rack.uplink.use(now, average);
             double factor = Math.max(link.factor(linkUse, set.fronts()),
