--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -45,7 +45,7 @@
     // Room wanted before playing sessions are stepped: smaller differences are noise. Up asks for
     // more, as each change costs worth and a mistaken one is paid twice.
     private static final double DOWN_SLACK = 0.03;
-    private static final double UP_SLACK = 0.075;
+    private static final double UP_SLACK = 0.11;
     // Refusal is the step below the lowest rung: taken where even the floor's load finds no use its level
     // allows, and a little more, as some of the load will be stepped down.
     private static final double REFUSE_SLACK = 0.015;
@@ -761,7 +761,8 @@
         free.sort(Comparator.comparingDouble(s -> -level(s, s.rung + 1)));
         for (Session session : free) {
             double more = kb(session.type, session.rung + 1) - session.kb;
-            double allowed = allowed(level(session, session.rung + 1)) - UP_SLACK;
+            double allowed = allowed(level(session, session.rung + 1))
+                    - UP_SLACK * set.changeCostMs() / 1000;
             Pool link = session.holder.link;
             // Guards against see-saws: room just made by steps down is not given away again at once.
             if (now - Math.max(link.downAt, rack.uplink.downAt) < RUNG_EVERY_MS) {
