--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -45,7 +45,7 @@
     // Room wanted before playing sessions are stepped: smaller differences are noise. Up asks for
     // more, as each change costs worth and a mistaken one is paid twice.
     private static final double DOWN_SLACK = 0.03;
-    private static final double UP_SLACK = 0.11;
+    private static final double UP_SLACK = 0.075;
     // Refusal is the step below the lowest rung: taken where even the floor's load finds no use its level
     // allows, and a little more, as some of the load will be stepped down.
     private static final double REFUSE_SLACK = 0.015;
@@ -103,7 +103,7 @@
         private double scar, scarAt, downAt = NEVER;
         private final ArrayDeque<double[]> changes = new ArrayDeque<>();
 
-        /** Notes a change of this front's load; a factor above 1 counts what other fronts do alike. */
+        /** Notes a change of this front's load; the factor counts what other fronts do alike, 0: no news. */
         void change(double now, double kb, double factor) {
             own = Math.max(0, own + kb);
             changes.add(new double[] {now, kb * factor});
@@ -357,8 +357,7 @@
         session.mayHaveRun = true;
         session.kb = kb(session.type, session.rung);
         holder.playing.add(session);
-        holder.link.own += session.kb;
-        holder.rack.uplink.own += session.kb;
+        load(now, holder, session.kb, 0);
         holder.heardAt = now;
         // A server that has sessions under way did not start just now.
         if (Double.isNaN(holder.server.startedAt())) {
@@ -638,14 +637,17 @@
     /** Keeps the budget of further attempts, where one is stated. */
     private boolean mayGoFurther(double now) {
         Rules rules = set.rules();
-        if (Double.isNaN(rules.spareAttempts()) && Double.isNaN(rules.attemptShare())) {
+        if (Double.isNaN(rules.attemptWindowMs())) {
             return true;
         }
         trim(taken, now - rules.attemptWindowMs());
         trim(further, now - rules.attemptWindowMs());
-        double spare = Double.isNaN(rules.spareAttempts()) ? 0 : rules.spareAttempts();
-        double part = Double.isNaN(rules.attemptShare()) ? 0 : rules.attemptShare();
-        return further.size() + 1 <= spare + part * taken.size();
+        double allowed = orZero(rules.spareAttempts()) + orZero(rules.attemptShare()) * taken.size();
+        return further.size() + 1 <= allowed;
+    }
+
+    private static double orZero(double figure) {
+        return Double.isNaN(figure) ? 0 : figure;
     }
 
     private static void trim(ArrayDeque<Double> times, double before) {
@@ -720,12 +722,7 @@
 
     private void setRung(double now, Session session, int rung, double factor) {
         double kb = kb(session.type, rung) - session.kb;
-        if (factor > 0) {
-            load(now, session.holder, kb, factor);
-        } else {
-            session.holder.link.own += kb;
-            session.holder.rack.uplink.own += kb;
-        }
+        load(now, session.holder, kb, factor);
         session.kb += kb;
         session.rung = rung;
         session.changedAt = now;
@@ -739,11 +736,10 @@
         double use = pool.use(now, average);
         double factor = pool.factor(use, set.fronts());
         List<Session> free = new ArrayList<>(playing);
-        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS);
+        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS || s.rung <= s.type.floor());
         free.sort(Comparator.comparingDouble(s -> level(s, s.rung)));
         for (Session session : free) {
-            if (session.rung <= session.type.floor()
-                    || use <= allowed(level(session, session.rung)) + DOWN_SLACK) {
+            if (use <= allowed(level(session, session.rung)) + DOWN_SLACK) {
                 break;
             }
             act.rate(session.request.id(), session.rung - 1);
@@ -761,8 +757,7 @@
         free.sort(Comparator.comparingDouble(s -> -level(s, s.rung + 1)));
         for (Session session : free) {
             double more = kb(session.type, session.rung + 1) - session.kb;
-            double allowed = allowed(level(session, session.rung + 1))
-                    - UP_SLACK * set.changeCostMs() / 1000;
+            double allowed = allowed(level(session, session.rung + 1)) - UP_SLACK;
             Pool link = session.holder.link;
             // Guards against see-saws: room just made by steps down is not given away again at once.
             if (now - Math.max(link.downAt, rack.uplink.downAt) < RUNG_EVERY_MS) {
