--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -736,10 +736,12 @@
         double use = pool.use(now, average);
         double factor = pool.factor(use, set.fronts());
         List<Session> free = new ArrayList<>(playing);
-        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS || s.rung <= s.type.floor());
+        free.removeIf(s -> now - s.changedAt < RUNG_EVERY_MS);
         free.sort(Comparator.comparingDouble(s -> level(s, s.rung)));
         for (Session session : free) {
-            if (use <= allowed(level(session, session.rung)) + DOWN_SLACK) {
+            // Below one at its floor, the next step is a refusal, not a step of worthier rungs.
+            if (session.rung <= session.type.floor()
+                    || use <= allowed(level(session, session.rung)) + DOWN_SLACK) {
                 break;
             }
             act.rate(session.request.id(), session.rung - 1);
