--- a/src/test/java/spanrill/HostileEventsTest.java
+++ b/src/test/java/spanrill/HostileEventsTest.java
@@ -49,7 +49,7 @@
             Seen request = seen.get(parts[1]);
             switch (parts[0]) {
                 case "send" -> {
-                    assertFalse(request.out || request.playing || request.over, "second attempt: " + parts[1]);
+                    assertFalse(request.out || request.playing || request.over, "second send: " + parts[1]);
                     assertFalse(request.paid && request.mayHaveRun, "paid session resent: " + parts[1]);
                     assertTrue(open[parts[2].charAt(1) - '0'], "sent to a closed server: " + parts[2]);
                     assertTrue(++request.attempts <= 3, "too many attempts: " + parts[1]);
