--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -66,7 +66,7 @@
     private static final double SILENT_TELLS = 1.7;
     private static final double OTHERS_HEARD = 0.6;
     // Share of a cold server's budget that the fronts together may use.
-    private static final double COLD_SAFETY = 0.7;
+    private static final double COLD_SAFETY = 0.95;
     // After this front's own start its list may hide restarts for this long: they are listed soon.
     private static final double OWN_START_MS = 3000;
     // A request waits for a cold server's next turn up to this share of its aim.
