--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -56,7 +56,7 @@
     // A figure older than this counts as unheard (it fades into the average until then).
     private static final double STALE_MS = 12_000;
     // Trust returns slowly: use seen above a full link fades from SL over this time.
-    private static final double SCAR_MS = 22_000;
+    private static final double SCAR_MS = 15_000;
     // One attempt waits for this share of the class's aim where it may be sent again.
     private static final double ATTEMPT_SHARE = 0.6;
     // A server that failed is left alone for this long, doubling up to the longest.
