--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -298,7 +298,7 @@
 
     @Override
     public void request(double now, Request request) {
-        Session session = take(now, request);
+        Session session = take(now, request, request.returning() ? 0 : 1);
         taken.add(now);
         Left left = request.key() == null ? null : lefts.get(request.key());
         if (request.moved() && left != null) {
@@ -314,10 +314,10 @@
         place(now, session);
     }
 
-    private Session take(double now, Request request) {
+    private Session take(double now, Request request, int asked) {
         Session session = new Session(request, classes.get(request.className()), now);
         if (session.type != null) {
-            session.value = session.type.worth() * tenantWorth(now, request);
+            session.value = session.type.worth() * tenantWorth(now, request, asked);
             session.rung = session.type.floor();
         }
         sessions.put(request.id(), session);
@@ -325,17 +325,17 @@
     }
 
     /**
-     * Guards tenants' shares: sessions of one that asks beyond its quota count by what they earn. A viewer
-     * that comes again is no new asking. Quotas may come as whole numbers: their sum is split by share.
+     * Guards tenants' shares: sessions of one that asks beyond its quota count by what they earn. Only
+     * first tries count, not sessions taken over. Quotas may be rounded: their sum is split by share.
      */
-    private double tenantWorth(double now, Request request) {
+    private double tenantWorth(double now, Request request, int asked) {
         Tenant tenant = request.tenant() == null ? null : tenants.get(request.tenant());
         double quota = set.tenants().stream().mapToDouble(Tenant::quotaPerS).filter(q -> q > 0).sum();
         if (tenant == null || quota == 0) {
             return 1;
         }
         double[] rate = tenantRate.computeIfAbsent(tenant.name(), n -> new double[] {0, now});
-        rate[0] = rate[0] * Math.exp((rate[1] - now) / RATE_MS) + (request.returning() ? 0 : 1);
+        rate[0] = rate[0] * Math.exp((rate[1] - now) / RATE_MS) + asked;
         rate[1] = now;
         double perS = Math.max(1e-6, rate[0] * 1000 / RATE_MS * set.fronts());
         double within = Math.min(1, tenant.share() * quota / perS);
@@ -344,7 +344,7 @@
 
     @Override
     public void takenOver(double now, Request request, String server) {
-        Session session = take(now, request);
+        Session session = take(now, request, 0);
         Holder holder = holders.get(server);
         if (session.type == null || holder == null) {
             finish(session);
--- a/src/test/java/spanrill/ControlTest.java
+++ b/src/test/java/spanrill/ControlTest.java
@@ -234,4 +234,23 @@
         assertEquals(0, f.count("rate b 0"));
         assertEquals(1, f.count("refuse s ") + (f.count("send s ") - f.count("rate s ")), f.said.toString());
     }
+
+    @Test
+    void sessionsTakenOverAreNoAskingOfTheirTenant() {
+        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(List.of(
+                new SessionControl.Tenant("big", 0.7, 2), new SessionControl.Tenant("small", 0.3, 1))));
+        f.list(ListKind.KEPT, ServerState.READY, Double.NaN, 0, 1, 2, 3);
+        for (int i = 0; i < 40; i++) {
+            f.control.takenOver(f.now, new SessionControl.Request("o" + i, "free", "big", null, "title", 0, 0,
+                    4, 4, false, false), "s" + i % 4);
+        }
+        f.run(4000);
+        for (int i = 0; i < 4; i++) {
+            f.control.note(f.now, "o" + i, "s" + i, NoteKind.UPLINK_USE, 0.93);
+        }
+        f.said.clear();
+        f.control.request(f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4,
+                false, false));
+        assertEquals(1, f.count("send b "));
+    }
 }
