--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -789,7 +789,10 @@
         }
         byRack.forEach((rack, playing) -> stepDown(now, rack.uplink, playing, average));
         holders.values().forEach(h -> stepDown(now, h.link, new ArrayList<>(h.playing), average));
-        byRack.forEach((rack, playing) -> stepUp(now, rack, playing, average));
+        // Guards against first figures, which ramp up from nothing after this front's own start.
+        if (now - startedAt > OWN_START_MS) {
+            byRack.forEach((rack, playing) -> stepUp(now, rack, playing, average));
+        }
         for (Holder holder : holders.values()) {
             watch(now, holder);
             moves(now, holder, average);
