--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -526,7 +526,7 @@
             return;
         }
         double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
-        double bearable = allowed(level(session, type.floor())) + REFUSE_SLACK;
+        double bearable = MARK + STEP * level(session, type.floor()) + REFUSE_SLACK;
         boolean heard = best.link.fresh(now) || best.rack.uplink.fresh(now);
         if (heard && floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
             giveUp(session);
@@ -789,10 +789,7 @@
         }
         byRack.forEach((rack, playing) -> stepDown(now, rack.uplink, playing, average));
         holders.values().forEach(h -> stepDown(now, h.link, new ArrayList<>(h.playing), average));
-        // Guards against first figures, which ramp up from nothing after this front's own start.
-        if (now - startedAt > OWN_START_MS) {
-            byRack.forEach((rack, playing) -> stepUp(now, rack, playing, average));
-        }
+        byRack.forEach((rack, playing) -> stepUp(now, rack, playing, average));
         for (Holder holder : holders.values()) {
             watch(now, holder);
             moves(now, holder, average);
