--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -526,7 +526,7 @@
             return;
         }
         double floorUse = use(now, best, average) + share(now, best, kb(type, type.floor()));
-        double bearable = MARK + STEP * level(session, type.floor()) + REFUSE_SLACK;
+        double bearable = allowed(level(session, type.floor())) + REFUSE_SLACK;
         boolean heard = best.link.fresh(now) || best.rack.uplink.fresh(now);
         if (heard && floorUse > bearable && !session.mayHaveRun && session.attempts == 0) {
             giveUp(session);
