Unheard holders are drawn apart: equal indexes no longer fall to the same server at every front

Cause: a front of a hundred hears few servers; all others share one average, so the first cell of a title won everywhere. It should hold against any equal knowledge; it may hurt where the first of equals were the larger servers.

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -55,6 +55,8 @@
     private static final double REPORT_LATE_MS = 600;
     // A figure older than this counts as unheard (it fades into the average until then).
     private static final double STALE_MS = 12_000;
+    // Guards against equal indexes that fall to the same holder at every front: the unheard are drawn apart.
+    private static final double SPREAD = 0.1;
     // Trust returns slowly: use seen above a full link fades from SL over this time.
     private static final double SCAR_MS = 15_000;
     // One attempt waits for this share of the class's aim where it may be sent again.
@@ -509,7 +511,8 @@
                 turn = Math.min(turn, wait);
                 continue;
             }
-            double pi = index(now, holder, session, average);
+            double pi = index(now, holder, session, average)
+                    + (holder.link.fresh(now) ? 0 : random.nextDouble() * SPREAD);
             if (pi < bestPi) {
                 bestPi = pi;
                 best = holder;
