The average that stands for unheard holders counts own changes since and uplinks

It should hold against any swing of the whole fleet; it may refuse more when the few servers heard are the fullest.

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -574,7 +574,7 @@
         int heard = 0;
         for (Holder holder : holders.values()) {
             if (holder.server.state() != ServerState.GONE && holder.link.fresh(now)) {
-                sum += holder.link.figure;
+                sum += use(now, holder);
                 heard++;
             }
         }
