Health and cold pacing for many fronts: a lost answer is no restart, no turns by number

Change: each front keeps its part of the cold budget as one set-up in a longer window that begins anywhere in the first; after a failure without a session that went on a restart is thought hidden for 3 s; sessions at a failed server count as undelivered only once notes are overdue; an error is a failure. The average no longer feeds on itself where no uplink is heard.

--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -36,8 +36,7 @@
     private static final double Y_MS = 3000;
     private static final double Z_MS = 2000;
     private static final double MOVE_EVERY_MS = 30_000;
-    // The rung rule: top rung up to the mark, one lower per step of use above it. Rates swing from second to
-    // second and figures lag, so the last step ends well under a full link.
+    // The rung rule: top rung up to the mark, one lower per step of use above it. Rates swing, figures lag.
     private static final double MARK = 0.86;
     private static final double STEP = 0.03;
     private static final double MOST = 0.95;
@@ -45,7 +44,7 @@
     // Room wanted before playing sessions are stepped: less is noise. A mistaken step up is paid twice.
     private static final double DOWN_SLACK = 0.03;
     private static final double UP_SLACK = 0.075;
-    // Steps down are taken so much more often than if all could follow: some are held or at their floor.
+    // Steps down are taken so much more often than if all followed: some are held or at their floor.
     private static final double DOWN_GAIN = 2.5;
     // Refusal is the step below the lowest rung: taken this far past the use that the floor's level allows.
     private static final double REFUSE_SLACK = 0.015;
@@ -69,8 +68,8 @@
     private static final double OTHERS_HEARD = 0.6;
     // Share of a cold server's budget that the fronts together may use.
     private static final double COLD_SAFETY = 0.95;
-    // After this front's own start its list may hide restarts for this long: they are listed soon.
-    private static final double OWN_START_MS = 3000;
+    // A restart may stay hidden this long, after this front's own start or a failure: it is listed soon.
+    private static final double HIDDEN_MS = 3000;
     // A request waits for a cold server's next turn up to this share of its aim.
     private static final double HOLD_SHARE = 0.7;
     private static final double RETRY_AFTER_MS = 1000;
@@ -172,7 +171,7 @@
         private double delay = Double.NaN;
         private double missing, missingMean, movedKb;
         private double heardAt = NEVER, missingAt = NEVER, failedAt = NEVER;
-        private double avoidUntil = NEVER, fullUntil = NEVER, coldUntil = NEVER;
+        private double avoidUntil = NEVER, fullUntil = NEVER, coldUntil = NEVER, coldFrom = NEVER;
         private final ArrayDeque<Double> coldSends = new ArrayDeque<>();
 
         /** Counts what was heard of its link and uplink. */
@@ -241,14 +240,17 @@
             double began = server.startedAt();
             if (!Double.isNaN(began) && began != before) {
                 holder.coldUntil = Math.max(holder.coldUntil, began + set.rules().coldMs());
-                if (!first) {
-                    restarted(holder);
-                }
+                holder.coldFrom = now + random.nextDouble() * coldWindow(holder);
+                // A process that started anew carries nothing over: neither its figures nor its failures.
+                holder.failures = 0;
+                holder.avoidUntil = NEVER;
+                holder.link.figure = Double.NaN;
+                holder.missing = 0;
+                holder.missingMean = 0;
             }
-            if (first && now - startedAt < OWN_START_MS) {
+            if (first && now - startedAt < HIDDEN_MS) {
                 // Guards against a list kept from before this front's own start: any server may be cold.
-                holder.coldUntil = Math.max(holder.coldUntil,
-                        startedAt + Math.min(OWN_START_MS, set.rules().coldMs()));
+                holder.coldUntil = Math.max(holder.coldUntil, startedAt + HIDDEN_MS);
             }
         }
         for (Holder holder : holders.values()) {
@@ -261,14 +263,6 @@
         arrange();
     }
 
-    /** A process that started anew carries nothing over: neither its figures nor its failures. */
-    private void restarted(Holder holder) {
-        holder.failures = 0;
-        holder.avoidUntil = NEVER;
-        holder.link.figure = Double.NaN;
-        holder.missing = 0;
-        holder.missingMean = 0;
-    }
 
     /** Sorts the servers by cell and sets the capacity of links and uplinks from the settings. */
     private void arrange() {
@@ -442,7 +436,7 @@
             switch (outcome) {
                 case OK -> well(now, holder);
                 case FULL -> holder.fullUntil = now + set.seeMs();
-                case TIMEOUT, CONNECT_FAILED, RESET -> failed(now, holder);
+                case TIMEOUT, CONNECT_FAILED, RESET, ERROR -> failed(now, holder);
                 default -> { }
             }
         }
@@ -574,7 +568,8 @@
         int heard = 0;
         for (Holder holder : holders.values()) {
             if (holder.server.state() != ServerState.GONE && holder.link.fresh(now)) {
-                sum += use(now, holder);
+                Pool uplink = holder.rack.uplink;
+                sum += Math.max(holder.link.use(now, 0), uplink.fresh(now) ? uplink.use(now, 0) : 0);
                 heard++;
             }
         }
@@ -643,8 +638,7 @@
         }
         trim(taken, now - rules.attemptWindowMs());
         trim(further, now - rules.attemptWindowMs());
-        double allowed = rules.spareAttempts() + rules.attemptShare() * taken.size();
-        return further.size() + 1 <= allowed;
+        return further.size() + 1 <= rules.spareAttempts() + rules.attemptShare() * taken.size();
     }
 
     private static void trim(ArrayDeque<Double> times, double before) {
@@ -804,7 +798,8 @@
             failed(now, holder);
         }
         double missing = now - holder.missingAt < 2500 ? holder.missing : 0;
-        boolean lost = holder.server.state() != ServerState.READY || holder.failures > 0;
+        boolean lost = holder.server.state() != ServerState.READY || (holder.failures > 0
+                && now - holder.heardAt > SILENT_TELLS * set.tellMs() + set.seeMs());
         double part = SWEEP_MS / Y_MS;
         holder.missingMean += part * ((lost ? 1 : missing) - holder.missingMean);
         holder.movedKb *= 1 - SWEEP_MS / (Y_MS + Z_MS);
@@ -856,10 +851,15 @@
         holder.failedAt = now;
     }
 
-    /** A server showed itself well; after a failure it may have started anew, so it counts as cold. */
+    /**
+     * A server showed itself well. After a failure it may have started anew, which the list soon tells, but
+     * not where a session from before goes on: then only an answer was lost.
+     */
     private void well(double now, Holder holder) {
         if (holder.failures > 0) {
-            holder.coldUntil = Math.max(holder.coldUntil, now + set.rules().coldMs());
+            if (holder.playing.isEmpty() || holder.playing.iterator().next().playingAt >= holder.failedAt) {
+                holder.coldUntil = Math.max(holder.coldUntil, now + HIDDEN_MS);
+            }
             act.log("trusting " + holder.server.id());
         }
         holder.failures = 0;
@@ -892,30 +892,29 @@
 
     /**
      * Guards cold servers: the time until this front may send one its next set-up. The fronts share the
-     * budget with no word between them: each keeps a fixed part of it, and where a part is less than one
-     * set-up they take turns by their number, a whole window apart.
+     * budget with no word between them: each keeps a fixed part of any window, and where a part is less than
+     * one set-up the window is longer and begins anywhere in the first.
      */
     private double coldWait(double now, Holder holder) {
         if (now >= holder.coldUntil && holder.failures == 0) {
             return 0;
         }
-        Rules rules = set.rules();
-        double budget = COLD_SAFETY * rules.fallMultiple() * rules.coldShare() * holder.places
-                / rules.coldMs() * rules.fallMs();
-        int fronts = Math.max(1, set.fronts());
-        int part = (int) (budget / fronts);
-        if (part >= 1) {
-            trim(holder.coldSends, now - rules.fallMs());
-            return holder.coldSends.size() < part ? 0 : holder.coldSends.peek() + rules.fallMs() - now;
-        }
-        double window = Math.max(1, 1 / budget) * rules.fallMs();
+        double window = coldWindow(holder);
         trim(holder.coldSends, now - window);
-        double round = 2 * window * fronts;
-        double phase = now - Math.floor(now / round) * round - 2 * window * (set.me() % fronts);
-        if (phase >= 0 && phase < window && holder.coldSends.size() < Math.max(1, Math.floor(budget))) {
-            return 0;
+        if (holder.coldSends.size() < Math.max(1, (int) coldPart(holder))) {
+            return Math.max(0, holder.coldFrom - now);
         }
-        double next = phase < 0 ? -phase : round - phase;
-        return Math.max(1, next);
+        return Math.max(1, holder.coldSends.peek() + window - now);
+    }
+
+    /** This front's part of the set-ups that a cold server bears within the time stated. */
+    private double coldPart(Holder holder) {
+        Rules rules = set.rules();
+        return COLD_SAFETY * rules.fallMultiple() * rules.coldShare() * placesOf(holder.server.kind())
+                / rules.coldMs() * rules.fallMs() / Math.max(1, set.fronts());
+    }
+
+    private double coldWindow(Holder holder) {
+        return set.rules().fallMs() / Math.min(1, coldPart(holder));
     }
 }
