--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -569,7 +569,8 @@
         for (Holder holder : holders.values()) {
             if (holder.server.state() != ServerState.GONE && holder.link.fresh(now)) {
                 Pool uplink = holder.rack.uplink;
-                sum += Math.max(holder.link.use(now, average), uplink.fresh(now) ? uplink.use(now, average) : 0);
+                double above = uplink.fresh(now) ? uplink.use(now, average) : 0;
+                sum += Math.max(holder.link.use(now, average), above);
                 heard++;
             }
         }
