--- a/src/main/java/spanrill/Control.java
+++ b/src/main/java/spanrill/Control.java
@@ -37,9 +37,9 @@
     private static final double Z_MS = 2000;
     private static final double MOVE_EVERY_MS = 30_000;
     // The rung rule: top rung up to the mark, one lower per step of use above it. Rates swing, figures lag.
-    private static final double MARK = 0.86;
+    private static final double MARK = 0.88;
     private static final double STEP = 0.03;
-    private static final double MOST = 0.95;
+    private static final double MOST = 0.97;
     private static final double RUNG_EVERY_MS = 10_000;
     // Room wanted before playing sessions are stepped: less is noise. A mistaken step up is paid twice.
     private static final double DOWN_SLACK = 0.03;
