--- /dev/null
+++ b/decisions/src/main/java/spanrill/decisions/RuleFault.java
@@ -0,0 +1,11 @@
+package spanrill.decisions;
+
+/** A transition that a rule forbids was asked for: a fault of the program, never of its input. */
+public final class RuleFault extends IllegalStateException {
+    private static final long serialVersionUID = 1;
+
+    /** A fault with what was asked of what. */
+    public RuleFault(String message) {
+        super(message);
+    }
+}
--- a/src/main/java/spanrill/simhost/Main.java
+++ b/simhost/src/main/java/spanrill/simhost/Main.java
@@ -11,14 +11,14 @@
 import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 
-/** Entry point: {@code java -jar spanrill.jar simhost}. */
+/** Entry point: {@code spanrill.simhost.Main simhost}. */
 public final class Main {
     private Main() { }
 
     /** Runs the adapter on standard input and output, or prints the usage. */
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar spanrill.jar simhost");
+            System.err.println("usage: java -cp CORE.jar:SIMHOST.jar spanrill.simhost.Main simhost");
             System.exit(2);
         }
         BufferedReader in = new BufferedReader(new InputStreamReader(
