--- /dev/null
+++ b/check/src/main/java/spanrill/check/Attempts.java
@@ -0,0 +1,108 @@
+package spanrill.check;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the boxes' sockets saw of each attempt, gathered before the rules are judged. */
+final class Attempts {
+    /** One set-up as its box saw it. */
+    static final class Attempt {
+        final TapEvent.SetUp setUp;
+        double endedAt = Double.POSITIVE_INFINITY;
+        boolean proven;
+        boolean ran;
+        double answeredAt = Double.POSITIVE_INFINITY;
+
+        Attempt(TapEvent.SetUp setUp) {
+            this.setUp = setUp;
+        }
+
+        void end(double t) {
+            endedAt = Math.min(endedAt, t);
+        }
+    }
+
+    private final Map<String, Attempt> byKey = new LinkedHashMap<>();
+    private final Map<String, List<Attempt>> byToken = new LinkedHashMap<>();
+    private final Map<String, List<double[]>> mute = new HashMap<>();
+    private final Map<Integer, List<double[]>> away = new HashMap<>();
+
+    Attempts(List<TapEvent> events) {
+        Map<String, List<Attempt>> open = new HashMap<>();
+        for (TapEvent event : events) {
+            if (event instanceof TapEvent.SetUp setUp) {
+                Attempt attempt = new Attempt(setUp);
+                byKey.put(setUp.key(), attempt);
+                byToken.computeIfAbsent(setUp.token(), k -> new ArrayList<>()).add(attempt);
+                open.computeIfAbsent(setUp.box(), k -> new ArrayList<>()).add(attempt);
+            } else if (event instanceof TapEvent.SetUpAnswer answer && byKey.containsKey(answer.key())) {
+                Attempt attempt = byKey.get(answer.key());
+                attempt.answeredAt = answer.t();
+                if (answer.status() == 503 && answer.reason() != null) {
+                    attempt.proven = true;
+                }
+                if (answer.status() != 200) {
+                    attempt.end(answer.t());
+                }
+            } else if (event instanceof TapEvent.Ran ran && byKey.containsKey(ran.key())) {
+                byKey.get(ran.key()).ran = true;
+            } else if (event instanceof TapEvent.End end && byKey.containsKey(end.key())) {
+                byKey.get(end.key()).end(end.t());
+            } else if (event instanceof TapEvent.BoxDown down) {
+                open.getOrDefault(down.box(), List.of()).forEach(a -> a.end(down.t()));
+                open.remove(down.box());
+            } else if (event instanceof TapEvent.BoxMute m) {
+                span(mute.computeIfAbsent(m.box(), k -> new ArrayList<>()), m.t(), m.on());
+            } else if (event instanceof TapEvent.FrontDown down) {
+                span(away.computeIfAbsent(down.front(), k -> new ArrayList<>()), down.t(), true);
+            } else if (event instanceof TapEvent.FrontUp up) {
+                span(away.computeIfAbsent(up.front(), k -> new ArrayList<>()), up.t(), false);
+            } else if (event instanceof TapEvent.FrontStall stall) {
+                away.computeIfAbsent(stall.front(), k -> new ArrayList<>())
+                        .add(new double[] {stall.t(), stall.t() + stall.ms()});
+            }
+        }
+    }
+
+    private static void span(List<double[]> spans, double t, boolean begins) {
+        if (begins) {
+            spans.add(new double[] {t, Double.POSITIVE_INFINITY});
+        } else if (!spans.isEmpty() && Double.isInfinite(spans.get(spans.size() - 1)[1])) {
+            spans.get(spans.size() - 1)[1] = t;
+        }
+    }
+
+    Collection<Attempt> all() {
+        return byKey.values();
+    }
+
+    Map<String, List<Attempt>> byToken() {
+        return byToken;
+    }
+
+    Attempt byKey(String key) {
+        return byKey.get(key);
+    }
+
+    /** True when the box was mute at any time from one time to another. */
+    boolean mute(String box, double from, double to) {
+        return overlaps(mute.getOrDefault(box, List.of()), from, to) > 0;
+    }
+
+    /** How long a front did not run (dead or standing still) from one time to another. */
+    double away(int front, double from, double to) {
+        return overlaps(away.getOrDefault(front, List.of()), from, to);
+    }
+
+    private static double overlaps(List<double[]> spans, double from, double to) {
+        double sum = 0;
+        for (double[] span : spans) {
+            sum += Math.max(0, Math.min(to, span[1]) - Math.max(from, span[0]));
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/check/src/main/java/spanrill/check/BudgetRule.java
@@ -0,0 +1,55 @@
+package spanrill.check;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Rule 6: a front's attempts beyond each request's first stay within a stated few, plus a share of the
+ * requests that it took, over any window; and where no budget is stated, within the attempts allowed.
+ */
+final class BudgetRule implements Rule {
+    @Override
+    public Verdict judge(TapEvent.Facts facts, List<TapEvent> events, Attempts attempts) {
+        Verdict verdict = new Verdict(6, "further attempts within the budget");
+        if (facts.attemptWindowMs() == null) {
+            return verdict;
+        }
+        Map<Integer, ArrayDeque<Double>> taken = new HashMap<>();
+        Map<Integer, ArrayDeque<Double>> further = new HashMap<>();
+        Map<Long, String> tokens = new HashMap<>();
+        Set<String> tried = new HashSet<>();
+        for (TapEvent event : events) {
+            if (event instanceof TapEvent.Ask ask) {
+                tokens.put(ask.ask(), ask.token());
+                taken.computeIfAbsent(ask.front(), k -> new ArrayDeque<>()).add(ask.t());
+            } else if (event instanceof TapEvent.Answer answer) {
+                // After its answer the token's next attempt belongs to a new request.
+                tried.remove(tokens.get(answer.ask()));
+            } else if (event instanceof TapEvent.FrontUp up) {
+                taken.remove(up.front());
+                further.remove(up.front());
+            } else if (event instanceof TapEvent.SetUp setUp && setUp.continues() == null) {
+                verdict.judged();
+                if (tried.add(setUp.token())) {
+                    continue;
+                }
+                ArrayDeque<Double> own = further.computeIfAbsent(setUp.front(), k -> new ArrayDeque<>());
+                own.add(setUp.t());
+                double from = setUp.t() - facts.attemptWindowMs();
+                ArrayDeque<Double> asked = taken.computeIfAbsent(setUp.front(), k -> new ArrayDeque<>());
+                own.removeIf(t -> t <= from);
+                asked.removeIf(t -> t <= from);
+                double budget = facts.spareAttempts() + facts.attemptShare() * asked.size();
+                if (own.size() > budget) {
+                    verdict.broken(setUp.t(), String.format("front %d made %d further attempts, budget %.1f",
+                            setUp.front(), own.size(), budget));
+                }
+            }
+        }
+        return verdict;
+    }
+}
--- /dev/null
+++ b/check/src/main/java/spanrill/check/DrainRule.java
@@ -0,0 +1,36 @@
+package spanrill.check;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Rule 4: nothing new to a box later than the grace after this front was told that it drains or is gone. */
+final class DrainRule implements Rule {
+    @Override
+    public Verdict judge(TapEvent.Facts facts, List<TapEvent> events, Attempts attempts) {
+        Verdict verdict = new Verdict(4, "nothing new after a drain was heard");
+        Map<String, Double> leaving = new HashMap<>();
+        for (TapEvent event : events) {
+            if (event instanceof TapEvent.Told told) {
+                String at = told.front() + " " + told.box();
+                if (told.state().equals("ready")) {
+                    leaving.remove(at);
+                } else {
+                    leaving.putIfAbsent(at, told.t());
+                }
+            } else if (event instanceof TapEvent.FrontUp up) {
+                // A new process heard nothing yet, though its list may be told again at once.
+                leaving.keySet().removeIf(at -> at.startsWith(up.front() + " "));
+            } else if (event instanceof TapEvent.SetUp setUp) {
+                verdict.judged();
+                Double told = leaving.get(setUp.front() + " " + setUp.box());
+                if (told != null && setUp.t() - told - attempts.away(setUp.front(), told, setUp.t())
+                        > facts.drainGraceMs()) {
+                    verdict.broken(setUp.t(), String.format("front %d set up at %s %.0f ms after it was told",
+                            setUp.front(), setUp.box(), setUp.t() - told));
+                }
+            }
+        }
+        return verdict;
+    }
+}
--- /dev/null
+++ b/check/src/main/java/spanrill/check/OnceRule.java
@@ -0,0 +1,65 @@
+package spanrill.check;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import spanrill.check.Attempts.Attempt;
+
+/**
+ * Rule 2: a paid session is set up once. It is sent again, or refused, only when every attempt before was
+ * turned away unseen. A set-up that goes on with one that played (a move) spends nothing and is allowed; one
+ * that claims so without such a one is not.
+ */
+final class OnceRule implements Rule {
+    @Override
+    public Verdict judge(TapEvent.Facts facts, List<TapEvent> events, Attempts attempts) {
+        Verdict verdict = new Verdict(2, "a paid session is set up once");
+        Map<Long, TapEvent.Ask> asks = new HashMap<>();
+        for (TapEvent event : events) {
+            if (event instanceof TapEvent.Ask ask) {
+                asks.put(ask.ask(), ask);
+            } else if (event instanceof TapEvent.Answer answer && answer.answer().equals("refused")
+                    && asks.containsKey(answer.ask())) {
+                TapEvent.Ask ask = asks.get(answer.ask());
+                if (!facts.classes().get(ask.cls()).once()) {
+                    continue;
+                }
+                for (Attempt attempt : attempts.byToken().getOrDefault(ask.token(), List.of())) {
+                    if (attempt.setUp.t() < answer.t() && !attempt.proven) {
+                        verdict.broken(answer.t(), "token " + ask.token() + " was refused though attempt "
+                                + attempt.setUp.key() + " may have run");
+                    }
+                }
+            }
+        }
+        attempts.byToken().forEach((token, list) -> {
+            if (facts.classes().get(list.get(0).setUp.cls()).once()) {
+                verdict.judged();
+                judge(verdict, token, list, attempts);
+            }
+        });
+        return verdict;
+    }
+
+    private static void judge(Verdict verdict, String token, List<Attempt> list, Attempts attempts) {
+        Attempt unproven = null;
+        for (Attempt attempt : list) {
+            TapEvent.SetUp setUp = attempt.setUp;
+            if (setUp.continues() != null) {
+                Attempt before = attempts.byKey(setUp.continues());
+                if (before == null || !before.ran || !before.setUp.token().equals(token) || setUp.spends()) {
+                    verdict.broken(setUp.t(), "token " + token + " goes on with an attempt that never ran");
+                }
+                continue;
+            }
+            if (unproven != null) {
+                verdict.broken(setUp.t(), "token " + token + " was set up again though attempt "
+                        + unproven.setUp.key() + " may have run");
+            }
+            if (!setUp.spends()) {
+                verdict.broken(setUp.t(), "token " + token + " of a paid class was set up without spending");
+            }
+            unproven = attempt.proven ? unproven : attempt;
+        }
+    }
+}
--- /dev/null
+++ b/check/src/main/java/spanrill/check/Rule.java
@@ -0,0 +1,9 @@
+package spanrill.check;
+
+import java.util.List;
+
+/** Judges one rule over the records of a run. */
+interface Rule {
+    /** Judges. Records are in order of time. */
+    Verdict judge(TapEvent.Facts facts, List<TapEvent> events, Attempts attempts);
+}
--- /dev/null
+++ b/cli/src/main/java/spanrill/cli/FrontProcesses.java
@@ -0,0 +1,244 @@
+package spanrill.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import spanrill.check.Tap;
+import spanrill.check.TapEvent;
+import spanrill.standin.trouble.Fronts;
+import spanrill.standin.viewer.FrontDoor;
+
+/** The fronts of a rehearsal: real processes, which are killed, stopped and started again. */
+final class FrontProcesses implements Fronts, FrontDoor, AutoCloseable {
+    private static final long START_MS = 30_000;
+
+    /** Writes a front's settings for a port. */
+    interface Config {
+        Path write(int front, int port) throws IOException;
+    }
+
+    private static final class Front {
+        private volatile Process process;
+        private volatile int port;
+        private volatile double downSince = Double.NaN;
+        private volatile double stalledAt = Double.NaN;
+        private CompletableFuture<Integer> listening = new CompletableFuture<>();
+        private Duration cpuAtStart = Duration.ZERO;
+        private Duration cpu = Duration.ZERO;
+        private double cpuMs;
+    }
+
+    private final List<Front> fronts = new ArrayList<>();
+    private final Config config;
+    private final Path folder;
+    private final Tap tap;
+    private final int zones;
+    private final List<Double> noticeMs;
+    // Starting and killing processes takes its time; the loops must not wait for it.
+    private final ExecutorService worker = Executors.newCachedThreadPool();
+
+    FrontProcesses(int count, int zones, List<Double> noticeMs, Config config, Path folder, Tap tap) {
+        for (int i = 0; i < count; i++) {
+            fronts.add(new Front());
+        }
+        this.zones = zones;
+        this.noticeMs = noticeMs;
+        this.config = config;
+        this.folder = folder;
+        this.tap = tap;
+    }
+
+    /** Starts all and waits until they listen. */
+    void startAll() throws IOException {
+        for (int i = 0; i < fronts.size(); i++) {
+            start(i);
+        }
+        for (int i = 0; i < fronts.size(); i++) {
+            try {
+                fronts.get(i).listening.get(START_MS, TimeUnit.MILLISECONDS);
+            } catch (ExecutionException | TimeoutException e) {
+                throw new IOException("front " + i + " did not start; see " + folder.resolve("front-" + i
+                        + ".log"));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted");
+            }
+        }
+    }
+
+    private void start(int number) throws IOException {
+        Front front = fronts.get(number);
+        Path file = config.write(number, front.port);
+        front.listening = new CompletableFuture<>();
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(),
+                "-XX:+UseSerialGC", "-Xms64m", "-Xmx512m", "-XX:-UsePerfData", "-Dspanrill.log=System.out",
+                "-cp",
+                System.getProperty("java.class.path"), Main.class.getName(), "serve", file.toString())
+                .redirectErrorStream(true).start();
+        front.process = process;
+        worker.execute(() -> follow(number, front, process));
+    }
+
+    /** Copies a front's log to its file and looks for the line that tells its port. */
+    private void follow(int number, Front front, Process process) {
+        ObjectMapper json = new ObjectMapper();
+        Path log = folder.resolve("front-" + number + ".log");
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                StandardCharsets.UTF_8));
+                BufferedWriter out = Files.newBufferedWriter(log, StandardOpenOption.CREATE,
+                        StandardOpenOption.APPEND)) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                out.write(line);
+                out.newLine();
+                if (line.contains("front.listening")) {
+                    out.flush();
+                    JsonNode event = json.readTree(line);
+                    front.port = event.path("port").asInt();
+                    front.downSince = Double.NaN;
+                    front.cpuAtStart = process.info().totalCpuDuration().orElse(Duration.ZERO);
+                    tap.put(new TapEvent.FrontUp(tap.now(), number));
+                    front.listening.complete(front.port);
+                }
+            }
+        } catch (IOException e) {
+            // A killed process' pipe breaks within a line.
+            front.listening.completeExceptionally(e);
+        }
+        front.listening.completeExceptionally(new IOException("ended"));
+    }
+
+    @Override
+    public int count() {
+        return fronts.size();
+    }
+
+    @Override
+    public void kill(int number) {
+        Front front = fronts.get(number);
+        sampleCpu(front);
+        front.cpuMs += front.cpu.minus(front.cpuAtStart).toNanos() / 1e6;
+        front.cpu = front.cpuAtStart = Duration.ZERO;
+        // Recorded first: what it could not answer any more is excused from here on.
+        tap.put(new TapEvent.FrontDown(tap.now(), number));
+        front.downSince = tap.now();
+        front.process.destroyForcibly();
+    }
+
+    @Override
+    public void restart(int number) {
+        worker.execute(() -> {
+            try {
+                start(number);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    @Override
+    public void stall(int number, boolean on) {
+        Front front = fronts.get(number);
+        worker.execute(() -> {
+            try {
+                double before = tap.now();
+                new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(front.process.pid())).start()
+                        .waitFor();
+                if (on) {
+                    front.stalledAt = before;
+                } else {
+                    tap.put(new TapEvent.FrontStall(front.stalledAt, number, tap.now() - front.stalledAt
+                            + 20));
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    void sampleCpu() {
+        fronts.forEach(this::sampleCpu);
+    }
+
+    private void sampleCpu(Front front) {
+        if (front.process != null && front.process.isAlive()) {
+            front.cpu = front.process.info().totalCpuDuration().orElse(front.cpu);
+        }
+    }
+
+    double cpuMs() {
+        double sum = 0;
+        for (Front front : fronts) {
+            sum += front.cpuMs + front.cpu.minus(front.cpuAtStart).toNanos() / 1e6;
+        }
+        return sum;
+    }
+
+    @Override
+    public int pick(int zone, double draw) {
+        double now = tap.now();
+        List<Integer> own = new ArrayList<>();
+        List<Integer> others = new ArrayList<>();
+        for (int i = 0; i < fronts.size(); i++) {
+            Front front = fronts.get(i);
+            // Viewers go on coming to a dead front for a while, each for as long as it draws.
+            double notice = noticeMs.get(0) + draw * (noticeMs.get(1) - noticeMs.get(0));
+            if (!Double.isNaN(front.downSince) && now - front.downSince > notice) {
+                continue;
+            }
+            (i % zones == zone ? own : others).add(i);
+        }
+        List<Integer> from = own.isEmpty() ? others : own;
+        return from.isEmpty() ? 0 : from.get((int) Math.min(from.size() - 1, draw * from.size()));
+    }
+
+    @Override
+    public int port(int front) {
+        return fronts.get(front).port;
+    }
+
+    @Override
+    public List<Integer> all() {
+        List<Integer> all = new ArrayList<>();
+        for (int i = 0; i < fronts.size(); i++) {
+            all.add(i);
+        }
+        return all;
+    }
+
+    @Override
+    public void close() {
+        stopAll();
+        worker.shutdown();
+    }
+
+    /** Ends all fronts; what they still owe is owed no more. */
+    void stopAll() {
+        for (int i = 0; i < fronts.size(); i++) {
+            Front front = fronts.get(i);
+            if (front.process != null && front.process.isAlive()) {
+                tap.put(new TapEvent.FrontDown(tap.now(), i));
+                front.process.destroyForcibly().onExit().join();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -0,0 +1,157 @@
+package spanrill.cli;
+
+import com.nimbusds.jose.JOSEException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import spanrill.check.Checker;
+import spanrill.check.Tap;
+import spanrill.check.TapEvent;
+import spanrill.standin.box.BoxFleet;
+import spanrill.standin.box.StandinBox;
+import spanrill.standin.day.Day;
+import spanrill.standin.day.Plan;
+import spanrill.standin.registry.Entry;
+import spanrill.standin.registry.StandinRegistry;
+import spanrill.standin.token.Issuer;
+import spanrill.standin.trouble.Director;
+import spanrill.standin.viewer.Crowd;
+
+/** One rehearsal: stand-ins in this process, fronts in their own, one clock for all records. */
+final class Rehearsal {
+    private static final long PROGRESS_MS = 5000;
+    private static final long CPU_MS = 500;
+
+    private final String name;
+    private final Day day;
+    private final long seed;
+    private final Path folder;
+    private final PrintWriter progress;
+
+    Rehearsal(String name, Day day, long seed, Path folder, PrintWriter progress) {
+        this.name = name;
+        this.day = day;
+        this.seed = seed;
+        this.folder = folder;
+        this.progress = progress;
+    }
+
+    Report run(Path taps) throws IOException, InterruptedException {
+        MultiThreadIoEventLoopGroup stage = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup crowdLoops = new MultiThreadIoEventLoopGroup(2,
+                NioIoHandler.newFactory());
+        try (Tap tap = new Tap(taps)) {
+            tap.put(facts());
+            EventLoop loop = stage.next();
+            BoxFleet fleet = new BoxFleet(day, seed, loop, tap);
+            fleet.open();
+            StandinRegistry registry = registry(loop, tap, fleet);
+            int registryPort = registry.listen();
+            Issuer issuer = issuer();
+            List<Double> links = fleet.boxes().stream().map(StandinBox::linkKb).toList();
+            FrontProcesses.Config config = (front, port) -> {
+                Path file = folder.resolve("front-" + front + ".json");
+                FrontConfig.write(file, day, links, front, port, registryPort, seed);
+                return file;
+            };
+            try (FrontProcesses fronts = new FrontProcesses(day.fronts(), day.zones().size(),
+                    day.viewers().frontNoticeMs(), config, folder, tap)) {
+                fronts.startAll();
+                Crowd crowd = new Crowd(day, new Plan(day, seed).arrivals(), crowdLoops, fronts, issuer, tap);
+                Director director = new Director(day, seed, fleet, registry, fronts, loop, this::say);
+                play(loop, crowd, director, fronts, fleet);
+                fronts.sampleCpu();
+                fronts.stopAll();
+                long spends = loop.submit(() -> fleet.boxes().stream().mapToLong(StandinBox::spends).sum())
+                        .get();
+                return new Report(name, seed, crowd.stats(), Checker.judge(tap.events()), fronts.cpuMs(),
+                        spends,
+                        fleet.worstTickMs());
+            } catch (java.util.concurrent.ExecutionException e) {
+                throw new IOException("the stand-ins failed: " + e.getCause(), e);
+            } finally {
+                registry.close();
+                fleet.close();
+            }
+        } finally {
+            crowdLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+            stage.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+        }
+    }
+
+    private void play(EventLoop loop, Crowd crowd, Director director, FrontProcesses fronts, BoxFleet fleet)
+            throws InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            crowd.start();
+            director.start();
+        });
+        double length = day.lengthMs() + day.tailMs();
+        loop.schedule(over::countDown, (long) length, TimeUnit.MILLISECONDS);
+        var sampling = loop.scheduleAtFixedRate(fronts::sampleCpu, CPU_MS, CPU_MS, TimeUnit.MILLISECONDS);
+        long[] passed = {0};
+        var telling = loop.scheduleAtFixedRate(() -> {
+            passed[0] += PROGRESS_MS;
+            int playing = fleet.boxes().stream().mapToInt(StandinBox::playing).sum();
+            say(String.format(Locale.ROOT, "%3d s  asked %d, plays %d, refused %d, failed %d, playing now %d",
+                    passed[0] / 1000, crowd.stats().asks.sum(), crowd.stats().plays.sum(),
+                    crowd.stats().refused.sum(), crowd.stats().failed.sum(), playing));
+        }, PROGRESS_MS, PROGRESS_MS, TimeUnit.MILLISECONDS);
+        over.await();
+        sampling.cancel(false);
+        telling.cancel(false);
+    }
+
+    private void say(String text) {
+        progress.println("  " + text);
+        progress.flush();
+    }
+
+    private StandinRegistry registry(EventLoop loop, Tap tap, BoxFleet fleet) {
+        StandinRegistry registry = new StandinRegistry(loop, tap, seed);
+        List<int[]> placement = new Plan(day, seed).placement();
+        for (int i = 0; i < placement.size(); i++) {
+            registry.title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles().durationMs(),
+                    day.titles().segmentMs());
+        }
+        List<Entry> entries = new ArrayList<>();
+        for (StandinBox box : fleet.boxes()) {
+            entries.add(new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), "ready", 1, 0));
+        }
+        registry.begin(entries);
+        return registry;
+    }
+
+    private Issuer issuer() throws IOException {
+        try {
+            Issuer issuer = Issuer.fresh("rehearsal");
+            Files.createDirectories(folder);
+            Issuer.publish(folder.resolve("keys.json"), issuer);
+            return issuer;
+        } catch (JOSEException e) {
+            throw new IOException("no key could be made: " + e.getMessage(), e);
+        }
+    }
+
+    private TapEvent.Facts facts() {
+        Map<String, TapEvent.ClassFacts> classes = new HashMap<>();
+        day.classes().forEach((cls, c) -> classes.put(cls, new TapEvent.ClassFacts(c.once(), c.floor(),
+                c.seats())));
+        Day.Rules rules = day.rules();
+        return new TapEvent.Facts(0, classes, day.boxes().places(), rules.drainGraceMs(), day.boxes()
+                .coldMs(),
+                day.boxes().coldShare(), rules.fallMultiple(), rules.fallMs(), rules.spareAttempts(),
+                rules.attemptShare(), rules.attemptWindowMs());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/spanrill/cli/Report.java
@@ -0,0 +1,104 @@
+package spanrill.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import spanrill.check.Verdict;
+import spanrill.standin.viewer.CrowdStats;
+
+/** What a rehearsal came to, as a table and as JSON (docs/operators.md has the fields). */
+record Report(String day, long seed, CrowdStats stats, List<Verdict> verdicts, double frontCpuMs, long spends,
+        double shapingLateMs) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** Load that was sent later than this at the 99th percentile did not measure what it says. */
+    private static final double LATE_MS = 50;
+
+    boolean held() {
+        return verdicts.stream().allMatch(Verdict::held) && stats.unanswered.sum() == 0;
+    }
+
+    boolean loadInTime() {
+        return stats.late.getValueAtPercentile(99) / 1000.0 <= LATE_MS;
+    }
+
+    private double delivered() {
+        double all = stats.playedMs.sum() + stats.stalledMs.sum();
+        return all == 0 ? 1 : stats.playedMs.sum() / all;
+    }
+
+    private double cpuPerRequest() {
+        return frontCpuMs / Math.max(1, stats.asks.sum());
+    }
+
+    static ArrayNode rules(List<Verdict> verdicts) {
+        ArrayNode rules = JSON.createArrayNode();
+        for (Verdict verdict : verdicts) {
+            ObjectNode rule = rules.addObject().put("rule", verdict.rule()).put("name", verdict.name())
+                    .put("held", verdict.held()).put("judged", verdict.judgedCount())
+                    .put("broken", verdict.brokenCount());
+            verdict.violations().forEach(rule.putArray("violations")::add);
+        }
+        return rules;
+    }
+
+    ObjectNode json() {
+        ObjectNode root = JSON.createObjectNode().put("day", day).put("seed", seed).put("held", held())
+                .put("loadInTime", loadInTime()).put("requests", stats.asks.sum());
+        root.putObject("answers").put("plays", stats.plays.sum()).put("refused", stats.refused.sum())
+                .put("failed", stats.failed.sum()).put("notTaken", stats.notTaken.sum());
+        root.put("unanswered", stats.unanswered.sum()).put("left", stats.left.sum())
+                .put("connectionsLost", stats.lost.sum());
+        root.set("rules", rules(verdicts));
+        root.putObject("setupMs").put("p50", setUp(50)).put("p99", setUp(99));
+        root.put("delivered", delivered()).put("frontCpuMsPerRequest", cpuPerRequest())
+                .put("sessionsFinished", stats.finished.sum()).put("sessionsBroken", stats.broken.sum())
+                .put("segments", stats.segments.sum()).put("bytes", stats.bytes.sum())
+                .put("meanRung", stats.rungs.sum() / Math.max(1.0, stats.segments.sum())).put("spends",
+                spends)
+                .put("loadLateMsP99", stats.late.getValueAtPercentile(99) / 1000.0)
+                .put("shapingLateMsMost", shapingLateMs);
+        return root;
+    }
+
+    void write(Path file) throws IOException {
+        Files.writeString(file, JSON.writerWithDefaultPrettyPrinter().writeValueAsString(json()) + "\n");
+    }
+
+    private double setUp(double percentile) {
+        return stats.setUp.getValueAtPercentile(percentile) / 1000.0;
+    }
+
+    void print(PrintWriter out) {
+        out.printf(Locale.ROOT, "%n%s, seed %d%n", day, seed);
+        out.printf(Locale.ROOT, "  requests %d: plays %d, refused %d, failed %d, not taken %d%n",
+                stats.asks.sum(),
+                stats.plays.sum(), stats.refused.sum(), stats.failed.sum(), stats.notTaken.sum());
+        out.printf(Locale.ROOT, "  no answer %d, left %d, connection lost %d%n", stats.unanswered.sum(),
+                stats.left.sum(), stats.lost.sum());
+        out.printf(Locale.ROOT,
+                "  sessions finished %d, broken %d; delivered %.3f of the time, mean rung %.2f%n",
+                stats.finished.sum(), stats.broken.sum(), delivered(),
+                stats.rungs.sum() / Math.max(1.0, stats.segments.sum()));
+        out.printf(Locale.ROOT,
+                "  set-up p50 %.0f ms, p99 %.0f ms; front CPU %.2f ms a request; load late p99 %.1f ms%s%n",
+                setUp(50), setUp(99), cpuPerRequest(), stats.late.getValueAtPercentile(99) / 1000.0,
+                loadInTime() ? "" : " (too late: this run does not count)");
+        rulesTable(out, verdicts);
+        out.flush();
+    }
+
+    static void rulesTable(PrintWriter out, List<Verdict> verdicts) {
+        for (Verdict verdict : verdicts) {
+            out.printf(Locale.ROOT, "  rule %d  %-36s %-6s  judged %d, broken %d%n", verdict.rule(),
+                    verdict.name(),
+                    verdict.held() ? "held" : "BROKEN", verdict.judgedCount(), verdict.brokenCount());
+            verdict.violations().stream().limit(5).forEach(text -> out.println("          " + text));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/spanrill/cli/StandinCommand.java
@@ -0,0 +1,171 @@
+package spanrill.cli;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import spanrill.check.Tap;
+import spanrill.settings.Settings;
+import spanrill.standin.Net;
+import spanrill.standin.box.BoxFleet;
+import spanrill.standin.box.StandinBox;
+import spanrill.standin.day.Day;
+import spanrill.standin.day.Plan;
+import spanrill.standin.registry.Entry;
+import spanrill.standin.registry.StandinRegistry;
+import spanrill.standin.token.Issuer;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.Headers;
+
+/** Runs single stand-ins by hand, beside a front that is served by hand. */
+@Command(name = "standin", mixinStandardHelpOptions = true,
+        description =
+                "Runs a stand-in until it is stopped. Start boxes first, then the registry by their list.",
+        subcommands = {StandinCommand.Boxes.class, StandinCommand.Registry.class,
+        StandinCommand.IssuerService.class,
+            CommandLine.HelpCommand.class})
+final class StandinCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        spec.commandLine().usage(spec.commandLine().getOut());
+    }
+
+    private static EventLoop loop() {
+        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    }
+
+    private static int forever() throws InterruptedException {
+        new CountDownLatch(1).await();
+        return Exit.HELD;
+    }
+
+    private static void say(CommandSpec spec, String text) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.println(text);
+        out.flush();
+    }
+
+    /** The boxes of a day. */
+    @Command(name = "boxes", mixinStandardHelpOptions = true, description = "The replay boxes of a day file.")
+    static final class Boxes implements Callable<Integer> {
+        @Parameters(paramLabel = "DAY", description = "a day file")
+        private Path file;
+
+        @Option(names = "--list", required = true, paramLabel = "FILE", description =
+                "write their list there")
+        private Path list;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Day day = Settings.read(file, Day.class);
+            BoxFleet fleet = new BoxFleet(day, day.seed(), loop(), new Tap(null));
+            fleet.open();
+            List<Entry> entries = new ArrayList<>();
+            for (StandinBox box : fleet.boxes()) {
+                entries.add(new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), "ready", 1, 0));
+            }
+            Files.writeString(list, new ObjectMapper().writerWithDefaultPrettyPrinter()
+                    .writeValueAsString(entries));
+            say(spec, entries.size() + " boxes; list in " + list);
+            return forever();
+        }
+    }
+
+    /** The registry. */
+    @Command(name = "registry", mixinStandardHelpOptions = true, description =
+            "The registry of boxes and titles.")
+    static final class Registry implements Callable<Integer> {
+        @Parameters(paramLabel = "DAY", description = "a day file")
+        private Path file;
+
+        @Option(names = "--list", required = true, paramLabel = "FILE", description =
+                "what 'standin boxes' wrote")
+        private Path list;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Day day = Settings.read(file, Day.class);
+            StandinRegistry registry = new StandinRegistry(loop(), new Tap(null), day.seed());
+            List<int[]> placement = new Plan(day, day.seed()).placement();
+            for (int i = 0; i < placement.size(); i++) {
+                registry.title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles()
+                        .durationMs(),
+                        day.titles().segmentMs());
+            }
+            try {
+                registry.begin(new ObjectMapper().readValue(Files.readString(list),
+                        new TypeReference<List<Entry>>() { }));
+            } catch (IOException e) {
+                throw new BadInput(list + ": is no list of boxes");
+            }
+            say(spec, "registry on port " + registry.listen());
+            return forever();
+        }
+    }
+
+    /** The issuer. */
+    @Command(name = "issuer", mixinStandardHelpOptions = true, description = {
+        "The issuer: GET /token?title=T&class=C&viewer=V&top=N answers with a token,",
+        "GET /keys with the JWK set that a front verifies by."})
+    static final class IssuerService implements Callable<Integer> {
+        @Parameters(paramLabel = "KEYS", description = "private JWK set (spanrill token --new-keys)")
+        private Path file;
+
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            Issuer issuer = Issuer.read(file);
+            say(spec, "issuer on port " + Net.port(Net.listen(loop(), 0, channel -> { },
+                    exchange -> answer(issuer, exchange))));
+            return forever();
+        }
+
+        private static void answer(Issuer issuer, Exchange exchange) {
+            if (exchange.head().path().equals("/keys")) {
+                exchange.respond(200, new Headers(), "application/jwk-set+json",
+                        new com.nimbusds.jose.jwk.JWKSet(issuer.published()).toString(false));
+                return;
+            }
+            String title = exchange.head().query("title");
+            String cls = exchange.head().query("class");
+            String viewer = exchange.head().query("viewer");
+            String top = exchange.head().query("top");
+            if (title == null || cls == null || (top != null && !top.matches("\\d{1,3}"))) {
+                exchange.respond(400, new Headers(), "text/plain",
+                        "title and class must be given, top a number\n");
+                return;
+            }
+            exchange.respond(200, new Headers(), "text/plain", issuer.issue(java.util.UUID.randomUUID()
+                    .toString(),
+                    viewer == null ? "viewer" : viewer, title, cls, null, top == null ? 63
+                    : Integer.parseInt(top),
+                    300) + "\n");
+        }
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/BoxSide.java
@@ -0,0 +1,80 @@
+package spanrill.front;
+
+import io.netty.buffer.ByteBuf;
+import java.util.function.Consumer;
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.OutcomeTable;
+import spanrill.wire.http.ResponseHead;
+
+/** What the core asks of boxes. All calls and callbacks on the front's loop; callbacks may come within. */
+public interface BoxSide {
+    /**
+     * An order to set a session up.
+     *
+     * @param box the box
+     * @param key key of the attempt
+     * @param request what is wanted
+     * @param rung rung
+     * @param spends true when it spends something (a paid class's first set-up)
+     * @param continues key of the attempt that it goes on with, or null
+     */
+    record Order(String box, String key, ViewerRequest request, int rung, boolean spends,
+            String continues) { }
+
+    /** Hears what comes of an attempt: one of the two, once. */
+    interface AttemptListener {
+        /** The first media byte came. */
+        void plays();
+
+        /** It ended before that. */
+        void ended(Outcome outcome, Load load);
+    }
+
+    /** An attempt that is out. */
+    interface Attempt {
+        /**
+         * Gives it up; its listener hears no more, and the box is told to end it if it may know of it.
+         *
+         * @param why time-out or called off
+         * @return what that amounts to
+         */
+        Outcome abandon(OutcomeTable.Event why);
+    }
+
+    /** Takes a segment as it comes. */
+    interface SegmentSink {
+        /** Its head; the status is a success. */
+        void head(ResponseHead head);
+
+        /** Part of it; lent for the call. */
+        void data(ByteBuf part);
+
+        /** It is complete. */
+        void end();
+
+        /** It was lost, or never began. */
+        void lost(int status, String reason);
+    }
+
+    /** A segment under way. */
+    interface Segment {
+        /** Reads on or holds back. */
+        void reading(boolean on);
+
+        /** Gives it up; its sink hears no more. */
+        void cancel();
+    }
+
+    /** Sets a session up. */
+    Attempt setUp(Order order, AttemptListener listener);
+
+    /** Sets the rung of an attempt. */
+    void rung(String box, String key, int rung);
+
+    /** Releases a session; {@code done} is called once, with the load or null when the box didn't answer. */
+    void release(String box, String key, Consumer<Load> done);
+
+    /** Fetches a segment of a session: {@code path} is what follows the attempt's prefix. */
+    Segment fetch(String box, String key, String path, String range, SegmentSink sink);
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -0,0 +1,152 @@
+package spanrill.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import spanrill.decisions.BoxBook;
+import spanrill.front.box.HttpBoxSide;
+import spanrill.front.dash.DashViewerSide;
+import spanrill.front.list.KeptList;
+import spanrill.front.list.ListClient;
+import spanrill.front.token.TokenKeys;
+import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.HttpServerHandler;
+
+/** A front that runs: one event loop with its core, viewer side, box side and list. */
+public final class FrontDaemon implements AutoCloseable {
+    private static final long KEYS_LOOK_MS = 1000;
+    private static final long IDLE_CONNECTION_MS = 60_000;
+    private static final int PIPELINED_BYTES = 16 * 1024;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final ExecutorService disk = Executors.newSingleThreadExecutor(task -> {
+        Thread thread = new Thread(task, "front-disk");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final FrontSettings settings;
+    private final SessionCore core;
+    private final HttpBoxSide boxes;
+    private final ListClient list;
+    private final TokenKeys keys;
+    private final Channel server;
+    private int connections;
+
+    private FrontDaemon(FrontSettings settings, Path base) throws IOException {
+        this.settings = settings;
+        EventLoop loop = group.next();
+        keys = new TokenKeys(base.resolve(settings.keys()), settings.classes().keySet());
+        keys.reload();
+        core = new SessionCore(settings, loop, new Clock());
+        BoxBook book = new BoxBook(settings.limits().boxes());
+        boxes = new HttpBoxSide(settings, loop, core, book::box);
+        list = new ListClient(settings, loop, core, book, new KeptList(base.resolve(settings.state())), disk);
+        DashViewerSide viewers = new DashViewerSide(settings, core, boxes, keys);
+        loop.submit(() -> {
+            core.begin(boxes);
+            list.start();
+        }).syncUninterruptibly();
+        disk.execute(() -> Thread.currentThread().setPriority(Thread.MIN_PRIORITY));
+        loop.scheduleAtFixedRate(() -> disk.execute(this::reloadKeys), KEYS_LOOK_MS, KEYS_LOOK_MS,
+                TimeUnit.MILLISECONDS);
+        server = bind(viewers);
+    }
+
+    /**
+     * Starts a front.
+     *
+     * @param base folder that relative paths of the settings start from
+     * @throws IOException when the keys can't be read or the address can't be had
+     */
+    public static FrontDaemon start(FrontSettings settings, Path base) throws IOException {
+        FrontDaemon daemon = new FrontDaemon(settings, base);
+        EventLog.info("front.listening", "front", settings.me(), "port", daemon.port(), "keys",
+                daemon.keys.ids());
+        return daemon;
+    }
+
+    private Channel bind(DashViewerSide viewers) throws IOException {
+        HttpServerHandler.Times times = new HttpServerHandler.Times(settings.limits().requestMs(),
+                IDLE_CONNECTION_MS, PIPELINED_BYTES);
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 4096)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 * 1024,
+                256 * 1024))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        if (connections >= settings.limits().connections()) {
+                            channel.close();
+                            return;
+                        }
+                        connections++;
+                        channel.closeFuture().addListener(f -> connections--);
+                        channel.pipeline().addLast(new HttpServerHandler(HttpLimits.SERVER, times,
+                                viewers::route));
+                    }
+                });
+        var future = bootstrap.bind(new InetSocketAddress(settings.listen().host(), settings.listen()
+                .port()));
+        if (!future.awaitUninterruptibly().isSuccess()) {
+            close();
+            throw new IOException("can't listen on " + settings.listen().host() + ":" + settings.listen()
+                    .port() + ": "
+                    + future.cause().getMessage());
+        }
+        return future.channel();
+    }
+
+    private void reloadKeys() {
+        try {
+            if (keys.reload()) {
+                EventLog.info("keys.loaded", "keys", keys.ids());
+            }
+        } catch (IOException e) {
+            EventLog.warn("keys.unusable", "reason", e.getMessage());
+        }
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    /** Sessions held now; may be asked from any thread. */
+    public int sessions() {
+        return group.next().submit(core::size).syncUninterruptibly().getNow();
+    }
+
+    /** Stops at once: what is under way is lost, as when the process is killed. */
+    @Override
+    public void close() {
+        if (server != null) {
+            server.close().syncUninterruptibly();
+        }
+        group.next().submit(() -> {
+            list.close();
+            boxes.close();
+        }).awaitUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        disk.shutdownNow();
+    }
+
+    /** Waits until it is stopped. */
+    public void join() throws InterruptedException {
+        server.closeFuture().await();
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/ViewerCall.java
@@ -0,0 +1,32 @@
+package spanrill.front;
+
+/**
+ * One request at a viewer side that waits for its answer. Exactly one of {@link #plays}, {@link #refused},
+ * {@link #failed} and {@link #unusable} is called, once, on the front's loop. A viewer side whose viewer goes
+ * away first tells {@link SessionCore#left} and is called no more.
+ */
+public interface ViewerCall {
+    /** The session plays. */
+    void plays(FrontSession session);
+
+    /** Turned away: a later try is harmless. */
+    void refused(double retryAfterMs);
+
+    /** Failed, with no assurance about its effect. */
+    void failed();
+
+    /** No request was made of it: its token stands for nothing any more, or there is no room. */
+    void unusable(Unusable why);
+
+    /** Why a token can't be used. */
+    enum Unusable {
+        /** Its session is over. */
+        USED,
+        /** Too many tokens are remembered: come later. */
+        NO_ROOM,
+        /** No such title, as far as this front knows. */
+        NO_TITLE,
+        /** No list of boxes and titles yet. */
+        NOT_READY
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/box/BoxPool.java
@@ -0,0 +1,113 @@
+package spanrill.front.box;
+
+import io.netty.channel.EventLoop;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.PoolPolicy;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.HttpLimits;
+
+/** The connections of this front to one box. Which one an exchange takes is decided by {@link PoolPolicy}. */
+final class BoxPool {
+    /** Waits for a connection. */
+    interface Taker {
+        /** Here it is; false when it is not wanted any more. */
+        boolean take(HttpClientConnection connection);
+
+        /** None could be had, and why. */
+        void none(OutcomeTable.Event why);
+    }
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final PoolPolicy policy;
+    private final int connectMs;
+    private final ArrayDeque<HttpClientConnection> idle = new ArrayDeque<>();
+    private final ArrayDeque<Taker> queue = new ArrayDeque<>();
+    private int open;
+
+    BoxPool(EventLoop loop, InetSocketAddress address, PoolPolicy policy, int connectMs) {
+        this.loop = loop;
+        this.address = address;
+        this.policy = policy;
+        this.connectMs = connectMs;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /**
+     * Takes a connection.
+     *
+     * @param control true for set-up, rung and release
+     * @param fresh true when only a connection of its own will do: one refused then proves that nothing ran
+     */
+    void take(boolean control, boolean fresh, Taker taker) {
+        idle.removeIf(connection -> !connection.free());
+        switch (policy.choose(control, fresh ? 0 : idle.size(), open, queue.size())) {
+            case REUSE -> {
+                HttpClientConnection connection = idle.pollLast();
+                if (!taker.take(connection)) {
+                    idle.addLast(connection);
+                }
+            }
+            case OPEN -> open(taker);
+            case WAIT -> queue.add(taker);
+            default -> taker.none(OutcomeTable.Event.NO_ROOM);
+        }
+    }
+
+    private void open(Taker taker) {
+        open++;
+        HttpClientConnection.open(loop, address, connectMs, HttpLimits.CLIENT, connection -> {
+            connection.onClosed(this::closed);
+            if (!taker.take(connection)) {
+                giveBack(connection);
+            }
+        }, cause -> {
+            open--;
+            // Netty's connect time-out is a ConnectException too; it tells itself by its message.
+            boolean refused = cause instanceof ConnectException && !String.valueOf(cause.getMessage())
+                    .contains("timed out");
+            taker.none(refused ? OutcomeTable.Event.CONNECT_REFUSED : OutcomeTable.Event.CONNECT_TIMED_OUT);
+            next();
+        });
+    }
+
+    /** An exchange is done with its connection. */
+    void giveBack(HttpClientConnection connection) {
+        if (!connection.free()) {
+            return;
+        }
+        for (Taker waiting = queue.poll(); waiting != null; waiting = queue.poll()) {
+            if (waiting.take(connection)) {
+                return;
+            }
+        }
+        idle.addLast(connection);
+    }
+
+    private void closed(HttpClientConnection connection) {
+        open--;
+        idle.remove(connection);
+        next();
+    }
+
+    private void next() {
+        if (!queue.isEmpty() && policy.choose(false, 0, open, 0) == PoolPolicy.Choice.OPEN) {
+            open(queue.poll());
+        }
+    }
+
+    /** Ends all that rests, and turns away what waits. */
+    void close(Consumer<Taker> turnAway) {
+        queue.forEach(turnAway);
+        queue.clear();
+        idle.forEach(HttpClientConnection::abandon);
+        idle.clear();
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/box/HttpBoxSide.java
@@ -0,0 +1,213 @@
+package spanrill.front.box;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.BoxBook.Box;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.PoolPolicy;
+import spanrill.front.BoxSide;
+import spanrill.front.FrontSettings;
+import spanrill.front.SessionCore;
+import spanrill.wire.box.BoxLink;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.ResponseHead;
+
+/** Reaches boxes over HTTP/1.1. */
+public final class HttpBoxSide implements BoxSide {
+    /**
+     * A release or rung that isn't answered within this time is given up: the box ends idle sessions
+     * itself.
+     */
+    private static final long CONTROL_MS = 1000;
+    /** Set-ups, rungs and releases have so many of a box's connections to themselves, within its cap. */
+    private static final int KEPT = 32;
+    private static final byte[] NO_BODY = {};
+
+    private final FrontSettings settings;
+    private final EventLoop loop;
+    private final SessionCore core;
+    private final Function<String, Box> book;
+    private final PoolPolicy policy;
+    private final Map<String, BoxPool> pools = new HashMap<>();
+    private final Map<String, NotesStream> notes = new HashMap<>();
+
+    /** Boxes are looked up in {@code book} by name. */
+    public HttpBoxSide(FrontSettings settings, EventLoop loop, SessionCore core, Function<String, Box> book) {
+        this.settings = settings;
+        this.loop = loop;
+        this.core = core;
+        this.book = book;
+        FrontSettings.Limits limits = settings.limits();
+        policy = new PoolPolicy(limits.boxConnections(), Math.min(KEPT, limits.boxConnections() / 2),
+                limits.boxWaiting());
+    }
+
+    Headers headers() {
+        return Headers.of("host", "box", BoxLink.FRONT, Integer.toString(settings.me()), BoxLink.ZONE,
+                settings.zone());
+    }
+
+    private BoxPool pool(String id) {
+        Box box = book.apply(id);
+        if (box == null) {
+            return null;
+        }
+        BoxPool pool = pools.get(id);
+        if (pool == null || pool.address().getPort() != box.port()
+                || !pool.address().getHostString().equals(box.host())) {
+            if (pool != null) {
+                pool.close(taker -> taker.none(OutcomeTable.Event.CLOSED));
+            }
+            pool = new BoxPool(loop, new InetSocketAddress(box.host(), box.port()), policy,
+                    settings.limits().connectMs());
+            pools.put(id, pool);
+        }
+        return pool;
+    }
+
+    @Override
+    public Attempt setUp(Order order, AttemptListener listener) {
+        BoxPool pool = pool(order.box());
+        if (pool == null) {
+            listener.ended(Outcome.CONNECT_FAILED, null);
+            return why -> Outcome.CONNECT_FAILED;
+        }
+        if (settings.notes().tellMs() > 0 && !notes.containsKey(order.box())) {
+            NotesStream stream = new NotesStream(this, core, loop, order.box(), pool.address());
+            notes.put(order.box(), stream);
+            stream.open();
+        }
+        SetUpAttempt attempt = new SetUpAttempt(this, order, pool, listener);
+        // What spends something goes on a connection of its own: a refused connect then proves that it never
+        // ran, where a connection that the box closed meanwhile proves nothing.
+        pool.take(true, order.spends(), attempt);
+        return attempt;
+    }
+
+    void forgetNotes(String box, NotesStream stream) {
+        notes.remove(box, stream);
+    }
+
+    /** Tells a box to end an attempt that was given up; nobody waits for the answer. */
+    void callOff(String box, String key) {
+        control(box, "DELETE", BoxLink.ATTEMPT + key, load -> { });
+    }
+
+    @Override
+    public void rung(String box, String key, int rung) {
+        control(box, "POST", BoxLink.ATTEMPT + key + "/rung?to=" + rung, load -> { });
+    }
+
+    @Override
+    public void release(String box, String key, Consumer<Load> done) {
+        control(box, "DELETE", BoxLink.ATTEMPT + key, done);
+    }
+
+    private void control(String box, String method, String target, Consumer<Load> done) {
+        BoxPool pool = pool(box);
+        if (pool == null) {
+            done.accept(null);
+            return;
+        }
+        ControlCall call = new ControlCall(pool, method, target, done);
+        loop.schedule(call::late, CONTROL_MS, TimeUnit.MILLISECONDS);
+        pool.take(true, false, call);
+    }
+
+    /** A small exchange whose answer only tells the load. */
+    private final class ControlCall implements BoxPool.Taker, HttpClientConnection.Listener {
+        private final BoxPool pool;
+        private final String method;
+        private final String target;
+        private final Consumer<Load> done;
+        private HttpClientConnection connection;
+        private Load load;
+        private boolean over;
+
+        ControlCall(BoxPool pool, String method, String target, Consumer<Load> done) {
+            this.pool = pool;
+            this.method = method;
+            this.target = target;
+            this.done = done;
+        }
+
+        @Override
+        public boolean take(HttpClientConnection given) {
+            if (over) {
+                return false;
+            }
+            connection = given;
+            if (!connection.send(method, target, headers(), NO_BODY, this)) {
+                finish();
+            }
+            return true;
+        }
+
+        @Override
+        public void none(OutcomeTable.Event why) {
+            finish();
+        }
+
+        @Override
+        public void head(ResponseHead head) {
+            load = BoxLink.load(head.headers().get(BoxLink.LOAD));
+        }
+
+        @Override
+        public void end() {
+            pool.giveBack(connection);
+            finish();
+        }
+
+        @Override
+        public void lost(HttpClientConnection.Loss loss, String reason) {
+            finish();
+        }
+
+        void late() {
+            if (!over && connection != null) {
+                connection.abandon();
+            }
+            finish();
+        }
+
+        private void finish() {
+            if (!over) {
+                over = true;
+                done.accept(load);
+            }
+        }
+    }
+
+    @Override
+    public Segment fetch(String box, String key, String path, String range, SegmentSink sink) {
+        BoxPool pool = pool(box);
+        if (pool == null) {
+            sink.lost(0, "the box is not known any more");
+            return new Segment() {
+                @Override
+                public void reading(boolean on) { }
+
+                @Override
+                public void cancel() { }
+            };
+        }
+        SegmentFetch fetch = new SegmentFetch(this, pool, key, path, range, sink);
+        pool.take(false, false, fetch);
+        return fetch;
+    }
+
+    /** Ends all streams and connections that rest. */
+    public void close() {
+        notes.values().forEach(NotesStream::close);
+        pools.values().forEach(pool -> pool.close(taker -> taker.none(OutcomeTable.Event.CLOSED)));
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/box/SegmentFetch.java
@@ -0,0 +1,109 @@
+package spanrill.front.box;
+
+import io.netty.buffer.ByteBuf;
+import spanrill.decisions.OutcomeTable;
+import spanrill.front.BoxSide;
+import spanrill.wire.box.BoxLink;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.ResponseHead;
+
+/** One segment on its way from a box; held back, never kept. */
+final class SegmentFetch implements BoxSide.Segment, BoxPool.Taker, HttpClientConnection.Listener {
+    private static final byte[] NO_BODY = {};
+
+    private final HttpBoxSide side;
+    private final BoxPool pool;
+    private final String target;
+    private final String range;
+    private final BoxSide.SegmentSink sink;
+    private HttpClientConnection connection;
+    private int refusedStatus;
+    private boolean over;
+
+    SegmentFetch(HttpBoxSide side, BoxPool pool, String key, String path, String range,
+            BoxSide.SegmentSink sink) {
+        this.side = side;
+        this.pool = pool;
+        this.target = BoxLink.ATTEMPT + key + "/" + path;
+        this.range = range;
+        this.sink = sink;
+    }
+
+    @Override
+    public boolean take(HttpClientConnection given) {
+        if (over) {
+            return false;
+        }
+        connection = given;
+        Headers headers = side.headers();
+        if (range != null) {
+            headers.add("range", range);
+        }
+        if (!connection.send("GET", target, headers, NO_BODY, this)) {
+            lost(0, "the connection ended");
+        }
+        return true;
+    }
+
+    @Override
+    public void none(OutcomeTable.Event why) {
+        lost(0, why.toString());
+    }
+
+    @Override
+    public void head(ResponseHead head) {
+        if (head.status() == 200 || head.status() == 206) {
+            sink.head(head);
+        } else {
+            refusedStatus = head.status();
+        }
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        if (!over && refusedStatus == 0) {
+            sink.data(part);
+        }
+    }
+
+    @Override
+    public void end() {
+        pool.giveBack(connection);
+        if (refusedStatus != 0) {
+            lost(refusedStatus, "the box answered " + refusedStatus);
+        } else if (!over) {
+            over = true;
+            sink.end();
+        }
+    }
+
+    @Override
+    public void lost(HttpClientConnection.Loss loss, String reason) {
+        lost(0, reason);
+    }
+
+    private void lost(int status, String reason) {
+        if (!over) {
+            over = true;
+            sink.lost(status, reason);
+        }
+    }
+
+    @Override
+    public void reading(boolean on) {
+        if (connection != null && !over) {
+            connection.reading(on);
+        }
+    }
+
+    @Override
+    public void cancel() {
+        if (!over) {
+            over = true;
+            if (connection != null) {
+                connection.abandon();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/box/SetUpAttempt.java
@@ -0,0 +1,119 @@
+package spanrill.front.box;
+
+import io.netty.buffer.ByteBuf;
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.OutcomeTable.Event;
+import spanrill.decisions.OutcomeTable.Stage;
+import spanrill.front.BoxSide;
+import spanrill.wire.box.BoxLink;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.ResponseHead;
+
+/** One set-up on the wire: follows how far it came, and reads its end by {@link OutcomeTable}. */
+final class SetUpAttempt implements BoxSide.Attempt, BoxPool.Taker, HttpClientConnection.Listener {
+    private static final byte[] NO_BODY = {};
+
+    private final HttpBoxSide side;
+    private final BoxSide.Order order;
+    private final BoxPool pool;
+    private final BoxSide.AttemptListener listener;
+    private HttpClientConnection connection;
+    private Stage stage = Stage.CONNECTING;
+    private Load load;
+    private Event refusal;
+    private boolean over;
+
+    SetUpAttempt(HttpBoxSide side, BoxSide.Order order, BoxPool pool, BoxSide.AttemptListener listener) {
+        this.side = side;
+        this.order = order;
+        this.pool = pool;
+        this.listener = listener;
+    }
+
+    @Override
+    public boolean take(HttpClientConnection given) {
+        if (over) {
+            return false;
+        }
+        connection = given;
+        stage = Stage.CONNECTED;
+        Headers headers = side.headers().add(BoxLink.KEY, order.key())
+                .add(BoxLink.TOKEN, order.request().tokenId()).add(BoxLink.CLASS, order.request().className())
+                .add(BoxLink.TITLE, order.request().title()).add(BoxLink.RUNG, Integer.toString(order.rung()))
+                .add(BoxLink.SPENDS, order.spends() ? "1" : "0");
+        if (order.continues() != null) {
+            headers.add(BoxLink.CONTINUES, order.continues());
+        }
+        if (connection.send("POST", BoxLink.SETUP, headers, NO_BODY, this)) {
+            stage = Stage.WRITTEN;
+        } else {
+            finish(Event.CLOSED);
+        }
+        return true;
+    }
+
+    @Override
+    public void none(Event why) {
+        finish(why);
+    }
+
+    @Override
+    public void head(ResponseHead head) {
+        load = BoxLink.load(head.headers().get(BoxLink.LOAD));
+        refusal = OutcomeTable.status(head.status(), head.headers().get(BoxLink.REASON));
+        if (refusal == null) {
+            stage = Stage.ANSWERING;
+        }
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        if (refusal == null && !over) {
+            over = true;
+            listener.plays();
+        }
+    }
+
+    @Override
+    public void end() {
+        pool.giveBack(connection);
+        // A success without a media byte is no session.
+        finish(refusal == null ? Event.ERROR_STATUS : refusal);
+    }
+
+    @Override
+    public void lost(HttpClientConnection.Loss loss, String reason) {
+        finish(switch (loss) {
+            case RESET -> Event.RESET;
+            case CLOSED -> Event.CLOSED;
+            case MALFORMED -> Event.MALFORMED;
+        });
+    }
+
+    private void finish(Event event) {
+        if (!over) {
+            over = true;
+            Outcome outcome = OutcomeTable.read(stage, event);
+            if (stage != Stage.CONNECTING && stage != Stage.CONNECTED && !outcome.neverRan()) {
+                side.callOff(order.box(), order.key());
+            }
+            listener.ended(outcome, load);
+        }
+    }
+
+    @Override
+    public Outcome abandon(Event why) {
+        Outcome outcome = OutcomeTable.read(stage, why);
+        if (!over) {
+            over = true;
+            if (connection != null) {
+                connection.abandon();
+                side.callOff(order.box(), order.key());
+            }
+        }
+        return outcome;
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -0,0 +1,131 @@
+package spanrill.front.dash;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import spanrill.front.BoxSide;
+import spanrill.front.EventLog;
+import spanrill.front.FrontSession;
+import spanrill.front.FrontSettings;
+import spanrill.front.SessionCore;
+import spanrill.front.ViewerRequest;
+import spanrill.front.token.SessionToken;
+import spanrill.front.token.TokenFault;
+import spanrill.front.token.TokenKeys;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.Headers;
+
+/**
+ * Routes of the DASH front:
+ * <ul>
+ * <li>{@code GET /dash/TITLE/manifest.mpd?token=T} (or {@code Authorization: Bearer T}): asks for a session;
+ * <li>{@code GET /s/ID/manifest.mpd}: the session's MPD as it is now;
+ * <li>{@code GET /s/ID/v/init.mp4}, {@code GET /s/ID/v/RUNG/NUMBER.m4s}: its segments;
+ * <li>{@code DELETE /s/ID}: the viewer is done (players that just stop are noticed by their silence).
+ * </ul>
+ */
+public final class DashViewerSide {
+    /** Field that tells what became of a request: plays, refused, failed or none. */
+    public static final String ANSWER = "spanrill-answer";
+    /** Field that tells which rung a segment is of. */
+    public static final String RUNG = "spanrill-rung";
+
+    private static final Pattern MANIFEST = Pattern.compile("/dash/([A-Za-z0-9._~-]{1,200})/manifest\\.mpd");
+    private static final Pattern SEGMENT = Pattern.compile(
+            "/s/([A-Za-z0-9_-]{22})/v/(?:(init\\.mp4)|(\\d{1,3})/(\\d{1,9}\\.m4s))");
+    private static final Pattern SESSION = Pattern.compile("/s/([A-Za-z0-9_-]{22})(/manifest\\.mpd)?");
+
+    private final FrontSettings settings;
+    private final SessionCore core;
+    private final BoxSide boxes;
+    private final TokenKeys keys;
+
+    /** A viewer side on a core. */
+    public DashViewerSide(FrontSettings settings, SessionCore core, BoxSide boxes, TokenKeys keys) {
+        this.settings = settings;
+        this.core = core;
+        this.boxes = boxes;
+        this.keys = keys;
+    }
+
+    /** Takes a request. */
+    public void route(Exchange exchange) {
+        try {
+            String path = exchange.head().path();
+            String method = exchange.head().method();
+            boolean reads = method.equals("GET") || method.equals("HEAD");
+            Matcher manifest = MANIFEST.matcher(path);
+            Matcher segment = SEGMENT.matcher(path);
+            Matcher session = SESSION.matcher(path);
+            if (manifest.matches() && method.equals("GET")) {
+                ask(exchange, manifest.group(1));
+            } else if (segment.matches() && reads) {
+                segment(exchange, segment);
+            } else if (session.matches() && (session.group(2) != null ? reads : method.equals("DELETE"))) {
+                session(exchange, session.group(1), session.group(2) != null);
+            } else if (manifest.matches() || segment.matches() || session.matches()) {
+                Problem.answer(exchange, 405, "method", "none", "This method is not served here.", 0);
+            } else {
+                Problem.answer(exchange, 404, "no-such-path", "none", "There is nothing here.", 0);
+            }
+        } catch (RuntimeException e) {
+            EventLog.error("viewer.fault", e);
+            Problem.answer(exchange, 500, "fault", "none", "A fault of this front.", 0);
+        }
+    }
+
+    private void ask(Exchange exchange, String title) {
+        SessionToken token;
+        try {
+            token = keys.verify(tokenOf(exchange), title, System.currentTimeMillis() / 1000);
+        } catch (TokenFault fault) {
+            Problem.answer(exchange, fault.status(), "token", "none", fault.getMessage(), 0);
+            return;
+        }
+        int top = Math.min(token.top(), settings.ladder().kb().size() - 1);
+        if (top < settings.classes().get(token.className()).floor()) {
+            Problem.answer(exchange, 403, "token", "none", "the token's top rung is below its class's floor",
+                    0);
+            return;
+        }
+        String tenant = token.tenant() != null && settings.tenants().containsKey(token.tenant())
+                ? token.tenant() : null;
+        ManifestCall call = new ManifestCall(settings, exchange);
+        exchange.onClosed(() -> core.left(call));
+        core.offer(new ViewerRequest(token.id(), token.expiresS() * 1000.0, title, token.className(), tenant,
+                token.viewer(), top), call);
+    }
+
+    private static String tokenOf(Exchange exchange) {
+        String bearer = exchange.head().headers().get("authorization");
+        if (bearer != null && bearer.regionMatches(true, 0, "Bearer ", 0, 7)) {
+            return bearer.substring(7).trim();
+        }
+        return exchange.head().query("token");
+    }
+
+    private void segment(Exchange exchange, Matcher path) {
+        FrontSession session = core.session(path.group(1));
+        if (session == null) {
+            Problem.answer(exchange, 404, "no-session", "none", "There is no such session.", 0);
+            return;
+        }
+        if (path.group(2) != null) {
+            new Relay(core, boxes, exchange, session, session.rung(), "init.mp4").run();
+            return;
+        }
+        new Relay(core, boxes, exchange, session, Integer.parseInt(path.group(3)), path.group(4)).run();
+    }
+
+    private void session(Exchange exchange, String id, boolean manifest) {
+        FrontSession session = core.session(id);
+        if (session == null || !session.inPlay()) {
+            Problem.answer(exchange, session == null ? 404 : 410, "no-session", "none",
+                    "There is no such session in play.", 0);
+        } else if (manifest) {
+            ManifestCall.manifest(settings, exchange, session, "none");
+        } else {
+            core.finish(session);
+            exchange.respond(204, new Headers(), new byte[0]);
+        }
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/dash/Problem.java
@@ -0,0 +1,32 @@
+package spanrill.front.dash;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.Headers;
+
+/** Answers that are no success, as problem documents (RFC 9457). */
+final class Problem {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private Problem() { }
+
+    /**
+     * Answers with a problem.
+     *
+     * @param answer what became of the request: refused, failed, or none when it was never taken
+     * @param retryAfterMs after how long to come again; 0 for no word about it
+     */
+    static void answer(Exchange exchange, int status, String type, String answer, String detail,
+            double retryAfterMs) {
+        ObjectNode document = JSON.createObjectNode().put("type", "urn:spanrill:problem:" + type)
+                .put("title", type.replace('-', ' ')).put("status", status).put("detail", detail);
+        Headers headers = Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer);
+        if (retryAfterMs > 0) {
+            document.put("retryAfterMs", Math.round(retryAfterMs));
+            // RFC 9110 section 10.2.3 knows whole seconds only; the document has the milliseconds.
+            headers.add("retry-after", Long.toString((long) Math.ceil(retryAfterMs / 1000)));
+        }
+        exchange.respond(status, headers, "application/problem+json", document.toString());
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/dash/Relay.java
@@ -0,0 +1,146 @@
+package spanrill.front.dash;
+
+import io.netty.buffer.ByteBuf;
+import java.util.concurrent.TimeUnit;
+import spanrill.decisions.RungGate;
+import spanrill.decisions.SessionState.Phase;
+import spanrill.front.BoxSide;
+import spanrill.front.FrontSession;
+import spanrill.front.SessionCore;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.ResponseHead;
+
+/**
+ * One segment from a box to a viewer. It waits while its session is on the move, asks anew when the box was
+ * lost before the first byte went out, and holds the box back while the viewer reads slowly.
+ */
+final class Relay implements BoxSide.SegmentSink {
+    /** A box that lost a segment may be about to be given up: the session's fate shows within this time. */
+    private static final long FATE_MS = 150;
+    private static final int MOST_TRIES = 3;
+
+    private final SessionCore core;
+    private final BoxSide boxes;
+    private final Exchange exchange;
+    private final FrontSession session;
+    private final int asked;
+    private final String name;
+    private BoxSide.Segment segment;
+    private String key;
+    private int tries;
+    private int servedRung;
+
+    Relay(SessionCore core, BoxSide boxes, Exchange exchange, FrontSession session, int asked, String name) {
+        this.core = core;
+        this.boxes = boxes;
+        this.exchange = exchange;
+        this.session = session;
+        this.asked = asked;
+        this.name = name;
+    }
+
+    /** Begins, or goes on after a move. */
+    void run() {
+        if (exchange.over()) {
+            return;
+        }
+        core.seen(session);
+        Phase phase = session.phase();
+        if (phase == Phase.MOVING || phase == Phase.MOVING_SET_UP) {
+            session.onChange(this::run);
+            return;
+        }
+        if (phase != Phase.PLAYING) {
+            over();
+            return;
+        }
+        exchange.onClosed(this::viewerGone);
+        exchange.onWritable(() -> reading(true));
+        int rung = RungGate.serve(asked, session.rung(), session.type().floor());
+        key = session.key();
+        tries++;
+        String path = name.equals("init.mp4") ? name : rung + "/" + name;
+        segment = boxes.fetch(session.box(), key, path, range(), this);
+        servedRung = rung;
+    }
+
+    private String range() {
+        String range = exchange.head().headers().get("range");
+        // RFC 9110 section 14.2: a range that isn't understood is passed over.
+        return spanrill.wire.http.ByteRange.understood(range) ? range : null;
+    }
+
+    private void over() {
+        if (session.retryAfterMs() > 0) {
+            Problem.answer(exchange, 503, "move-refused", "none", "No box can go on with this session.",
+                    session.retryAfterMs());
+        } else {
+            Problem.answer(exchange, 410, "session-over", "none", "The session is over: " + session.overWhy()
+                    + ".", 0);
+        }
+    }
+
+    @Override
+    public void head(ResponseHead head) {
+        Headers headers = Headers.of("content-type", "video/mp4", "cache-control", "no-store",
+                DashViewerSide.RUNG, Integer.toString(servedRung));
+        String range = head.headers().get("content-range");
+        if (range != null) {
+            headers.add("content-range", range);
+        }
+        exchange.start(head.status(), headers, head.length());
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        core.seen(session);
+        exchange.write(part.retain());
+        if (!exchange.writable()) {
+            reading(false);
+        }
+    }
+
+    private void reading(boolean on) {
+        if (segment != null) {
+            segment.reading(on);
+        }
+    }
+
+    @Override
+    public void end() {
+        segment = null;
+        core.seen(session);
+        exchange.end();
+    }
+
+    @Override
+    public void lost(int status, String reason) {
+        segment = null;
+        if (exchange.over()) {
+            return;
+        }
+        if (exchange.started()) {
+            exchange.abort();
+            return;
+        }
+        if (status == 404) {
+            core.lost(key, "box doesn't know it");
+        } else if (status == 416) {
+            exchange.respond(416, new Headers(), new byte[0]);
+            return;
+        }
+        if (tries >= MOST_TRIES) {
+            Problem.answer(exchange, 502, "segment-lost", "none", "The segment could not be had.", 0);
+            return;
+        }
+        exchange.channel().eventLoop().schedule(this::run, FATE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void viewerGone() {
+        if (segment != null) {
+            segment.cancel();
+            segment = null;
+        }
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/dash/package-info.java
@@ -0,0 +1,2 @@
+/** The DASH viewer side: manifests by session token, segments relayed from the box that the module chose. */
+package spanrill.front.dash;
--- /dev/null
+++ b/front/src/main/java/spanrill/front/list/ListClient.java
@@ -0,0 +1,193 @@
+package spanrill.front.list;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import spanrill.SessionControl.ListKind;
+import spanrill.SessionControl.Server;
+import spanrill.decisions.Backoff;
+import spanrill.decisions.BoxBook;
+import spanrill.front.EventLog;
+import spanrill.front.FrontSettings;
+import spanrill.front.SessionCore;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.ResponseHead;
+
+/**
+ * Long-polls the registry: {@code GET /boxes?front=N&epoch=E&version=V} is answered when there is something
+ * newer, or 204 after the registry's own time. The module hears each list, and each call that failed.
+ */
+public final class ListClient implements HttpClientConnection.Listener {
+    private static final int MOST_BYTES = 16 << 20;
+    private static final int CONNECT_MS = 1000;
+    private static final long POLL_MS = 40_000;
+
+    private final FrontSettings settings;
+    private final EventLoop loop;
+    private final SessionCore core;
+    private final BoxBook book;
+    private final KeptList kept;
+    private final Executor disk;
+    private final Backoff backoff;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpClientConnection connection;
+    private ScheduledFuture<?> late;
+    private int status;
+    private boolean closed;
+
+    /** A client that fills the book; the list is kept by {@code disk}, off the loop. */
+    public ListClient(FrontSettings settings, EventLoop loop, SessionCore core, BoxBook book, KeptList kept,
+            Executor disk) {
+        this.settings = settings;
+        this.loop = loop;
+        this.core = core;
+        this.book = book;
+        this.kept = kept;
+        this.disk = disk;
+        backoff = new Backoff(100, 5000, settings.seed() + settings.me());
+    }
+
+    /** Takes the kept list in, if there is one, and begins to poll. */
+    public void start() {
+        try {
+            byte[] json = kept.read();
+            if (json != null) {
+                ListDocument document = ListDocument.parse(json);
+                BoxBook.Sheet sheet = document.sheet();
+                tell(new BoxBook.Sheet(ListKind.KEPT, sheet.epoch(), -1, sheet.version(), sheet.boxes()),
+                        document);
+            }
+        } catch (IOException | ListDocument.Fault e) {
+            EventLog.warn("list.kept.unusable", "reason", e.getMessage());
+        }
+        poll();
+    }
+
+    private void poll() {
+        if (closed) {
+            return;
+        }
+        if (connection != null && connection.free()) {
+            ask();
+            return;
+        }
+        FrontSettings.Address at = settings.registry();
+        HttpClientConnection.open(loop, new InetSocketAddress(at.host(), at.port()), CONNECT_MS,
+                HttpLimits.CLIENT,
+                opened -> {
+                    connection = opened;
+                    ask();
+                }, cause -> failed("can't connect"));
+    }
+
+    private void ask() {
+        body.reset();
+        late = loop.schedule(() -> {
+            connection.abandon();
+            failed("no answer in time");
+        }, POLL_MS, TimeUnit.MILLISECONDS);
+        String target = "/boxes?front=" + settings.me() + "&epoch=" + book.epoch() + "&version="
+                + book.version();
+        if (closed || !connection.send("GET", target, Headers.of("host", "registry"), new byte[0], this)) {
+            late.cancel(false);
+            failed("the connection ended");
+        }
+    }
+
+    @Override
+    public void head(ResponseHead head) {
+        status = head.status();
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        if (body.size() + part.readableBytes() > MOST_BYTES) {
+            late.cancel(false);
+            connection.abandon();
+            failed("the list is larger than " + MOST_BYTES + " bytes");
+            return;
+        }
+        byte[] bytes = new byte[part.readableBytes()];
+        part.readBytes(bytes);
+        body.write(bytes, 0, bytes.length);
+    }
+
+    @Override
+    public void end() {
+        late.cancel(false);
+        if (status == 204) {
+            backoff.succeeded();
+            poll();
+            return;
+        }
+        if (status != 200) {
+            failed("the registry answered " + status);
+            return;
+        }
+        try {
+            byte[] json = body.toByteArray();
+            ListDocument document = ListDocument.parse(json);
+            if (!tell(document.sheet(), document)) {
+                EventLog.info("list.gap", "version", document.sheet().version());
+            } else if (document.sheet().kind() == ListKind.WHOLE) {
+                disk.execute(() -> keep(json));
+            }
+            backoff.succeeded();
+            poll();
+        } catch (ListDocument.Fault fault) {
+            failed("the list " + fault.getMessage());
+        }
+    }
+
+    private boolean tell(BoxBook.Sheet sheet, ListDocument document) {
+        List<Server> told = book.take(sheet);
+        if (told == null) {
+            return false;
+        }
+        if (document.titles() != null) {
+            core.titles(document.titles());
+        }
+        EventLog.info("list", "kind", sheet.kind(), "version", sheet.version(), "boxes", told.size());
+        core.servers(sheet.kind(), told);
+        return true;
+    }
+
+    private void keep(byte[] json) {
+        try {
+            kept.keep(json);
+        } catch (IOException e) {
+            EventLog.warn("list.kept.failed", "reason", e.getMessage());
+        }
+    }
+
+    @Override
+    public void lost(HttpClientConnection.Loss loss, String reason) {
+        late.cancel(false);
+        failed(reason);
+    }
+
+    private void failed(String reason) {
+        if (closed) {
+            return;
+        }
+        EventLog.warn("list.failed", "reason", reason);
+        core.servers(ListKind.FAILED, List.of());
+        loop.schedule(this::poll, (long) backoff.failed(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Polls no more. */
+    public void close() {
+        closed = true;
+        if (connection != null) {
+            connection.abandon();
+        }
+    }
+}
--- /dev/null
+++ b/front/src/main/java/spanrill/front/list/ListDocument.java
@@ -0,0 +1,110 @@
+package spanrill.front.list;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import spanrill.SessionControl.ListKind;
+import spanrill.SessionControl.Server;
+import spanrill.SessionControl.ServerState;
+import spanrill.decisions.BoxBook.Box;
+import spanrill.decisions.BoxBook.Sheet;
+import spanrill.front.Title;
+
+/**
+ * A list as the registry sends it:
+ * {@code {"kind":"whole|changes","epoch":1,"base":3,"version":4,"boxes":[{"id","host","port","zone","kind",
+ * "cell","state":"ready|draining|gone","weight","startedAt"}],"titles":[{"name","home","copies","durationMs",
+ * "segmentMs"}]}}.
+ *
+ * @param sheet the boxes
+ * @param titles the catalogue, or null when it didn't come along
+ */
+public record ListDocument(Sheet sheet, Map<String, Title> titles) {
+    private static final ObjectMapper JSON = JsonMapper.builder(JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(16).maxStringLength(10_000).build()).build())
+            .build();
+
+    /** A list that can't be used, with the reason. */
+    public static final class Fault extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Fault(String reason) {
+            super(reason, null, false, false);
+        }
+    }
+
+    /** Reads a list. */
+    public static ListDocument parse(byte[] json) throws Fault {
+        JsonNode root;
+        try {
+            root = JSON.readTree(new String(json, java.nio.charset.StandardCharsets.UTF_8));
+        } catch (JsonProcessingException e) {
+            throw new Fault("is no JSON");
+        }
+        if (root == null || !root.isObject()) {
+            throw new Fault("is no JSON object");
+        }
+        ListKind kind = switch (text(root, "kind")) {
+            case "whole" -> ListKind.WHOLE;
+            case "changes" -> ListKind.CHANGES;
+            default -> throw new Fault("kind must be whole or changes");
+        };
+        List<Box> boxes = new ArrayList<>();
+        for (JsonNode box : root.path("boxes")) {
+            boxes.add(box(box));
+        }
+        Map<String, Title> titles = null;
+        if (root.has("titles")) {
+            titles = new HashMap<>();
+            for (JsonNode title : root.path("titles")) {
+                titles.put(text(title, "name"), new Title(text(title, "name"),
+                        (int) number(title, "home", 0, 1_000_000), (int) number(title, "copies", 1,
+                        1_000_000),
+                        (long) number(title, "durationMs", 1, 1e11),
+                        (long) number(title, "segmentMs", 100, 60_000)));
+            }
+        }
+        return new ListDocument(new Sheet(kind, (long) number(root, "epoch", 0, 9e15),
+                (long) number(root, "base", -1, 9e15), (long) number(root, "version", 0, 9e15), boxes),
+                titles);
+    }
+
+    private static Box box(JsonNode node) throws Fault {
+        ServerState state = switch (text(node, "state")) {
+            case "ready" -> ServerState.READY;
+            case "draining" -> ServerState.DRAINING;
+            case "gone" -> ServerState.GONE;
+            default -> throw new Fault("state must be ready, draining or gone");
+        };
+        double started = number(node, "startedAt", 0, 9e15);
+        return new Box(new Server(text(node, "id"), text(node, "zone"), text(node, "kind"),
+                (int) number(node, "cell", 0, 1_000_000), state, number(node, "weight", 0, 1e9),
+                started == 0 ? Double.NaN : started), text(node, "host"), (int) number(node, "port", 1,
+                65_535));
+    }
+
+    private static String text(JsonNode node, String name) throws Fault {
+        JsonNode value = node.get(name);
+        if (value == null || !value.isTextual() || value.textValue().isEmpty()
+                || value.textValue().length() > 200) {
+            throw new Fault(name + " must be a text of 1 to 200 characters");
+        }
+        return value.textValue();
+    }
+
+    private static double number(JsonNode node, String name, double least, double most) throws Fault {
+        JsonNode value = node.get(name);
+        if (value == null || !value.isNumber() || !(value.doubleValue() >= least)
+                || value.doubleValue() > most) {
+            throw new Fault(name + " must be a number from " + least + " to " + most);
+        }
+        return value.doubleValue();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/Net.java
@@ -0,0 +1,58 @@
+package spanrill.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.HttpServerHandler;
+
+/** Listening on loopback. */
+public final class Net {
+    private static final HttpServerHandler.Times TIMES = new HttpServerHandler.Times(10_000, 120_000,
+            64 * 1024);
+
+    private Net() { }
+
+    /** A server on loopback that hands its exchanges on; all its connections are on one loop. */
+    public static Channel listen(EventLoop loop, int port, Consumer<Channel> opened, Consumer<Exchange> route)
+            throws IOException {
+        ChannelFuture future = bind(loop, port, opened, route).awaitUninterruptibly();
+        if (!future.isSuccess()) {
+            throw new IOException("can't listen on loopback port " + port + ": " + future.cause()
+                    .getMessage());
+        }
+        return future.channel();
+    }
+
+    /** The same without waiting, for use on the loop. */
+    public static ChannelFuture bind(EventLoop loop, int port, Consumer<Channel> opened,
+            Consumer<Exchange> route) {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 * 1024,
+                256 * 1024))
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        opened.accept(channel);
+                        channel.pipeline().addLast(new HttpServerHandler(HttpLimits.SERVER, TIMES, route));
+                    }
+                }).bind(new InetSocketAddress("127.0.0.1", port));
+    }
+
+    /** Port of a listening channel. */
+    public static int port(Channel server) {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/trouble/Fronts.java
@@ -0,0 +1,16 @@
+package spanrill.standin.trouble;
+
+/** What troubles may do to fronts. */
+public interface Fronts {
+    /** How many. */
+    int count();
+
+    /** Kills its process outright. */
+    void kill(int front);
+
+    /** Starts it again. */
+    void restart(int front);
+
+    /** Lets its process stand still, or go on. */
+    void stall(int front, boolean on);
+}
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
@@ -0,0 +1,43 @@
+package spanrill.standin.viewer;
+
+import java.util.concurrent.atomic.LongAdder;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What a crowd met with. Safe from any thread. */
+public final class CrowdStats {
+    /** Requests written. */
+    public final LongAdder asks = new LongAdder();
+    /** Answered: plays. */
+    public final LongAdder plays = new LongAdder();
+    /** Answered: refused. */
+    public final LongAdder refused = new LongAdder();
+    /** Answered: failed. */
+    public final LongAdder failed = new LongAdder();
+    /** Answered otherwise: never taken. */
+    public final LongAdder notTaken = new LongAdder();
+    /** Patience ended without an answer. */
+    public final LongAdder unanswered = new LongAdder();
+    /** Left by themselves before the answer. */
+    public final LongAdder left = new LongAdder();
+    /** Connections that could not be had, or were lost. */
+    public final LongAdder lost = new LongAdder();
+    /** Sessions that ended before their viewer's time. */
+    public final LongAdder broken = new LongAdder();
+    /** Sessions played to their end. */
+    public final LongAdder finished = new LongAdder();
+    /** Segments read. */
+    public final LongAdder segments = new LongAdder();
+    /** Bytes of media read. */
+    public final LongAdder bytes = new LongAdder();
+    /** Milliseconds played. */
+    public final LongAdder playedMs = new LongAdder();
+    /** Milliseconds stalled. */
+    public final LongAdder stalledMs = new LongAdder();
+    /** Sum of rungs over segments. */
+    public final LongAdder rungs = new LongAdder();
+    /** Time from request to "plays", microseconds. */
+    public final Histogram setUp = new ConcurrentHistogram(60_000_000, 3);
+    /** How late arrivals were sent, microseconds. */
+    public final Histogram late = new ConcurrentHistogram(60_000_000, 3);
+}
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/viewer/ViewerLink.java
@@ -0,0 +1,89 @@
+package spanrill.standin.viewer;
+
+import io.netty.buffer.ByteBuf;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BiConsumer;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.ResponseHead;
+
+/** One request of a viewer whose answer is read whole; large bodies are counted, not kept. */
+final class ViewerLink implements HttpClientConnection.Listener {
+    private static final int KEPT_BYTES = 64 * 1024;
+
+    private final Runnable onHead;
+    private final BiConsumer<ResponseHead, ViewerLink> done;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final boolean keep;
+    private ResponseHead head;
+    private long bytes;
+    private boolean over;
+
+    /**
+     * A request.
+     *
+     * @param keep whether the body is kept
+     * @param onHead called at the head
+     * @param done called at the end, with null for the head when the answer was lost
+     */
+    ViewerLink(boolean keep, Runnable onHead, BiConsumer<ResponseHead, ViewerLink> done) {
+        this.keep = keep;
+        this.onHead = onHead;
+        this.done = done;
+    }
+
+    static boolean get(HttpClientConnection connection, String target, ViewerLink link) {
+        return connection.send("GET", target, Headers.of("host", "front"), new byte[0], link);
+    }
+
+    ResponseHead seen() {
+        return head;
+    }
+
+    long bytes() {
+        return bytes;
+    }
+
+    String text() {
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    void forget() {
+        over = true;
+    }
+
+    @Override
+    public void head(ResponseHead answer) {
+        head = answer;
+        if (!over) {
+            onHead.run();
+        }
+    }
+
+    @Override
+    public void data(ByteBuf part) {
+        bytes += part.readableBytes();
+        if (keep && body.size() + part.readableBytes() <= KEPT_BYTES) {
+            byte[] copy = new byte[part.readableBytes()];
+            part.readBytes(copy);
+            body.write(copy, 0, copy.length);
+        }
+    }
+
+    @Override
+    public void end() {
+        if (!over) {
+            over = true;
+            done.accept(head, this);
+        }
+    }
+
+    @Override
+    public void lost(HttpClientConnection.Loss loss, String reason) {
+        if (!over) {
+            over = true;
+            done.accept(null, this);
+        }
+    }
+}
