--- /dev/null
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -0,0 +1,262 @@
+package spanrill.check;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import spanrill.check.TapEvent.Answer;
+import spanrill.check.TapEvent.Ask;
+import spanrill.check.TapEvent.AskLost;
+import spanrill.check.TapEvent.BoxDown;
+import spanrill.check.TapEvent.BoxMute;
+import spanrill.check.TapEvent.BoxStart;
+import spanrill.check.TapEvent.End;
+import spanrill.check.TapEvent.FrontDown;
+import spanrill.check.TapEvent.FrontStall;
+import spanrill.check.TapEvent.Ran;
+import spanrill.check.TapEvent.Rung;
+import spanrill.check.TapEvent.Segment;
+import spanrill.check.TapEvent.SetUp;
+import spanrill.check.TapEvent.SetUpAnswer;
+import spanrill.check.TapEvent.Told;
+
+/** Each rule: a run that keeps it passes, and the same run with one planted fault is caught, by it alone. */
+class CheckerTest {
+    private final List<TapEvent> events = new ArrayList<>(List.of(facts(null)));
+
+    private static TapEvent.Facts facts(Double spare) {
+        return new TapEvent.Facts(0, Map.of("free", new TapEvent.ClassFacts(false, 0, 0),
+                "paid", new TapEvent.ClassFacts(true, 1, 2)), 20, 250, 10_000, 0.5, 2, 1500, spare,
+                spare == null ? null : 0.1, spare == null ? null : 10_000.0);
+    }
+
+    private CheckerTest add(TapEvent... more) {
+        events.addAll(List.of(more));
+        return this;
+    }
+
+    private CheckerTest ask(double t, long ask, String token, String cls) {
+        return add(new Ask(t, ask, 0, token, cls, "title", 3000));
+    }
+
+    private CheckerTest setUp(double t, String box, String token, int attempt, String cls) {
+        return add(new SetUp(t, box, 0, token, token + "." + attempt, cls, "title", 1, cls.equals("paid"),
+                null));
+    }
+
+    private CheckerTest runs(double t, String key) {
+        return add(new Ran(t, key), new SetUpAnswer(t, key, 200, null));
+    }
+
+    private CheckerTest turnedAway(double t, String key) {
+        return add(new SetUpAnswer(t, key, 503, "places"));
+    }
+
+    private CheckerTest answer(double t, long ask, String answer) {
+        return add(new Answer(t, ask, 200, answer));
+    }
+
+    private void brokenIs(int... rules) {
+        // The records' end: whatever was still owed is overdue by then.
+        add(new BoxDown(1e6, "nowhere", "end"));
+        List<Integer> broken = Checker.judge(events).stream().filter(v -> !v.held()).map(Verdict::rule)
+                .toList();
+        assertEquals(java.util.Arrays.stream(rules).boxed().toList(), broken);
+    }
+
+    private CheckerTest paidThatPlays() {
+        return ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").turnedAway(25, "t.1")
+                .setUp(30, "b", "t", 2, "paid").runs(60, "t.2").answer(65, 1, "plays");
+    }
+
+    @Test
+    void aRunThatKeepsAllRules() {
+        paidThatPlays().add(new Segment(100, "t", 0, 2, 10, 5), new End(500, "t.2", "released")).brokenIs();
+    }
+
+    @Test
+    void twoAnswersAreCaught() {
+        paidThatPlays().answer(70, 1, "refused").brokenIs(1, 2);
+    }
+
+    @Test
+    void aSecondAnswerThatNobodyAskedForIsCaught() {
+        paidThatPlays().answer(70, 1, "unasked").brokenIs(1);
+    }
+
+    @Test
+    void noAnswerAndALateAnswerAreCaught() {
+        ask(10, 1, "t", "free").brokenIs(1);
+        events.remove(events.size() - 1);
+        answer(3020, 1, "refused").brokenIs(1);
+    }
+
+    @Test
+    void aLostConnectionIsCaughtUnlessTheViewerLeftOrTheFrontDied() {
+        ask(10, 1, "t", "free").add(new AskLost(50, 1, true)).brokenIs();
+        ask(10, 2, "u", "free").add(new AskLost(50, 2, false)).brokenIs(1);
+        add(new FrontDown(45, 0)).brokenIs();
+    }
+
+    @Test
+    void aFrontThatStoodStillHasThatMuchMoreTime() {
+        ask(10, 1, "t", "free").answer(3900, 1, "plays").add(new FrontStall(500, 0, 1000)).brokenIs();
+    }
+
+    @Test
+    void aPaidSetUpSentAgainAfterATimeOutIsCaught() {
+        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
+                .setUp(1001, "b", "t", 2, "paid").runs(1030, "t.2").answer(1040, 1, "plays").brokenIs(2);
+    }
+
+    @Test
+    void aRefusalOfAPaidOneThatMayHaveRunIsCaught() {
+        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
+                .answer(1040, 1, "refused").brokenIs(2);
+    }
+
+    @Test
+    void aFailureOfAPaidOneThatMayHaveRunIsRight() {
+        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
+                .answer(1040, 1, "failed").brokenIs();
+    }
+
+    @Test
+    void goingOnWithoutASessionThatPlayedIsCaught() {
+        ask(10, 1, "t", "paid").add(new SetUp(20, "a", 0, "t", "t.1", "paid", "title", 1, false, "t.0"))
+                .runs(30, "t.1").answer(40, 1, "plays").brokenIs(2);
+    }
+
+    @Test
+    void aMoveThatGoesOnWithOneThatPlayedIsRight() {
+        paidThatPlays().add(new End(900, "t.2", "released"),
+                new SetUp(950, "c", 0, "t", "t.3", "paid", "title", 1, false, "t.2")).runs(990, "t.3")
+                .brokenIs();
+    }
+
+    @Test
+    void twoAttemptsOutAtOnceAreCaught() {
+        ask(10, 1, "t", "free").setUp(20, "a", "t", 1, "free").setUp(30, "b", "t", 2, "free").runs(60, "t.2")
+                .answer(65, 1, "plays").add(new End(400, "t.1", "called off")).brokenIs(3);
+    }
+
+    @Test
+    void anEndThatABoxWithoutALineCanNotSeeIsNotJudged() {
+        ask(10, 1, "t", "free").add(new BoxMute(15, "a", true)).setUp(20, "a", "t", 1, "free")
+                .setUp(700, "b", "t", 2, "free").runs(760, "t.2").answer(765, 1, "plays").brokenIs();
+    }
+
+    @Test
+    void aSetUpAfterADrainWasHeardIsCaught() {
+        add(new Told(100, 0, "a", "draining", 0)).ask(310, 1, "t", "free").setUp(349, "a", "t", 1, "free")
+                .runs(380, "t.1").answer(390, 1, "plays").brokenIs();
+        ask(400, 2, "u", "free").setUp(420, "a", "u", 1, "free").runs(440, "u.1").answer(450, 2, "plays")
+                .brokenIs(4);
+    }
+
+    @Test
+    void aBoxThatIsListedReadyAgainMayBeUsed() {
+        add(new Told(100, 0, "a", "gone", 0), new Told(800, 0, "a", "ready", 700)).ask(900, 1, "t", "free")
+                .setUp(950, "a", "t", 1, "free").runs(980, "t.1").answer(990, 1, "plays").brokenIs();
+    }
+
+    /** 2 x 20 places / 10 s x half warm x 1.5 s and two more: nine are too many, if the front was told. */
+    private CheckerTest flood(boolean told, int many) {
+        add(new BoxStart(100, "a", true));
+        if (told) {
+            add(new Told(150, 0, "a", "ready", 100));
+        }
+        for (int i = 0; i < many; i++) {
+            ask(200 + i, i, "t" + i, "free").setUp(210 + i, "a", "t" + i, 1, "free").runs(230 + i, "t" + i
+                    + ".1")
+                    .answer(240 + i, i, "plays");
+        }
+        return this;
+    }
+
+    @Test
+    void aFloodOfAColdBoxIsCaught() {
+        flood(true, 9).brokenIs(5);
+    }
+
+    @Test
+    void aFloodByWhoWasNotToldAndAPaceWithinTheBudgetAreRight() {
+        flood(false, 9).brokenIs();
+        events.subList(1, events.size()).clear();
+        flood(true, 5).brokenIs();
+    }
+
+    @Test
+    void playingBelowTheFloorIsCaughtWhereverItShows() {
+        paidThatPlays().add(new Segment(100, "t", 0, 0, 10, 5)).brokenIs(5);
+        events.removeIf(e -> e instanceof Segment);
+        add(new Rung(100, "t.2", 0)).brokenIs(5);
+        events.removeIf(e -> e instanceof Rung);
+        ask(110, 2, "u", "paid").add(new SetUp(120, "b", 0, "u", "u.1", "paid", "title", 0, true, null))
+                .turnedAway(130, "u.1").answer(140, 2, "refused").brokenIs(5);
+    }
+
+    @Test
+    void moreThanTheSeatsAreCaught() {
+        for (int i = 0; i < 3; i++) {
+            ask(i * 100, i, "t" + i, "paid").setUp(10 + i * 100, "a", "t" + i, 1, "paid").runs(30 + i * 100,
+                    "t" + i + ".1")
+                    .answer(40 + i * 100, i, "plays");
+        }
+        brokenIs(5);
+        add(new End(150, "t0.1", "released")).brokenIs();
+    }
+
+    @Test
+    void moreAttemptsThanTheBudgetAreCaught() {
+        events.set(0, facts(1.0));
+        for (int i = 0; i < 2; i++) {
+            ask(i * 100, i, "t" + i, "free").setUp(10 + i * 100, "a", "t" + i, 1, "free")
+                    .turnedAway(12 + i * 100, "t" + i + ".1").setUp(15 + i * 100, "b", "t" + i, 2, "free")
+                    .runs(30 + i * 100, "t" + i + ".2").answer(40 + i * 100, i, "plays");
+        }
+        brokenIs(6);
+        events.set(0, facts(2.0));
+        brokenIs();
+    }
+
+    @Test
+    void recordsAreWrittenAndReadBack(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("tap.jsonl");
+        paidThatPlays();
+        try (Tap tap = new Tap(file)) {
+            events.forEach(tap::put);
+            assertEquals(events, tap.events());
+        }
+        assertEquals(events, Tap.read(file));
+    }
+
+    @Test
+    void badRecordsAreToldWithTheirLine(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("tap.jsonl");
+        for (String bad : List.of("{", "{\"kind\":\"wonder\"}", "null", "[]",
+                "{\"kind\":\"ask\",\"t\":\"x\"}")) {
+            Files.writeString(file, "{\"kind\":\"boxDown\",\"t\":1,\"box\":\"a\",\"why\":\"w\"}\n" + bad
+                    + "\n");
+            String told = assertThrows(IOException.class, () -> Tap.read(file)).getMessage();
+            assertTrue(told.contains("tap.jsonl:2: is no record"), told);
+        }
+        Files.write(file, new byte[] {(byte) 0xff, (byte) 0xfe});
+        assertTrue(assertThrows(IOException.class, () -> Tap.read(file)).getMessage().contains("UTF-8"));
+    }
+
+    @Test
+    void recordsWithoutFactsAreNotJudged() {
+        assertThrows(IllegalArgumentException.class, () -> Checker.judge(List.of(new FrontDown(1, 0))));
+        assertThrows(IllegalArgumentException.class, () -> Checker.judge(List.of(facts(null),
+                new Ask(1, 1, 0, "t", "nobody", "title", 100))));
+    }
+}
--- a/cli/src/main/java/spanrill/cli/StandinCommand.java
+++ b/cli/src/main/java/spanrill/cli/StandinCommand.java
@@ -21,7 +21,6 @@
 import picocli.CommandLine.Spec;
 import spanrill.check.Tap;
 import spanrill.settings.Settings;
-import spanrill.standin.Net;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
@@ -29,15 +28,14 @@
 import spanrill.standin.registry.Entry;
 import spanrill.standin.registry.StandinRegistry;
 import spanrill.standin.token.Issuer;
-import spanrill.wire.http.Exchange;
-import spanrill.wire.http.Headers;
+import spanrill.standin.token.IssuerService;
 
 /** Runs single stand-ins by hand, beside a front that is served by hand. */
 @Command(name = "standin", mixinStandardHelpOptions = true,
         description =
                 "Runs a stand-in until it is stopped. Start boxes first, then the registry by their list.",
         subcommands = {StandinCommand.Boxes.class, StandinCommand.Registry.class,
-        StandinCommand.IssuerService.class,
+        StandinCommand.Issuing.class,
             CommandLine.HelpCommand.class})
 final class StandinCommand implements Runnable {
     @Spec
@@ -131,7 +129,7 @@
     @Command(name = "issuer", mixinStandardHelpOptions = true, description = {
         "The issuer: GET /token?title=T&class=C&viewer=V&top=N answers with a token,",
         "GET /keys with the JWK set that a front verifies by."})
-    static final class IssuerService implements Callable<Integer> {
+    static final class Issuing implements Callable<Integer> {
         @Parameters(paramLabel = "KEYS", description = "private JWK set (spanrill token --new-keys)")
         private Path file;
 
@@ -140,32 +138,8 @@
 
         @Override
         public Integer call() throws Exception {
-            Issuer issuer = Issuer.read(file);
-            say(spec, "issuer on port " + Net.port(Net.listen(loop(), 0, channel -> { },
-                    exchange -> answer(issuer, exchange))));
+            say(spec, "issuer on port " + IssuerService.listen(loop(), Issuer.read(file)));
             return forever();
         }
-
-        private static void answer(Issuer issuer, Exchange exchange) {
-            if (exchange.head().path().equals("/keys")) {
-                exchange.respond(200, new Headers(), "application/jwk-set+json",
-                        new com.nimbusds.jose.jwk.JWKSet(issuer.published()).toString(false));
-                return;
-            }
-            String title = exchange.head().query("title");
-            String cls = exchange.head().query("class");
-            String viewer = exchange.head().query("viewer");
-            String top = exchange.head().query("top");
-            if (title == null || cls == null || (top != null && !top.matches("\\d{1,3}"))) {
-                exchange.respond(400, new Headers(), "text/plain",
-                        "title and class must be given, top a number\n");
-                return;
-            }
-            exchange.respond(200, new Headers(), "text/plain", issuer.issue(java.util.UUID.randomUUID()
-                    .toString(),
-                    viewer == null ? "viewer" : viewer, title, cls, null, top == null ? 63
-                    : Integer.parseInt(top),
-                    300) + "\n");
-        }
     }
 }
--- /dev/null
+++ b/cli/src/test/java/spanrill/layout/LayoutTest.java
@@ -0,0 +1,74 @@
+package spanrill.layout;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+import org.junit.jupiter.api.Test;
+
+/** The arrows between modules, and what pure rooms may not touch. */
+class LayoutTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS).importPackages("spanrill");
+
+    @Test
+    void arrowsPointDown() {
+        layeredArchitecture().consideringOnlyDependenciesInLayers()
+                .layer("core").definedBy("spanrill")
+                .layer("decisions").definedBy("spanrill.decisions..")
+                .layer("settings").definedBy("spanrill.settings..")
+                .layer("wire").definedBy("spanrill.wire..")
+                .layer("front").definedBy("spanrill.front..")
+                .layer("check").definedBy("spanrill.check..")
+                .layer("standin").definedBy("spanrill.standin..")
+                .layer("cli").definedBy("spanrill.cli..")
+                .whereLayer("cli").mayNotBeAccessedByAnyLayer()
+                .whereLayer("standin").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("check").mayOnlyBeAccessedByLayers("standin", "cli")
+                .whereLayer("front").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("wire").mayOnlyBeAccessedByLayers("front", "standin")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("wire", "front")
+                .whereLayer("settings").mayOnlyBeAccessedByLayers("front", "standin", "cli")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("decisions", "wire", "front", "standin")
+                .check(ALL);
+    }
+
+    @Test
+    void decisionsAreFreeOfInputOutputThreadsAndClocks() {
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..").should()
+                .dependOnClassesThat()
+                .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
+                        "java.util.concurrent..", "io.netty..", "org.slf4j..", "com.fasterxml..").check(ALL);
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
+                .orShould().callMethod(Math.class, "random").check(ALL);
+    }
+
+    @Test
+    void theCheckerReadsRecordsOnly() {
+        noClasses().that().resideInAPackage("spanrill.check..").should().dependOnClassesThat()
+                .resideInAnyPackage("spanrill.front..", "spanrill.wire..", "spanrill.decisions..",
+                "io.netty..")
+                .check(ALL);
+    }
+
+    @Test
+    void theCoreOfTheFrontIsFreeOfDashAndHttp() {
+        classes().that().haveFullyQualifiedName("spanrill.front.SessionCore").should()
+                .onlyDependOnClassesThat()
+                .resideOutsideOfPackages("spanrill.front.dash..", "spanrill.front.box..",
+                "spanrill.front.list..",
+                        "spanrill.front.token..", "spanrill.wire.dash..", "spanrill.wire.http..").check(ALL);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        SlicesRuleDefinition.slices().matching("spanrill.(*)..").should().beFreeOfCycles().check(ALL);
+        SlicesRuleDefinition.slices().matching("spanrill.standin.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/spanrill/decisions/SessionStateTest.java
@@ -0,0 +1,108 @@
+package spanrill.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.SessionState.Answer;
+import spanrill.decisions.SessionState.Event;
+import spanrill.decisions.SessionState.Phase;
+
+class SessionStateTest {
+    /** Whatever is thrown at it, in any order: what it lets through keeps the rules. */
+    @Property(tries = 3000, seed = "20261201")
+    void anySequenceKeepsTheRules(@ForAll boolean once, @ForAll @Size(max = 40) List<Event> events,
+            @ForAll @Size(min = 40, max = 40) List<Outcome> outcomes) {
+        SessionState state = new SessionState(once);
+        Answer first = null;
+        boolean out = false;
+        boolean mayHaveRun = false;
+        for (int i = 0; i < events.size(); i++) {
+            Event event = events.get(i);
+            boolean may = state.may(event);
+            try {
+                if (event == Event.ATTEMPT_ENDED) {
+                    state.attemptEnded(outcomes.get(i));
+                    mayHaveRun |= !outcomes.get(i).neverRan();
+                    out = false;
+                } else {
+                    state.on(event);
+                    if (event == Event.SEND) {
+                        assertFalse(out, "two attempts out");
+                        assertFalse(once && mayHaveRun && first == null, "a paid set-up sent again");
+                        out = true;
+                    }
+                    if (event == Event.REFUSE && first == null) {
+                        assertFalse(once && mayHaveRun, "refused without proof");
+                    }
+                    if (event == Event.PLAYS) {
+                        assertTrue(out);
+                        out = false;
+                        mayHaveRun = true;
+                    }
+                }
+                assertTrue(may);
+            } catch (RuleFault fault) {
+                assertFalse(may);
+            }
+            if (first != null) {
+                assertEquals(first, state.answer(), "a second answer");
+            }
+            first = state.answer();
+            assertEquals(out && state.phase() != Phase.OVER, state.attemptOut());
+        }
+    }
+
+    @Test
+    void aPaidSessionThatMayHaveRunCanOnlyFail() {
+        SessionState state = new SessionState(true);
+        state.on(Event.SEND);
+        state.attemptEnded(Outcome.TIMEOUT);
+        assertThrows(RuleFault.class, () -> state.on(Event.SEND));
+        assertThrows(RuleFault.class, () -> state.on(Event.REFUSE));
+        state.on(Event.FAIL);
+        assertEquals(Answer.FAILED, state.answer());
+    }
+
+    @Test
+    void proofLetsAPaidSessionGoOn() {
+        SessionState state = new SessionState(true);
+        state.on(Event.SEND);
+        state.attemptEnded(Outcome.FULL);
+        state.on(Event.SEND);
+        state.attemptEnded(Outcome.CONNECT_FAILED);
+        state.on(Event.REFUSE);
+        assertEquals(2, state.attempts());
+        assertFalse(state.mayHaveRun());
+    }
+
+    @Test
+    void aMoveSetsAPaidSessionUpElsewhereWithoutASecondAnswer() {
+        SessionState state = new SessionState(true);
+        state.on(Event.SEND);
+        state.on(Event.PLAYS);
+        state.on(Event.MOVE);
+        state.on(Event.SEND);
+        state.attemptEnded(Outcome.RESET);
+        state.on(Event.SEND);
+        state.on(Event.PLAYS);
+        assertEquals(Phase.PLAYING, state.phase());
+        assertEquals(Answer.PLAYS, state.answer());
+        state.on(Event.END);
+        assertThrows(RuleFault.class, () -> state.on(Event.FAIL));
+    }
+
+    @Test
+    void anAttemptsEndNeedsItsOutcome() {
+        SessionState state = new SessionState(false);
+        state.on(Event.SEND);
+        assertThrows(RuleFault.class, () -> state.on(Event.ATTEMPT_ENDED));
+    }
+}
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -126,6 +127,11 @@
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
 
+    /** Complete once it can serve viewers: boxes and titles are known. */
+    public CompletableFuture<Void> ready() {
+        return core.ready();
+    }
+
     /** Sessions held now; may be asked from any thread. */
     public int sessions() {
         return group.next().submit(core::size).syncUninterruptibly().getNow();
--- a/front/src/main/java/spanrill/front/SessionCore.java
+++ b/front/src/main/java/spanrill/front/SessionCore.java
@@ -13,6 +13,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 import spanrill.Control;
@@ -56,6 +57,7 @@
     private final Cache<String, FrontSession> over = Caffeine.newBuilder().maximumSize(20_000)
             .expireAfterWrite(OVER_KEPT).build();
     private final ArrayDeque<DoubleConsumer> turn = new ArrayDeque<>();
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private Map<String, Title> titles = Map.of();
     private BoxSide boxes;
     private boolean inside;
@@ -110,6 +112,14 @@
     public void servers(ListKind kind, List<Server> servers) {
         listed |= kind != ListKind.FAILED;
         tell(now -> control.servers(now, kind, servers));
+        if (listed && !titles.isEmpty()) {
+            ready.complete(null);
+        }
+    }
+
+    /** Complete once boxes and titles are known, so that viewers can be served. */
+    public CompletableFuture<Void> ready() {
+        return ready;
     }
 
     /** The catalogue came. */
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -134,6 +134,8 @@
         double at = tap.now();
         tap.put(new TapEvent.Ask(at, number, front, tokenId, arrival.cls(), title, type.patienceMs()));
         stats.asks.increment();
+        // A second answer comes when nothing is asked any more: the checker must see that too.
+        on.onUnasked(() -> tap.put(new TapEvent.Answer(tap.now(), number, 0, "unasked")));
         ViewerLink[] link = new ViewerLink[1];
         link[0] = new ViewerLink(true, () -> tap.put(new TapEvent.Answer(tap.now(), number, link[0].seen()
                 .status(),
--- a/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
@@ -41,6 +41,7 @@
     private Listener listener;
     private boolean reusable = true;
     private Consumer<HttpClientConnection> onClosed = c -> { };
+    private Runnable onUnasked = () -> { };
 
     private HttpClientConnection(HttpLimits limits) {
         parser = new HttpParser(HttpParser.Role.RESPONSE, limits, this);
@@ -69,6 +70,11 @@
         onClosed = action;
     }
 
+    /** Called when bytes come that no request asked for; the connection ends then. */
+    public void onUnasked(Runnable action) {
+        onUnasked = action;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -125,6 +131,9 @@
             while (in.isReadable()) {
                 if (listener == null) {
                     // Bytes that nobody asked for: a later answer could be taken for another's.
+                    if (reusable) {
+                        onUnasked.run();
+                    }
                     reusable = false;
                     channel.close();
                     return;
--- /dev/null
+++ b/wire/src/test/java/spanrill/wire/box/BoxLinkTest.java
@@ -0,0 +1,35 @@
+package spanrill.wire.box;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import spanrill.SessionControl.Load;
+
+class BoxLinkTest {
+    @Test
+    void loadReportsAreReadBack() {
+        assertEquals(new Load(7, 0.4, 1.25), BoxLink.load(BoxLink.format(new Load(7, 0.4, 1.25))));
+        assertTrue(Double.isNaN(BoxLink.load("inflight=-3;x0=NaN;x1=Infinity").link()));
+        assertNull(BoxLink.load(null));
+    }
+
+    @Test
+    void notesAreReadBack() {
+        Note note = new Note(Note.Kind.DELIVERED, "a-0.1", 0.83);
+        assertEquals(note, Note.parse(note.line().trim()));
+        assertNull(Note.parse("delivered\ta"));
+        assertNull(Note.parse("wonder\ta\t1"));
+        assertNull(Note.parse("link\ta\t-1"));
+        assertNull(Note.parse("link\ta\tNaN"));
+    }
+
+    @Property(tries = 1000, seed = "20261201")
+    void anyTextIsReadOrPassedOver(@ForAll String text) {
+        Note.parse(text);
+        BoxLink.load(text);
+    }
+}
