--- /dev/null
+++ b/bench-jmh/src/main/java/spanrill/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-benchmarks of code on the hot path (JMH). */
+package spanrill.bench;
--- a/cli/src/main/java/spanrill/cli/FrontConfig.java
+++ b/cli/src/main/java/spanrill/cli/FrontConfig.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import spanrill.standin.day.Day;
 
 /** Writes the settings of a rehearsal's fronts; JSON is Jsonnet. */
@@ -14,7 +15,8 @@
 
     private FrontConfig() { }
 
-    static void write(Path file, Day day, List<Double> links, int me, int port, int registryPort, long seed)
+    static void write(Path file, Day day, List<Double> links, int me, int port, int registryPort, long seed,
+            Map<String, Number> limits)
             throws IOException {
         double all = links.stream().mapToDouble(Double::doubleValue).sum();
         ObjectNode root = JSON.createObjectNode().put("me", me).put("fronts", day.fronts())
@@ -35,6 +37,7 @@
         ObjectNode rules = JSON.valueToTree(day.rules());
         rules.put("coldMs", day.boxes().coldMs()).put("coldShare", day.boxes().coldShare());
         root.set("rules", rules);
+        root.set("limits", JSON.valueToTree(limits));
         Files.writeString(file, root.toPrettyString());
     }
 }
--- a/cli/src/main/java/spanrill/cli/FrontProcesses.java
+++ b/cli/src/main/java/spanrill/cli/FrontProcesses.java
@@ -175,6 +175,10 @@
         });
     }
 
+    long pid(int front) {
+        return fronts.get(front).process.pid();
+    }
+
     void sampleCpu() {
         fronts.forEach(this::sampleCpu);
     }
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -62,7 +62,7 @@
             List<Double> links = fleet.boxes().stream().map(StandinBox::linkKb).toList();
             FrontProcesses.Config config = (front, port) -> {
                 Path file = folder.resolve("front-" + front + ".json");
-                FrontConfig.write(file, day, links, front, port, registryPort, seed);
+                FrontConfig.write(file, day, links, front, port, registryPort, seed, Map.of());
                 return file;
             };
             try (FrontProcesses fronts = new FrontProcesses(day.fronts(), day.zones().size(),
--- a/core/src/main/java/spanrill/Control.java
+++ b/core/src/main/java/spanrill/Control.java
@@ -104,17 +104,23 @@
         private double scar, scarAt, downAt = NEVER;
         private int news;
         private final ArrayDeque<double[]> changes = new ArrayDeque<>();
+        // What since() summed up last, kept up as changes come: a front of thousands asks for it often.
+        private double sumFrom = Double.NaN, sum;
 
         /** Notes a change of this front's load, and of the whole load where other fronts do alike. */
         void change(double now, double kb, double all) {
             own = Math.max(0, own + kb);
             changes.add(new double[] {now, all});
+            sum += now > sumFrom ? all : 0;
         }
 
         private double since(double time) {
-            double sum = 0;
-            for (double[] change : changes) {
-                sum += change[0] > time ? change[1] : 0;
+            if (time != sumFrom) {
+                sumFrom = time;
+                sum = 0;
+                for (double[] change : changes) {
+                    sum += change[0] > time ? change[1] : 0;
+                }
             }
             return sum / capacity;
         }
@@ -130,6 +136,7 @@
             at = measured;
             news++;
             changes.removeIf(change -> change[0] <= at);
+            sumFrom = Double.NaN;
             if (value > 1 && value - 1 > scar(measured)) {
                 scar = value - 1;
                 scarAt = measured;
@@ -808,6 +815,11 @@
 
     private void moves(double now, Holder holder) {
         double ccq = set.stall() * holder.missingMean;
+        if (ccq <= 0) {
+            // No index is below 0, so none of its sessions can be over SO.
+            holder.playing.forEach(session -> session.overSince = Double.NaN);
+            return;
+        }
         double clears = holder.missingMean * holder.link.own;
         for (Session session : new ArrayList<>(holder.playing)) {
             if (now - session.playingAt < Y_MS || now - session.movedAt < MOVE_EVERY_MS) {
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -22,6 +22,7 @@
 import spanrill.front.dash.DashViewerSide;
 import spanrill.front.list.KeptList;
 import spanrill.front.list.ListClient;
+import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
 import spanrill.wire.http.HttpLimits;
 import spanrill.wire.http.HttpServerHandler;
@@ -44,6 +45,7 @@
     private final HttpBoxSide boxes;
     private final ListClient list;
     private final TokenKeys keys;
+    private final TokenGate gate;
     private final Channel server;
     private int connections;
 
@@ -52,11 +54,13 @@
         EventLoop loop = group.next();
         keys = new TokenKeys(base.resolve(settings.keys()), settings.classes().keySet());
         keys.reload();
-        core = new SessionCore(settings, loop, new Clock());
+        Clock clock = new Clock();
+        core = new SessionCore(settings, loop, clock);
+        gate = new TokenGate(keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting());
         BoxBook book = new BoxBook(settings.limits().boxes());
         boxes = new HttpBoxSide(settings, loop, core, book::box);
         list = new ListClient(settings, loop, core, book, new KeptList(base.resolve(settings.state())), disk);
-        DashViewerSide viewers = new DashViewerSide(settings, core, boxes, keys);
+        DashViewerSide viewers = new DashViewerSide(settings, core, boxes, gate, clock);
         loop.submit(() -> {
             core.begin(boxes);
             list.start();
@@ -148,6 +152,7 @@
             boxes.close();
         }).awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        gate.close();
         disk.shutdownNow();
     }
 
--- a/front/src/main/java/spanrill/front/FrontSettings.java
+++ b/front/src/main/java/spanrill/front/FrontSettings.java
@@ -161,6 +161,8 @@
      * @param requestMs a request's head and body must come within
      * @param moveReturnMs a moved session waits at most so long for its old box's word
      * @param tokens token ids remembered
+     * @param tokenThreads threads that verify tokens
+     * @param tokenWaiting tokens that may wait for them
      * @param boxes boxes held
      */
     public record Limits(@Default("150") @Range(min = 1, max = 60_000) double answerMarginMs,
@@ -172,6 +174,8 @@
             @Default("5000") @Range(min = 100) long requestMs,
             @Default("250") @Range(min = 1, max = 60_000) double moveReturnMs,
             @Default("200000") @Range(min = 1, max = 100_000_000) int tokens,
+            @Default("2") @Range(min = 1, max = 64) int tokenThreads,
+            @Default("2000") @Range(min = 1, max = 1_000_000) int tokenWaiting,
             @Default("2000") @Range(min = 1, max = 1_000_000) int boxes) { }
 
     /** Checks what fields must be to each other. */
--- a/front/src/main/java/spanrill/front/SessionCore.java
+++ b/front/src/main/java/spanrill/front/SessionCore.java
@@ -178,7 +178,8 @@
         await(session, call);
         byId.put(id, session);
         admission.taken(wish.tokenId(), id, session.type().once(), wish.expiresAt());
-        double left = session.type().patienceMs() - settings.limits().answerMarginMs();
+        double left = session.type().patienceMs() - settings.limits().answerMarginMs()
+                - (now - wish.arrivedAt());
         session.net = after(left + NET_MS, at -> overdue(at, session));
         tell(at -> ask(at, session, left, false, again));
     }
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -3,14 +3,14 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import spanrill.front.BoxSide;
+import spanrill.front.Clock;
 import spanrill.front.EventLog;
 import spanrill.front.FrontSession;
 import spanrill.front.FrontSettings;
 import spanrill.front.SessionCore;
 import spanrill.front.ViewerRequest;
 import spanrill.front.token.SessionToken;
-import spanrill.front.token.TokenFault;
-import spanrill.front.token.TokenKeys;
+import spanrill.front.token.TokenGate;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -29,6 +29,7 @@
     /** Field that tells which rung a segment is of. */
     public static final String RUNG = "spanrill-rung";
 
+    private static final double BUSY_MS = 1000;
     private static final Pattern MANIFEST = Pattern.compile("/dash/([A-Za-z0-9._~-]{1,200})/manifest\\.mpd");
     private static final Pattern SEGMENT = Pattern.compile(
             "/s/([A-Za-z0-9_-]{22})/v/(?:(init\\.mp4)|(\\d{1,3})/(\\d{1,9}\\.m4s))");
@@ -37,14 +38,17 @@
     private final FrontSettings settings;
     private final SessionCore core;
     private final BoxSide boxes;
-    private final TokenKeys keys;
+    private final TokenGate gate;
+    private final Clock clock;
 
     /** A viewer side on a core. */
-    public DashViewerSide(FrontSettings settings, SessionCore core, BoxSide boxes, TokenKeys keys) {
+    public DashViewerSide(FrontSettings settings, SessionCore core, BoxSide boxes, TokenGate gate,
+            Clock clock) {
         this.settings = settings;
         this.core = core;
         this.boxes = boxes;
-        this.keys = keys;
+        this.gate = gate;
+        this.clock = clock;
     }
 
     /** Takes a request. */
@@ -74,13 +78,22 @@
     }
 
     private void ask(Exchange exchange, String title) {
-        SessionToken token;
-        try {
-            token = keys.verify(tokenOf(exchange), title, System.currentTimeMillis() / 1000);
-        } catch (TokenFault fault) {
-            Problem.answer(exchange, fault.status(), "token", "none", fault.getMessage(), 0);
-            return;
+        double arrivedAt = clock.now();
+        boolean taken = gate.verify(tokenOf(exchange), title, (long) (arrivedAt / 1000),
+                exchange.channel().eventLoop(), verdict -> {
+                    if (verdict.fault() != null) {
+                        Problem.answer(exchange, verdict.fault().status(), "token", "none",
+                                verdict.fault().getMessage(), 0);
+                    } else if (!exchange.over()) {
+                        offer(exchange, verdict.token(), arrivedAt);
+                    }
+                });
+        if (!taken) {
+            Problem.answer(exchange, 503, "no-room", "none", "Too many tokens wait; come later.", BUSY_MS);
         }
+    }
+
+    private void offer(Exchange exchange, SessionToken token, double arrivedAt) {
         int top = Math.min(token.top(), settings.ladder().kb().size() - 1);
         if (top < settings.classes().get(token.className()).floor()) {
             Problem.answer(exchange, 403, "token", "none", "the token's top rung is below its class's floor",
@@ -91,8 +104,8 @@
                 ? token.tenant() : null;
         ManifestCall call = new ManifestCall(settings, exchange);
         exchange.onClosed(() -> core.left(call));
-        core.offer(new ViewerRequest(token.id(), token.expiresS() * 1000.0, title, token.className(), tenant,
-                token.viewer(), top), call);
+        core.offer(new ViewerRequest(token.id(), arrivedAt, token.expiresS() * 1000.0, token.title(),
+                token.className(), tenant, token.viewer(), top), call);
     }
 
     private static String tokenOf(Exchange exchange) {
--- a/front/src/main/java/spanrill/front/token/TokenKeys.java
+++ b/front/src/main/java/spanrill/front/token/TokenKeys.java
@@ -36,6 +36,9 @@
 
     private record Key(JWSAlgorithm algorithm, JWSVerifier verifier) { }
 
+    /** Claims whose signature was found right, by a key of the file. */
+    record Signed(JWTClaimsSet claims, Object key) { }
+
     private final Path file;
     private final Set<String> classes;
     private volatile Map<String, Key> keys = Map.of();
@@ -108,13 +111,22 @@
      * @param nowS seconds since 1970
      */
     public SessionToken verify(String text, String title, long nowS) throws TokenFault {
+        return check(verifySignature(text), title, nowS);
+    }
+
+    /** True while the key that a signature was found right by is still in force. */
+    boolean inForce(Signed signed) {
+        return keys.containsValue(signed.key());
+    }
+
+    /** Verifies the signature alone. */
+    Signed verifySignature(String text) throws TokenFault {
         if (text == null || text.isEmpty()) {
             throw new TokenFault(401, "no token");
         }
         if (text.length() > MOST_CHARS) {
             throw new TokenFault(401, "the token is longer than " + MOST_CHARS + " characters");
         }
-        JWTClaimsSet claims;
         try {
             SignedJWT jwt = SignedJWT.parse(text);
             Key key = keys.get(String.valueOf(jwt.getHeader().getKeyID()));
@@ -127,12 +139,16 @@
             if (!jwt.verify(key.verifier())) {
                 throw new TokenFault(401, "the token's signature is wrong");
             }
-            claims = jwt.getJWTClaimsSet();
+            return new Signed(jwt.getJWTClaimsSet(), key);
         } catch (ParseException | JOSEException | IllegalArgumentException e) {
             throw new TokenFault(401, "the token is no signed JWT");
         }
+    }
+
+    /** Looks at what a signed token says. */
+    SessionToken check(Signed signed, String title, long nowS) throws TokenFault {
         try {
-            return checked(claims, title, nowS);
+            return checked(signed.claims(), title, nowS);
         } catch (ParseException e) {
             throw new TokenFault(401, "a claim of the token is of the wrong type");
         }
