--- a/cli/src/main/java/spanrill/cli/FrontProcesses.java
+++ b/cli/src/main/java/spanrill/cli/FrontProcesses.java
@@ -22,12 +22,14 @@
 import java.util.concurrent.TimeoutException;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.model.player.FrontChoice;
 import spanrill.standin.trouble.Fronts;
 import spanrill.standin.viewer.FrontDoor;
 
 /** The fronts of a rehearsal: real processes, which are killed, stopped and started again. */
 final class FrontProcesses implements Fronts, FrontDoor, AutoCloseable {
-    private static final long START_MS = 30_000;
+    private static final long START_MS = 60_000;
+    private static final int FULL_JIT_FRONTS = 4;
 
     /** Writes a front's settings for a port. */
     interface Config {
@@ -37,7 +39,6 @@
     private static final class Front {
         private volatile Process process;
         private volatile int port;
-        private volatile double downSince = Double.NaN;
         private volatile double stalledAt = Double.NaN;
         private CompletableFuture<Integer> listening = new CompletableFuture<>();
         private Duration cpuAtStart = Duration.ZERO;
@@ -49,8 +50,7 @@
     private final Config config;
     private final Path folder;
     private final Tap tap;
-    private final int zones;
-    private final List<Double> noticeMs;
+    private final FrontChoice choice;
     // Starting and killing processes takes its time; the loops must not wait for it.
     private final ExecutorService worker = Executors.newCachedThreadPool();
 
@@ -58,8 +58,7 @@
         for (int i = 0; i < count; i++) {
             fronts.add(new Front());
         }
-        this.zones = zones;
-        this.noticeMs = noticeMs;
+        choice = new FrontChoice(count, zones, noticeMs.get(0), noticeMs.get(1));
         this.config = config;
         this.folder = folder;
         this.tap = tap;
@@ -87,12 +86,16 @@
         Front front = fronts.get(number);
         Path file = config.write(number, front.port);
         front.listening = new CompletableFuture<>();
-        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(),
-                "-XX:+UseSerialGC", "-Xms64m", "-Xmx512m", "-XX:-UsePerfData", "-Dspanrill.log=System.out",
-                "-cp",
-                System.getProperty("java.class.path"), Main.class.getName(), "serve", file.toString())
-                .redirectErrorStream(true).start();
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-XX:+UseSerialGC", "-Xms64m", "-Xmx512m", "-XX:-UsePerfData"));
+        if (fronts.size() > FULL_JIT_FRONTS) {
+            // Thirty optimizing compilers at once leave no machine for the rehearsal.
+            command.add("-XX:TieredStopAtLevel=1");
+        }
+        command.addAll(List.of("-Dspanrill.log=System.out", "-cp", System.getProperty("java.class.path"),
+                Main.class.getName(), "serve", file.toString()));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         front.process = process;
         worker.execute(() -> follow(number, front, process));
     }
@@ -112,7 +115,7 @@
                     out.flush();
                     JsonNode event = json.readTree(line);
                     front.port = event.path("port").asInt();
-                    front.downSince = Double.NaN;
+                    choice.up(number);
                     front.cpuAtStart = process.info().totalCpuDuration().orElse(Duration.ZERO);
                     tap.put(new TapEvent.FrontUp(tap.now(), number));
                     front.listening.complete(front.port);
@@ -138,7 +141,7 @@
         front.cpu = front.cpuAtStart = Duration.ZERO;
         // Recorded first: what it could not answer any more is excused from here on.
         tap.put(new TapEvent.FrontDown(tap.now(), number));
-        front.downSince = tap.now();
+        choice.down(tap.now(), number);
         front.process.destroyForcibly();
     }
 
@@ -189,6 +192,22 @@
         }
     }
 
+    /** Memory that all fronts hold now, kB, as the system counts it. */
+    long residentKb() throws IOException {
+        long sum = 0;
+        for (Front front : fronts) {
+            Path status = Path.of("/proc", Long.toString(front.process.pid()), "status");
+            if (front.process.isAlive() && Files.isReadable(status)) {
+                for (String line : Files.readAllLines(status)) {
+                    if (line.startsWith("VmRSS:")) {
+                        sum += Long.parseLong(line.replaceAll("\\D", ""));
+                    }
+                }
+            }
+        }
+        return sum;
+    }
+
     double cpuMs() {
         double sum = 0;
         for (Front front : fronts) {
@@ -198,21 +217,8 @@
     }
 
     @Override
-    public int pick(int zone, double draw) {
-        double now = tap.now();
-        List<Integer> own = new ArrayList<>();
-        List<Integer> others = new ArrayList<>();
-        for (int i = 0; i < fronts.size(); i++) {
-            Front front = fronts.get(i);
-            // Viewers go on coming to a dead front for a while, each for as long as it draws.
-            double notice = noticeMs.get(0) + draw * (noticeMs.get(1) - noticeMs.get(0));
-            if (!Double.isNaN(front.downSince) && now - front.downSince > notice) {
-                continue;
-            }
-            (i % zones == zone ? own : others).add(i);
-        }
-        List<Integer> from = own.isEmpty() ? others : own;
-        return from.isEmpty() ? 0 : from.get((int) Math.min(from.size() - 1, draw * from.size()));
+    public int pick(int hall, double draw) {
+        return choice.pick(tap.now(), hall, draw);
     }
 
     @Override
--- a/cli/src/main/java/spanrill/cli/MeasureCommand.java
+++ b/cli/src/main/java/spanrill/cli/MeasureCommand.java
@@ -114,15 +114,16 @@
     }
 
     private static Day day() {
-        return new Day(1, 60_000, 0, 1, List.of("a"), 1, new Day.Boxes(BOXES, 1, 100_000, 1e9, 0, 1, 0, 0, 0,
-                1),
+        List<Double> never = List.of(0.0, 0.0);
+        return new Day(1, 60_000, 0, 1, List.of("a"), 1,
+                new Day.Boxes(BOXES, 1, 100_000, 1e9, 0, 1, 0, 0, 0, 1),
                 new Day.Titles(1, 0, List.of(BOXES, BOXES), 3_600_000, 2000),
                 Map.of("free", new Day.DayClass(1, List.of(1.0, 2.0), 1000, 3000, 1, false, 0, 4, 1, 0)),
                 new Day.Ladder(List.of(200.0, 2000.0), List.of(0.5, 1.0)), new Day.Notes(800, 3000, 6, 500),
-                new Day.Rules(5, 2000, 0, 250, 2, 1500, null, null, null), new Day.Arrivals(1,
-                Day.Shape.STEADY, 0, 1000),
-                new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, List.of(0.0, 0.0)),
-                new Day.Registry(List.of(0.0, 0.0), List.of(0.0, 0.0)), List.of());
+                new Day.Rules(5, 2000, 0, 250, 2, 1500, null, null, null),
+                new Day.Arrivals(1, Day.Shape.STEADY, 0, 1000), List.of(), new Day.Distances(0, 0),
+                new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, never, 0, 0, 0),
+                new Day.Registry(never, never), List.of());
     }
 
     private void measure(PrintWriter out, FrontProcesses fronts, List<Entry> entries, Issuer issuer,
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
@@ -14,11 +15,16 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import spanrill.check.Checker;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.results.CountRow;
+import spanrill.results.Rows;
+import spanrill.results.SecondRow;
 import spanrill.standin.box.BoxFleet;
+import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
 import spanrill.standin.day.Plan;
@@ -27,34 +33,44 @@
 import spanrill.standin.token.Issuer;
 import spanrill.standin.trouble.Director;
 import spanrill.standin.viewer.Crowd;
+import spanrill.standin.viewer.CrowdStats;
+import spanrill.standin.viewer.Stage;
 
 /** One rehearsal: stand-ins in this process, fronts in their own, one clock for all records. */
 final class Rehearsal {
+    static final String SECONDS = "seconds.parquet";
+    static final String COUNTS = "counts.parquet";
     private static final long PROGRESS_MS = 5000;
     private static final long CPU_MS = 500;
+    private static final int PLAYER_LOOPS = 2;
 
     private final String name;
     private final Day day;
     private final long seed;
     private final Path folder;
+    private final Path results;
     private final PrintWriter progress;
 
-    Rehearsal(String name, Day day, long seed, Path folder, PrintWriter progress) {
+    /** Keeps fronts' settings and logs in {@code folder}, and rows in {@code results} unless it is null. */
+    Rehearsal(String name, Day day, long seed, Path folder, Path results, PrintWriter progress) {
         this.name = name;
         this.day = day;
         this.seed = seed;
         this.folder = folder;
+        this.results = results;
         this.progress = progress;
     }
 
     Report run(Path taps) throws IOException, InterruptedException {
-        MultiThreadIoEventLoopGroup stage = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        MultiThreadIoEventLoopGroup crowdLoops = new MultiThreadIoEventLoopGroup(2,
-                NioIoHandler.newFactory());
-        try (Tap tap = new Tap(taps)) {
+        MultiThreadIoEventLoopGroup boxLoops = new MultiThreadIoEventLoopGroup(1,
+                new DefaultThreadFactory("boxes", true), NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup playerLoops = new MultiThreadIoEventLoopGroup(PLAYER_LOOPS,
+                new DefaultThreadFactory("players", true), NioIoHandler.newFactory());
+        try (Tap tap = new Tap(taps); RunRows rows = new RunRows(results)) {
             tap.put(facts());
-            EventLoop loop = stage.next();
-            BoxFleet fleet = new BoxFleet(day, seed, loop, tap);
+            EventLoop loop = boxLoops.next();
+            Receipts receipts = new Receipts();
+            BoxFleet fleet = new BoxFleet(day, seed, loop, tap, receipts, rows.seconds);
             fleet.open();
             StandinRegistry registry = registry(loop, tap, fleet);
             int registryPort = registry.listen();
@@ -68,30 +84,57 @@
             try (FrontProcesses fronts = new FrontProcesses(day.fronts(), day.zones().size(),
                     day.viewers().frontNoticeMs(), config, folder, tap)) {
                 fronts.startAll();
-                Crowd crowd = new Crowd(day, new Plan(day, seed).arrivals(), crowdLoops, fronts, issuer, tap);
-                Director director = new Director(day, seed, fleet, registry, fronts, loop, this::say);
-                play(loop, crowd, director, fronts, fleet);
+                Plan plan = new Plan(day, seed);
+                Crowd crowd = new Crowd(new Stage(day, fronts, issuer, tap, receipts, new CrowdStats()),
+                        plan.arrivals(), playerLoops);
+                Director director = new Director(day, plan.effects(), fleet, registry, fronts, loop,
+                        this::say);
+                play(loop, crowd, director, fronts, fleet, rows);
                 fronts.sampleCpu();
+                Resources resources = Resources.take();
+                long frontsKb = fronts.residentKb();
                 fronts.stopAll();
                 long spends = loop.submit(() -> fleet.boxes().stream().mapToLong(StandinBox::spends).sum())
                         .get();
                 return new Report(name, seed, crowd.stats(), Checker.judge(tap.events()), fronts.cpuMs(),
                         spends,
-                        fleet.worstTickMs());
-            } catch (java.util.concurrent.ExecutionException e) {
+                        fleet.shapingLate(), resources, frontsKb);
+            } catch (ExecutionException e) {
                 throw new IOException("the stand-ins failed: " + e.getCause(), e);
             } finally {
                 registry.close();
                 fleet.close();
             }
         } finally {
-            crowdLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
-            stage.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+            playerLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
+            boxLoops.shutdownGracefully(0, 2, TimeUnit.SECONDS);
         }
     }
 
-    private void play(EventLoop loop, Crowd crowd, Director director, FrontProcesses fronts, BoxFleet fleet)
-            throws InterruptedException {
+    /** The row files of a run; without a folder there are none. */
+    private static final class RunRows implements AutoCloseable {
+        private final Rows<SecondRow> seconds;
+        private final Rows<CountRow> counts;
+
+        RunRows(Path folder) throws IOException {
+            if (folder != null) {
+                Files.createDirectories(folder);
+            }
+            seconds = folder == null ? null : new Rows<>(folder.resolve(SECONDS), SecondRow.class);
+            counts = folder == null ? null : new Rows<>(folder.resolve(COUNTS), CountRow.class);
+        }
+
+        @Override
+        public void close() throws IOException {
+            if (seconds != null) {
+                seconds.close();
+                counts.close();
+            }
+        }
+    }
+
+    private void play(EventLoop loop, Crowd crowd, Director director, FrontProcesses fronts, BoxFleet fleet,
+            RunRows rows) throws InterruptedException {
         CountDownLatch over = new CountDownLatch(1);
         loop.execute(() -> {
             crowd.start();
@@ -99,20 +142,44 @@
         });
         double length = day.lengthMs() + day.tailMs();
         loop.schedule(over::countDown, (long) length, TimeUnit.MILLISECONDS);
-        var sampling = loop.scheduleAtFixedRate(fronts::sampleCpu, CPU_MS, CPU_MS, TimeUnit.MILLISECONDS);
+        // Asking the system for each front's CPU time takes its while: not on the loop that shapes bytes.
+        Thread sampler = new Thread(() -> {
+            while (over.getCount() > 0) {
+                fronts.sampleCpu();
+                try {
+                    if (over.await(CPU_MS, TimeUnit.MILLISECONDS)) {
+                        return;
+                    }
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }, "sampler");
+        sampler.setDaemon(true);
+        sampler.start();
+        Recorder recorder = rows.counts == null ? null
+                : new Recorder(crowd.stats(), () -> playing(fleet), rows.counts);
+        var recording = loop.scheduleAtFixedRate(() -> {
+            if (recorder != null) {
+                recorder.second();
+            }
+        }, 1, 1, TimeUnit.SECONDS);
         long[] passed = {0};
         var telling = loop.scheduleAtFixedRate(() -> {
             passed[0] += PROGRESS_MS;
-            int playing = fleet.boxes().stream().mapToInt(StandinBox::playing).sum();
             say(String.format(Locale.ROOT, "%3d s  asked %d, plays %d, refused %d, failed %d, playing now %d",
                     passed[0] / 1000, crowd.stats().asks.sum(), crowd.stats().plays.sum(),
-                    crowd.stats().refused.sum(), crowd.stats().failed.sum(), playing));
+                    crowd.stats().refused.sum(), crowd.stats().failed.sum(), playing(fleet)));
         }, PROGRESS_MS, PROGRESS_MS, TimeUnit.MILLISECONDS);
         over.await();
-        sampling.cancel(false);
+        recording.cancel(false);
         telling.cancel(false);
     }
 
+    private static long playing(BoxFleet fleet) {
+        return fleet.boxes().stream().mapToInt(StandinBox::playing).sum();
+    }
+
     private void say(String text) {
         progress.println("  " + text);
         progress.flush();
--- a/cli/src/main/java/spanrill/cli/RehearseCommand.java
+++ b/cli/src/main/java/spanrill/cli/RehearseCommand.java
@@ -9,6 +9,10 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import spanrill.results.CountRow;
+import spanrill.results.Pictures;
+import spanrill.results.Rows;
+import spanrill.results.SecondRow;
 import spanrill.settings.Settings;
 import spanrill.settings.SettingsException;
 import spanrill.standin.day.Day;
@@ -33,6 +37,10 @@
     @Option(names = "--taps", paramLabel = "DIR", description = "keep the records and the fronts' logs there")
     private Path taps;
 
+    @Option(names = "--results", paramLabel = "DIR",
+            description = "write rows (Parquet) and pictures there; 'shares' and 'plot' read them")
+    private Path results;
+
     @Spec
     private CommandSpec spec;
 
@@ -46,18 +54,24 @@
             day = new Day(day.seed(), day.lengthMs(), day.tailMs(), day.byteScale(), day.zones(), fronts,
                     day.boxes(),
                     day.titles(), day.classes(), day.ladder(), day.notes(), day.rules(), day.arrivals(),
+                    day.flashes(), day.distances(),
                     day.viewers(), day.registry(), day.troubles());
         }
         Path folder = taps == null ? Files.createTempDirectory("spanrill-rehearsal") : taps;
         Files.createDirectories(folder);
         PrintWriter out = spec.commandLine().getOut();
         Rehearsal rehearsal = new Rehearsal(file.toString(), day, seed == null ? day.seed() : seed,
-                folder.toAbsolutePath(), out);
+                folder.toAbsolutePath(),
+                results, out);
         Report result = rehearsal.run(taps == null ? null : folder.resolve("tap.jsonl"));
         result.print(out);
         if (report != null) {
             result.write(report);
         }
+        if (results != null) {
+            Pictures.write(results, Rows.read(results.resolve(Rehearsal.SECONDS), SecondRow.class),
+                    Rows.read(results.resolve(Rehearsal.COUNTS), CountRow.class));
+        }
         if (!result.loadInTime()) {
             return Exit.COULD_NOT_RUN;
         }
--- a/cli/src/main/java/spanrill/cli/Report.java
+++ b/cli/src/main/java/spanrill/cli/Report.java
@@ -9,12 +9,13 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import org.HdrHistogram.Histogram;
 import spanrill.check.Verdict;
 import spanrill.standin.viewer.CrowdStats;
 
 /** What a rehearsal came to, as a table and as JSON (docs/operators.md has the fields). */
 record Report(String day, long seed, CrowdStats stats, List<Verdict> verdicts, double frontCpuMs, long spends,
-        double shapingLateMs) {
+        Histogram shapingLate, Resources resources, long frontsKb) {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Load that was sent later than this at the 99th percentile did not measure what it says. */
     private static final double LATE_MS = 50;
@@ -62,7 +63,13 @@
                 .put("meanRung", stats.rungs.sum() / Math.max(1.0, stats.segments.sum())).put("spends",
                 spends)
                 .put("loadLateMsP99", stats.late.getValueAtPercentile(99) / 1000.0)
-                .put("shapingLateMsMost", shapingLateMs);
+                .put("shapingLateMsP99", shapingLate.getValueAtPercentile(99) / 1000.0)
+                .put("shapingLateMsMost", shapingLate.getMaxValue() / 1000.0).put("gaveUp",
+                stats.gaveUp.sum())
+                .put("returns", stats.returns.sum()).put("stalls", stats.stalls.sum());
+        ObjectNode used = resources.json();
+        used.put("frontsCpuMs", frontCpuMs).put("frontsResidentKb", frontsKb);
+        root.set("resources", used);
         return root;
     }
 
--- a/cli/src/main/java/spanrill/cli/StandinCommand.java
+++ b/cli/src/main/java/spanrill/cli/StandinCommand.java
@@ -22,6 +22,7 @@
 import spanrill.check.Tap;
 import spanrill.settings.Settings;
 import spanrill.standin.box.BoxFleet;
+import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
 import spanrill.standin.day.Plan;
@@ -77,7 +78,7 @@
         @Override
         public Integer call() throws Exception {
             Day day = Settings.read(file, Day.class);
-            BoxFleet fleet = new BoxFleet(day, day.seed(), loop(), new Tap(null));
+            BoxFleet fleet = new BoxFleet(day, day.seed(), loop(), new Tap(null), new Receipts(), null);
             fleet.open();
             List<Entry> entries = new ArrayList<>();
             for (StandinBox box : fleet.boxes()) {
--- a/cli/src/test/java/spanrill/layout/LayoutTest.java
+++ b/cli/src/test/java/spanrill/layout/LayoutTest.java
@@ -20,6 +20,8 @@
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("core").definedBy("spanrill")
                 .layer("decisions").definedBy("spanrill.decisions..")
+                .layer("model").definedBy("spanrill.model..")
+                .layer("results").definedBy("spanrill.results..")
                 .layer("settings").definedBy("spanrill.settings..")
                 .layer("wire").definedBy("spanrill.wire..")
                 .layer("front").definedBy("spanrill.front..")
@@ -28,6 +30,8 @@
                 .layer("cli").definedBy("spanrill.cli..")
                 .whereLayer("cli").mayNotBeAccessedByAnyLayer()
                 .whereLayer("standin").mayOnlyBeAccessedByLayers("cli")
+                .whereLayer("model").mayOnlyBeAccessedByLayers("standin", "cli")
+                .whereLayer("results").mayOnlyBeAccessedByLayers("standin", "cli")
                 .whereLayer("check").mayOnlyBeAccessedByLayers("standin", "cli")
                 .whereLayer("front").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("wire").mayOnlyBeAccessedByLayers("front", "standin")
@@ -39,11 +43,11 @@
 
     @Test
     void decisionsAreFreeOfInputOutputThreadsAndClocks() {
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.model..").should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "io.netty..", "org.slf4j..", "com.fasterxml..").check(ALL);
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.model..").should()
                 .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
                 .orShould().callMethod(Math.class, "random").check(ALL);
--- a/days/common.libsonnet
+++ b/days/common.libsonnet
@@ -15,6 +15,8 @@
   },
   ladder: { kb: [230, 390, 660, 1100, 1850], worth: [0.22, 0.45, 0.65, 0.85, 1] },
   notes: { lateMs: 800, tellMs: 3000, stall: 6, changeCostMs: 600 },
-  rules: { maxAttempts: 5, maxRetryAfterMs: 2000, crossZonePrice: 0.04, drainGraceMs: 250, fallMultiple: 2, fallMs: 1500 },
+  rules: { maxAttempts: 5, maxRetryAfterMs: 2000, crossZonePrice: 0.04, drainGraceMs: 250, fallMultiple: 2, fallMs: 1500,
+    // Further attempts: three and a fifth of the requests, in any ten seconds.
+    spareAttempts: 3, attemptShare: 0.2, attemptWindowMs: 10000 },
   trouble(kind, at, lasts, part):: { kind: kind, atMs: at * 1000, forMs: lasts * 1000, part: part },
 }
--- /dev/null
+++ b/model/src/main/java/spanrill/model/crowd/package-info.java
@@ -0,0 +1,2 @@
+/** Who comes when, and for which title. */
+package spanrill.model.crowd;
--- /dev/null
+++ b/model/src/main/java/spanrill/model/hall/package-info.java
@@ -0,0 +1,2 @@
+/** Halls: how far they are from each other, and which are cut off. */
+package spanrill.model.hall;
--- /dev/null
+++ b/model/src/main/java/spanrill/model/trouble/package-info.java
@@ -0,0 +1,2 @@
+/** Troubles of a day and whom they hit, worked out before the day begins. */
+package spanrill.model.trouble;
--- /dev/null
+++ b/model/src/test/java/spanrill/model/link/LinkNetworkTest.java
@@ -0,0 +1,181 @@
+package spanrill.model.link;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import spanrill.model.link.LinkNetwork.Flow;
+
+class LinkNetworkTest {
+    /** Two racks of three boxes; what they give is drawn, now and then nothing at all. */
+    private static LinkNetwork network(Random random) {
+        LinkNetwork network = new LinkNetwork();
+        for (int rack = 0; rack < 2; rack++) {
+            network.addRack(random.nextInt(5) == 0 ? 0 : random.nextInt(4000));
+            for (int box = 0; box < 3; box++) {
+                network.addBox(rack, random.nextInt(6) == 0 ? 0 : random.nextInt(2000));
+            }
+        }
+        return network;
+    }
+
+    /** The stated rule, worked out anew from what is asked and given. */
+    private static double expected(LinkNetwork network, int box) {
+        int rack = box / 3;
+        double through = 0;
+        for (int other = rack * 3; other < rack * 3 + 3; other++) {
+            through += Math.min(network.asked(other), network.gives(other));
+        }
+        double own = network.asked(box) <= network.gives(box) ? 1
+                : (double) network.gives(box) / network.asked(box);
+        return own * (through <= network.uplinkGives(rack) ? 1 : network.uplinkGives(rack) / through);
+    }
+
+    /**
+     * After any changes, each share is what the rule says, and no link or uplink carries more than it
+     * gives.
+     */
+    @Property(tries = 400, seed = "20261201")
+    void sharesFollowTheRuleAfterAnyChanges(@ForAll long seed, @ForAll @IntRange(min = 1,
+            max = 120) int changes) {
+        Random random = new Random(seed);
+        LinkNetwork network = network(random);
+        List<Flow> flows = new ArrayList<>();
+        double now = 0;
+        for (int i = 0; i < changes; i++) {
+            now += random.nextInt(50);
+            switch (flows.isEmpty() ? 0 : random.nextInt(5)) {
+                case 0, 1 -> flows.add(network.join(now, random.nextInt(6), random.nextInt(900)));
+                case 2 -> network.leave(now, flows.remove(random.nextInt(flows.size())));
+                case 3 -> network.rate(now, flows.get(random.nextInt(flows.size())), random.nextInt(900));
+                default -> {
+                    if (random.nextBoolean()) {
+                        network.give(now, random.nextInt(6), random.nextInt(2000));
+                    } else {
+                        network.giveUplink(now, random.nextInt(2), random.nextInt(4000));
+                    }
+                }
+            }
+            for (int box = 0; box < 6; box++) {
+                assertEquals(expected(network, box), network.share(box), 1e-12);
+                assertTrue(network.asked(box) * network.share(box) <= network.gives(box) + 1e-6);
+            }
+            for (int rack = 0; rack < 2; rack++) {
+                double carried = 0;
+                double through = 0;
+                for (int box = rack * 3; box < rack * 3 + 3; box++) {
+                    carried += network.asked(box) * network.share(box);
+                    through += Math.min(network.asked(box), network.gives(box));
+                }
+                assertTrue(carried <= network.uplinkGives(rack) + 1e-6);
+                // Nothing is wasted that the rule doesn't say: an uplink is full, or lets all through.
+                assertEquals(Math.min(through, network.uplinkGives(rack)), carried, 1e-6);
+            }
+        }
+    }
+
+    /** The same flows in any order get the same shares, to the bit. */
+    @Property(tries = 200, seed = "20261201")
+    void sharesAreFreeOfOrder(@ForAll long seed) {
+        List<int[]> flows = new ArrayList<>();
+        Random random = new Random(seed);
+        for (int i = 0; i < 40; i++) {
+            flows.add(new int[] {random.nextInt(6), random.nextInt(900)});
+        }
+        LinkNetwork one = network(new Random(seed));
+        flows.forEach(f -> one.join(0, f[0], f[1]));
+        Collections.shuffle(flows, random);
+        LinkNetwork other = network(new Random(seed));
+        flows.forEach(f -> other.join(0, f[0], f[1]));
+        Flow passing = other.join(0, 2, 777);
+        other.leave(0, passing);
+        for (int box = 0; box < 6; box++) {
+            assertEquals(one.share(box), other.share(box));
+        }
+    }
+
+    @Test
+    void anUplinkMayBeShortWhileItsLinksAreHalfEmpty() {
+        LinkNetwork network = new LinkNetwork();
+        int rack = network.addRack(1000);
+        int a = network.addBox(rack, 2000);
+        int b = network.addBox(rack, 2000);
+        network.join(0, a, 1000);
+        network.join(0, b, 1000);
+        assertEquals(0.5, network.share(a));
+        assertEquals(0.5, network.linkUse(a));
+        assertEquals(2, network.uplinkUse(rack));
+    }
+
+    @Test
+    void aLinkThatDropsToAQuarterCutsAllItsFlowsAlike() {
+        LinkNetwork network = new LinkNetwork();
+        int rack = network.addRack(1_000_000);
+        int box = network.addBox(rack, 40_000);
+        List<Flow> flows = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            flows.add(network.join(0, box, 500 + i * 25));
+        }
+        network.give(1000, box, 10_000);
+        double share = 10_000.0 / network.asked(box);
+        for (Flow flow : flows) {
+            double inTheFirst = flow.rate();
+            assertEquals(inTheFirst + flow.rate() * share, network.granted(2000, flow), 1e-6);
+        }
+        network.give(2000, box, 40_000);
+        assertEquals(1, network.share(box));
+    }
+
+    @Test
+    void whatIsGrantedAddsUpOverChangesOfRate() {
+        LinkNetwork network = new LinkNetwork();
+        int box = network.addBox(network.addRack(1000), 1000);
+        Flow flow = network.join(0, box, 400);
+        network.rate(500, flow, 800);
+        Flow other = network.join(1000, box, 800);
+        assertEquals(200 + 400, network.granted(1000, flow), 1e-9);
+        assertEquals(200 + 400 + 500, network.leave(2000, flow), 1e-9);
+        assertEquals(500 + 800, network.granted(3000, other), 1e-9);
+        assertThrows(IllegalArgumentException.class, () -> network.leave(3000, flow));
+    }
+
+    @Test
+    void aLinkThatGivesNothingGrantsNothing() {
+        LinkNetwork network = new LinkNetwork();
+        int box = network.addBox(network.addRack(1000), 0);
+        Flow flow = network.join(0, box, 400);
+        assertEquals(0, network.granted(5000, flow));
+        assertEquals(Double.POSITIVE_INFINITY, network.linkUse(box));
+    }
+
+    @Test
+    void timeAndRatesAreChecked() {
+        LinkNetwork network = new LinkNetwork();
+        int box = network.addBox(network.addRack(1000), 1000);
+        network.join(10, box, 1);
+        assertThrows(IllegalArgumentException.class, () -> network.join(9, box, 1));
+        assertThrows(IllegalArgumentException.class, () -> network.join(11, box, -1));
+        assertThrows(IllegalArgumentException.class, () -> network.give(11, box, Long.MAX_VALUE));
+    }
+
+    @Test
+    void aBucketLetsCatchUpOnlyForAShortTime() {
+        FlowBucket bucket = new FlowBucket(100);
+        bucket.granted(500, 1);
+        assertEquals(100, bucket.whole());
+        bucket.spend(100);
+        bucket.granted(550.5, 1);
+        assertEquals(50, bucket.whole());
+        bucket.spend(50);
+        bucket.granted(551, 1);
+        assertEquals(1, bucket.whole(), "fractions are kept");
+    }
+}
--- /dev/null
+++ b/model/src/test/java/spanrill/model/player/PlayerTest.java
@@ -0,0 +1,169 @@
+package spanrill.model.player;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import org.junit.jupiter.api.Test;
+import spanrill.model.Draws;
+import spanrill.model.player.Player.Next;
+
+class PlayerTest {
+    private static final List<Long> LADDER = List.of(1_000_000L, 2_000_000L, 4_000_000L, 8_000_000L);
+
+    private static Traits traits(double watchMs, double returns, boolean honours, boolean bola, long seed) {
+        return new Traits("free", 0, 0, watchMs, 3, 3000, -1, false, honours, returns, 5, 0.75, false, bola,
+                seed);
+    }
+
+    private static Player player(double watchMs, boolean bola) {
+        Player player = new Player(traits(watchMs, 1, true, bola, 1), 0, List.of(1000.0, 2000.0));
+        player.asks();
+        return player;
+    }
+
+    /** Plays over a link of so many bits a second; gives the rungs that were fetched. */
+    private static List<Integer> play(Player player, double bitsPerS, double untilMs) {
+        List<Integer> rungs = new java.util.ArrayList<>();
+        double now = 0;
+        Next next = player.plays(now, LADDER, 1000, 10_000);
+        while (next instanceof Next.Fetch fetch && now < untilMs) {
+            now += fetch.afterMs();
+            player.fetches(now);
+            rungs.add(fetch.rung());
+            double bits = LADDER.get(fetch.rung());
+            now += bits / bitsPerS * 1000;
+            next = player.segment(now, bits);
+        }
+        return rungs;
+    }
+
+    @Test
+    void bothRulesFindTheRungThatTheLinkCarries() {
+        for (boolean bola : new boolean[] {false, true}) {
+            List<Integer> rungs = play(player(60_000, bola), 5_000_000, 60_000);
+            double mean = rungs.subList(rungs.size() / 2, rungs.size()).stream().mapToInt(i -> i).average()
+                    .orElse(0);
+            assertTrue(mean > 1.2 && mean < 2.8, (bola ? "bola " : "throughput ") + rungs);
+            assertEquals(0, rungs.get(0), "the first segment is of the lowest rung");
+        }
+    }
+
+    @Test
+    void onAWideLinkItPlaysToItsEndWithoutAStall() {
+        Player player = player(20_000, false);
+        play(player, 50_000_000, 60_000);
+        assertEquals(0, player.stalls());
+        assertEquals(20_000, player.playedMs(), 1200);
+    }
+
+    @Test
+    void onANarrowLinkItStallsAndLeaves() {
+        Player player = player(120_000, false);
+        List<Integer> rungs = play(player, 400_000, 120_000);
+        assertTrue(rungs.size() < 40, "it left after " + rungs.size() + " segments");
+        assertTrue(player.stalls() > 0 && player.stalledMs() > 0);
+    }
+
+    @Test
+    void aSegmentThatNeverComesIsLeftInTheEnd() {
+        Player player = player(120_000, false);
+        player.plays(0, LADDER, 1000, 1000);
+        player.fetches(0);
+        player.segment(100, 1_000_000);
+        Next next = null;
+        double now = 100;
+        while (next == null && now < 60_000) {
+            now += 500;
+            next = player.waits(now);
+        }
+        assertEquals(new Next.End(true), next);
+        assertTrue(now < 12_000, "after " + now);
+    }
+
+    @Test
+    void itEndsWhenItsTimeIsUpOrTheTitleIs() {
+        Player player = player(5000, false);
+        Next next = player.plays(0, LADDER, 1000, 2);
+        for (int i = 1; i <= 2; i++) {
+            assertEquals(i, assertInstanceOf(Next.Fetch.class, next).number());
+            next = player.segment(i * 10, 1_000_000);
+        }
+        assertEquals(new Next.End(false), next);
+    }
+
+    @Test
+    void aRefusedViewerWaitsLongerEachTimeAndHonoursWhatItIsTold() {
+        Returning returning = new Returning(traits(1e9, 1, true, false, 3), Draws.of(3), 100, 200);
+        double first = returning.wait(1, true, 5000);
+        assertTrue(first >= 5000 && first <= 5200, "honoured, and spread: " + first);
+        Returning own = new Returning(traits(1e9, 1, false, false, 3), Draws.of(3), 100, 200);
+        double before = 0;
+        for (int i = 0; i < 4; i++) {
+            double wait = own.wait(1, true, 5000);
+            assertTrue(wait >= 100 * Math.pow(2, i) && wait <= 200 * Math.pow(2, i), i + ": " + wait);
+            assertTrue(wait > before * 0.9);
+            before = wait;
+        }
+        own.plays();
+        assertTrue(own.wait(1, true, 0) <= 200);
+        assertEquals(-1, own.wait(5, true, 0), "no more tries");
+    }
+
+    @Test
+    void aPaidRequestWithoutAnAnswerIsNotMadeAgain() {
+        assertEquals(new Next.Done(), player(60_000, false).lost(10, false));
+        assertEquals(true, assertInstanceOf(Next.Ask.class, player(60_000, false).lost(10, true)).newToken());
+        assertFalse(assertInstanceOf(Next.Ask.class, player(60_000, false).refused(10, 0)).newToken());
+    }
+
+    /** What is held, played and stalled always adds up to the time that went by. */
+    @Property(tries = 300, seed = "20261201")
+    void theBufferLosesNoTime(@ForAll List<@DoubleRange(min = 0, max = 5000) Double> gaps) {
+        PlaybackBuffer buffer = new PlaybackBuffer(500, 1500, 0);
+        double now = 0;
+        double added = 0;
+        double startedAt = Double.NaN;
+        for (double gap : gaps) {
+            now += gap;
+            buffer.add(now, 1000);
+            added += 1000;
+            startedAt = Double.isNaN(startedAt) && buffer.playing() ? now : startedAt;
+            assertEquals(added, buffer.playedMs() + buffer.heldMs(), 1e-6);
+            if (!Double.isNaN(startedAt)) {
+                assertEquals(now - startedAt, buffer.playedMs() + buffer.stalledMs(), 1e-6);
+            }
+            assertTrue(buffer.heldMs() >= 0);
+        }
+    }
+
+    /** BOLA asks for no lower rung when it holds more, and for the lowest when it holds nothing. */
+    @Property(tries = 300, seed = "20261201")
+    void bolaRisesWithTheBuffer(@ForAll @DoubleRange(min = 0, max = 20_000) double a,
+            @ForAll @DoubleRange(min = 0, max = 20_000) double b) {
+        RateRule bola = RateRule.bola();
+        int low = bola.choose(new RateRule.View(LADDER, Math.min(a, b), 20_000, 2000, Double.NaN));
+        int high = bola.choose(new RateRule.View(LADDER, Math.max(a, b), 20_000, 2000, Double.NaN));
+        assertTrue(low <= high);
+        assertEquals(0, bola.choose(new RateRule.View(LADDER, 0, 20_000, 2000, Double.NaN)));
+        assertEquals(3, bola.choose(new RateRule.View(LADDER, 20_000, 20_000, 2000, Double.NaN)));
+    }
+
+    @Test
+    void viewersGoOnComingToADeadFrontForAWhile() {
+        FrontChoice choice = new FrontChoice(4, 2, 1000, 4000);
+        choice.down(0, 0);
+        assertEquals(0, choice.pick(500, 0, 0.1));
+        assertEquals(2, choice.pick(5000, 0, 0.1), "another of its hall");
+        choice.down(0, 2);
+        assertTrue(choice.pick(9000, 0, 0.1) % 2 == 1, "one of another hall");
+        choice.up(0);
+        assertEquals(0, choice.pick(9000, 0, 0.1));
+        assertEquals(0, new FrontChoice(1, 1, 0, 0).pick(0, 0, 1));
+    }
+}
--- /dev/null
+++ b/results/src/test/java/spanrill/results/ResultsTest.java
@@ -0,0 +1,94 @@
+package spanrill.results;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ResultsTest {
+    @TempDir
+    Path folder;
+
+    /** Two boxes of a rack, whose links let 1,000 and 500 through to an uplink of 900; off by a factor. */
+    private static List<SecondRow> rows(double off) {
+        List<SecondRow> rows = new ArrayList<>();
+        for (int second = 1; second <= 50; second++) {
+            for (int i = 0; i < 4; i++) {
+                double granted = 500 * 0.5 * 0.6 * 2;
+                rows.add(new SecondRow(second, "a" + i, "free", 0, 0, 0, 2, 500, 1000, 900, granted / 2 * 1.0,
+                        Math.round(granted / 2 * off), 1000, true, true, true));
+            }
+            rows.add(new SecondRow(second, "b", "free", 0, 1, 0, 2, 500, 1000, 900, 300,
+                    Math.round(300 * off), 1000,
+                    true, true, true));
+        }
+        return rows;
+    }
+
+    @Test
+    void sharesThatFollowTheRuleAreHeld() {
+        ShareCheck.Result result = ShareCheck.of(rows(1));
+        assertEquals(250, result.rule().count());
+        assertTrue(result.held(), result.toString());
+        assertEquals(0, result.model().p95(), 1e-9);
+    }
+
+    @Test
+    void aBoxThatGivesTooMuchOrTooLittleIsCaught() {
+        assertFalse(ShareCheck.of(rows(1.04)).held());
+        assertFalse(ShareCheck.of(rows(0.96)).held());
+        assertEquals(-0.04, ShareCheck.of(rows(0.96)).rule().mean(), 0.002);
+    }
+
+    @Test
+    void aModelThatSharesByAnotherRuleIsCaught() {
+        List<SecondRow> other = new ArrayList<>();
+        for (SecondRow row : rows(1)) {
+            // All sessions of the rack get the same share, as if the uplink alone cut.
+            other.add(new SecondRow(row.second(), row.token(), row.cls(), 0, row.box(), 0, 2, row.asked(),
+                    row.linkGives(), row.uplinkGives(), 180, 180, 1000, true, true, true));
+        }
+        assertFalse(ShareCheck.of(other).held());
+    }
+
+    @Test
+    void withoutAnOverloadedLinkNothingIsShown() {
+        assertFalse(ShareCheck.of(List.of(new SecondRow(1, "a", "free", 0, 0, 0, 0, 100, 1000, 1000, 100, 100,
+                1000,
+                true, true, true))).held());
+    }
+
+    @Test
+    void rowsAreWrittenAndReadBackAndDrawn() throws IOException {
+        Path file = folder.resolve("seconds.parquet");
+        List<SecondRow> rows = rows(1);
+        try (Rows<SecondRow> out = new Rows<>(file, SecondRow.class)) {
+            rows.forEach(out::add);
+            assertEquals(0, out.dropped());
+        }
+        assertEquals(rows, Rows.read(file, SecondRow.class));
+        Pictures.write(folder, rows, List.of(new CountRow(1, 5, 4, 1, 0, 1, 4, 10), new CountRow(2, 5, 4, 1,
+                0, 1, 4, 0)));
+        for (String name : List.of("offered", "shares", "rungs", "answers", "stalls")) {
+            assertTrue(Files.size(folder.resolve(name + ".png")) > 5000, name);
+        }
+    }
+
+    @Test
+    void otherFilesAreTold() throws IOException {
+        Path file = folder.resolve("x.parquet");
+        assertTrue(assertThrows(IOException.class, () -> Rows.read(file, SecondRow.class)).getMessage()
+                .contains("no such file"));
+        Files.writeString(file, "nonsense");
+        assertTrue(assertThrows(IOException.class, () -> Rows.read(file, SecondRow.class)).getMessage()
+                .contains("is no Parquet file"));
+    }
+}
--- a/standin/src/main/java/spanrill/standin/box/BoxFleet.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxFleet.java
@@ -4,29 +4,43 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import spanrill.check.Tap;
+import spanrill.model.Draws;
+import spanrill.model.link.LinkNetwork;
+import spanrill.results.Rows;
+import spanrill.results.SecondRow;
 import spanrill.standin.day.Day;
-import spanrill.standin.day.Plan;
 
-/** All boxes of a day, each on a port of its own, on one loop. */
+/** All boxes of a day, each on a port of its own, on one loop, on the links of one model. */
 public final class BoxFleet {
     private static final long TICK_MS = 20;
+    private static final long SECOND_MS = 1000;
 
     private final List<StandinBox> boxes = new ArrayList<>();
-    private final List<BoxRack> racks = new ArrayList<>();
+    private final LinkNetwork network = new LinkNetwork();
+    private final FlowLedger ledger;
     private final EventLoop loop;
     private final Tap tap;
     private final Day day;
-    private long lastNanos = System.nanoTime();
-    private double worstTickMs;
+    private final long[] linkBytes;
+    private final long[] uplinkBytes;
+    private final Histogram late = new Histogram(60_000_000, 3);
+    private long dueNanos;
+    private int ticks;
 
-    /** The boxes that a day states; {@link #open} starts them. */
-    public BoxFleet(Day day, long seed, EventLoop loop, Tap tap) {
+    /**
+     * The boxes that a day states; {@link #open} starts them.
+     *
+     * @param receipts what viewers received
+     * @param rows where seconds are written, or null
+     */
+    public BoxFleet(Day day, long seed, EventLoop loop, Tap tap, Receipts receipts, Rows<SecondRow> rows) {
         this.loop = loop;
         this.tap = tap;
         this.day = day;
-        UniformRandomProvider random = Plan.random(seed, "fleet");
+        UniformRandomProvider random = Draws.of(seed, "fleet");
         Day.Boxes all = day.boxes();
         double[] links = new double[all.count()];
         double[] rackLinks = new double[all.racks()];
@@ -34,15 +48,22 @@
             links[i] = all.linkKb() * (1 + all.linkSpread() * (2 * random.nextDouble() - 1));
             rackLinks[i % all.racks()] += links[i];
         }
+        double bytes = 1000 * day.byteScale();
+        linkBytes = new long[links.length];
+        uplinkBytes = new long[all.racks()];
         for (int r = 0; r < all.racks(); r++) {
-            racks.add(new BoxRack(rackLinks[r] * all.uplinkShare()
-                    * (1 + all.uplinkSpread() * (2 * random.nextDouble() - 1))));
+            uplinkBytes[r] = Math.round(rackLinks[r] * all.uplinkShare()
+                    * (1 + all.uplinkSpread() * (2 * random.nextDouble() - 1)) * bytes);
+            network.addRack(uplinkBytes[r]);
         }
+        ledger = new FlowLedger(network, receipts, rows);
         for (int i = 0; i < links.length; i++) {
             // The rack of a box is its cell mod the number of racks, and a rack stands in one hall.
-            String zone = day.zones().get(i % all.racks() % day.zones().size());
-            boxes.add(new StandinBox("box-" + i, zone, i, links[i], racks.get(i % all.racks()), day, loop,
-                    tap, seed));
+            int rack = i % all.racks();
+            linkBytes[i] = Math.round(links[i] * bytes);
+            network.addBox(rack, linkBytes[i]);
+            String zone = day.zones().get(rack % day.zones().size());
+            boxes.add(new StandinBox("box-" + i, zone, i, rack, links[i], network, day, loop, tap, seed));
         }
     }
 
@@ -50,26 +71,28 @@
     public void open() throws InterruptedException {
         loop.submit(() -> boxes.forEach(box -> box.start(false))).sync();
         // Binding is done by the loop itself; each round trip through it lets what is queued go first.
-        for (int i = 0; i < 200 && !loop.submit(() -> boxes.stream().allMatch(StandinBox::up)).sync()
+        for (int i = 0; i < 400 && !loop.submit(() -> boxes.stream().allMatch(StandinBox::up)).sync()
                 .getNow(); i++) {
             loop.schedule(() -> { }, 5, TimeUnit.MILLISECONDS).sync();
         }
+        dueNanos = System.nanoTime() + TICK_MS * 1_000_000;
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(() -> {
-            racks.forEach(BoxRack::settle);
-            boxes.forEach(StandinBox::tellShare);
-            boxes.forEach(box -> box.sweep(tap.now()));
-        }, 1000, 1000, TimeUnit.MILLISECONDS);
         long tell = (long) day.notes().tellMs();
         loop.scheduleAtFixedRate(() -> boxes.forEach(StandinBox::tellUse), tell, tell, TimeUnit.MILLISECONDS);
     }
 
     private void tick() {
         long now = System.nanoTime();
-        double ms = (now - lastNanos) / 1e6;
-        lastNanos = now;
-        worstTickMs = Math.max(worstTickMs, ms);
-        boxes.forEach(box -> box.advance(ms));
+        late.recordValue(Math.max(0, (now - dueNanos) / 1000));
+        dueNanos += TICK_MS * 1_000_000;
+        double at = tap.now();
+        if (++ticks % (SECOND_MS / TICK_MS) == 0) {
+            // Before this tick's bytes go out: what the last tick wrote has arrived by now.
+            ledger.second(at, boxes);
+            boxes.forEach(StandinBox::tellShare);
+            boxes.forEach(box -> box.sweep(at));
+        }
+        boxes.forEach(box -> box.advance(at, TICK_MS));
     }
 
     /** The boxes. */
@@ -77,19 +100,19 @@
         return boxes;
     }
 
-    /** Uplinks of racks give this share. */
-    public void uplink(int rack, double share) {
-        racks.get(rack).gives(share);
+    /** A box's link gives this share. */
+    public void link(int box, double share) {
+        network.give(tap.now(), box, Math.round(linkBytes[box] * share));
     }
 
-    /** Shares anew after a change of conditions. */
-    public void settle() {
-        racks.forEach(BoxRack::settle);
+    /** A rack's uplink gives this share. */
+    public void uplink(int rack, double share) {
+        network.giveUplink(tap.now(), rack, Math.round(uplinkBytes[rack] * share));
     }
 
-    /** The longest time between two moves of the boxes' bytes: how late their shaping was at worst. */
-    public double worstTickMs() {
-        return worstTickMs;
+    /** How late boxes moved their bytes, microseconds. */
+    public Histogram shapingLate() {
+        return late;
     }
 
     /** Ends all. */
--- a/standin/src/main/java/spanrill/standin/box/BoxSession.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxSession.java
@@ -1,19 +1,39 @@
 package spanrill.standin.box;
 
+import spanrill.model.link.FlowBucket;
+import spanrill.model.link.LinkNetwork.Flow;
+
 /** A session at a box. */
 final class BoxSession {
+    /** What was granted while nothing was asked for may be caught up for so long. */
+    private static final double CATCH_UP_MS = 250;
+
     final String key;
+    final String token;
+    final String cls;
     final int front;
     final String zone;
     final String title;
     final double scale;
+    final FlowBucket bucket = new FlowBucket(CATCH_UP_MS);
+    Flow flow;
     int rung;
     double seenAt;
     int segments;
+    int transfers;
     boolean toldShort;
+    // Of the second at hand.
+    double idleMs;
+    boolean hadRoom;
+    double grantedBefore;
+    long receivedBefore = -1;
 
-    BoxSession(String key, int front, String zone, String title, double scale, int rung, double now) {
+    BoxSession(String key, String token, String cls, int front, String zone, String title, double scale,
+            int rung,
+            double now) {
         this.key = key;
+        this.token = token;
+        this.cls = cls;
         this.front = front;
         this.zone = zone;
         this.title = title;
--- a/standin/src/main/java/spanrill/standin/box/Condition.java
+++ b/standin/src/main/java/spanrill/standin/box/Condition.java
@@ -7,8 +7,6 @@
 public final class Condition {
     /** Set-ups take so many times as long. */
     double slow = 1;
-    /** Share of the link that it gives. */
-    double link = 1;
     /** Notes come so much later. */
     double lateMs;
     /** Share of set-ups whose answer is lost. */
@@ -23,11 +21,6 @@
         slow = times;
     }
 
-    /** The link gives this share. */
-    public void link(double share) {
-        link = share;
-    }
-
     /** Notes come so much later. */
     public void late(double ms) {
         lateMs = ms;
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/box/Receipts.java
@@ -0,0 +1,26 @@
+package spanrill.standin.box;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Media bytes that viewers' sockets gave, by token. Safe from any thread. */
+public final class Receipts {
+    private final Map<String, LongAdder> byToken = new ConcurrentHashMap<>();
+
+    /** The count of a token. */
+    public LongAdder of(String token) {
+        return byToken.computeIfAbsent(token, k -> new LongAdder());
+    }
+
+    /** Bytes so far, 0 for a token that never came. */
+    public long sum(String token) {
+        LongAdder adder = byToken.get(token);
+        return adder == null ? 0 : adder.sum();
+    }
+
+    /** A token's session is over. */
+    public void forget(String token) {
+        byToken.remove(token);
+    }
+}
--- a/standin/src/main/java/spanrill/standin/box/StandinBox.java
+++ b/standin/src/main/java/spanrill/standin/box/StandinBox.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -16,9 +17,10 @@
 import spanrill.SessionControl.Load;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.model.Draws;
+import spanrill.model.link.LinkNetwork;
 import spanrill.standin.Net;
 import spanrill.standin.day.Day;
-import spanrill.standin.day.Plan;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.box.Note;
 import spanrill.wire.http.ByteRange;
@@ -29,6 +31,7 @@
 public final class StandinBox {
     private static final double TURNED_AWAY_AT = 1.2;
     private static final double IDLE_MS = 12_000;
+    private static final double MOST_USE = 99;
     private static final int MOST_TOMBSTONES = 20_000;
     private static final double START_BOOST = 4;
     private static final double STEADY_BOOST = 1.3;
@@ -36,8 +39,9 @@
     private final String id;
     private final String zone;
     private final int cell;
+    private final int rack;
     private final double linkKb;
-    private final BoxRack rack;
+    private final LinkNetwork network;
     private final Day day;
     private final EventLoop loop;
     private final Tap tap;
@@ -63,11 +67,12 @@
     private double startedAt = Double.NEGATIVE_INFINITY;
     private boolean draining;
     private int settingUp;
-    private double share = 1;
     private double shownLink;
+    private double shownUplink;
     private long spends;
 
-    StandinBox(String id, String zone, int cell, double linkKb, BoxRack rack, Day day, EventLoop loop,
+    StandinBox(String id, String zone, int cell, int rack, double linkKb, LinkNetwork network, Day day,
+            EventLoop loop,
             Tap tap,
             long seed) {
         this.id = id;
@@ -75,11 +80,11 @@
         this.cell = cell;
         this.linkKb = linkKb;
         this.rack = rack;
+        this.network = network;
         this.day = day;
         this.loop = loop;
         this.tap = tap;
-        random = Plan.random(seed, id);
-        rack.add(this);
+        random = Draws.of(seed, id);
     }
 
     /** Its name. */
@@ -97,6 +102,11 @@
         return cell;
     }
 
+    /** Number of its rack. */
+    public int rack() {
+        return rack;
+    }
+
     /** Its port. */
     public int port() {
         return port;
@@ -122,6 +132,10 @@
         return server != null;
     }
 
+    Collection<BoxSession> sessions() {
+        return sessions.values();
+    }
+
     /** Sessions that it plays. */
     public int playing() {
         return sessions.size();
@@ -172,6 +186,7 @@
             connection.close();
         }
         connections.clear();
+        sessions.values().forEach(session -> network.leave(tap.now(), session.flow));
         sessions.clear();
         transfers.clear();
         notes.clear();
@@ -197,6 +212,9 @@
 
     /** A hall can't reach it, or can again. */
     public void cut(String from, boolean on) {
+        if (condition.cut.contains(from) == on) {
+            return;
+        }
         condition.cut(from, on);
         tap.put(new TapEvent.BoxMute(tap.now(), id, on));
         if (!on) {
@@ -268,7 +286,7 @@
         double warmth = warmth(now);
         String reason = draining ? "draining"
                 : sessions.size() + settingUp >= day.boxes().places() ? "places"
-                : linkUse() > TURNED_AWAY_AT ? "link" : null;
+                : network.linkUse(cell) > TURNED_AWAY_AT ? "link" : null;
         if (reason != null) {
             answer(exchange, key, 503, reason);
             return;
@@ -280,9 +298,8 @@
             tombstones.put(key, true);
         });
         double work = day.boxes().setUpMs() * (0.5 + random.nextDouble()) * condition.slow / warmth;
-        BoxSession session = new BoxSession(key, front, String.valueOf(h.get(BoxLink.ZONE)),
-                h.get(BoxLink.TITLE),
-                type.scale(), rung, now);
+        BoxSession session = new BoxSession(key, h.get(BoxLink.TOKEN), h.get(BoxLink.CLASS), front,
+                String.valueOf(h.get(BoxLink.ZONE)), h.get(BoxLink.TITLE), type.scale(), rung, now);
         loop.schedule(() -> ready(exchange, session, own, spend), (long) work, TimeUnit.MILLISECONDS);
     }
 
@@ -317,6 +334,7 @@
             return;
         }
         double now = tap.now();
+        session.flow = network.join(now, cell, rate(session));
         sessions.put(session.key, session);
         session.seenAt = now;
         spends += spend ? 1 : 0;
@@ -332,9 +350,8 @@
         exchange.start(200, headers, Media.INIT_BYTES);
         exchange.write(Media.part(session.title, 0, Media.INIT_BYTES));
         exchange.end();
-        rack.settle();
-        tell(session.front, new Note(Note.Kind.LINK, session.key, linkUse()));
-        tell(session.front, new Note(Note.Kind.UPLINK, session.key, rack.use()));
+        tell(session.front, new Note(Note.Kind.LINK, session.key, shown(network.linkUse(cell))));
+        tell(session.front, new Note(Note.Kind.UPLINK, session.key, shown(network.uplinkUse(rack))));
     }
 
     private void answer(Exchange exchange, String key, int status, String reason) {
@@ -347,7 +364,7 @@
     }
 
     private Load load() {
-        return new Load(sessions.size() + settingUp, shownLink, rack.shownUse());
+        return new Load(sessions.size() + settingUp, shownLink, shownUplink);
     }
 
     private void attempt(Exchange exchange, String method, String rest) {
@@ -374,8 +391,8 @@
                 return;
             }
             session.rung = Integer.parseInt(to);
+            network.rate(tap.now(), session.flow, rate(session));
             tap.put(new TapEvent.Rung(tap.now(), key, session.rung));
-            rack.settle();
             exchange.respond(204, Headers.of(BoxLink.LOAD, BoxLink.format(load())), new byte[0]);
         } else {
             segment(exchange, session, name);
@@ -383,15 +400,15 @@
     }
 
     private void end(String key, String why) {
-        if (sessions.remove(key) != null) {
-            rack.settle();
+        BoxSession session = sessions.remove(key);
+        if (session != null) {
+            network.leave(tap.now(), session.flow);
         }
         tap.put(new TapEvent.End(tap.now(), key, why));
     }
 
     private void segment(Exchange exchange, BoxSession session, String name) {
         long whole;
-        double boost = session.segments < 2 ? START_BOOST : STEADY_BOOST;
         if (name.equals("init.mp4")) {
             whole = Media.INIT_BYTES;
         } else if (name.matches("\\d{1,3}/[1-9]\\d{0,8}\\.m4s")) {
@@ -422,14 +439,24 @@
             headers.add("content-range", "bytes " + part.first() + "-" + part.last() + "/" + whole);
         }
         exchange.start(partial ? 206 : 200, headers, part.length());
-        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(), part.length(),
-                boost));
+        session.transfers++;
+        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(),
+                part.length()));
     }
 
     private double bytesPerMs(BoxSession session, int rung) {
         return day.ladder().kb().get(rung) * session.scale * day.byteScale();
     }
 
+    private long rate(BoxSession session) {
+        return Math.max(1, Math.round(bytesPerMs(session, session.rung) * 1000));
+    }
+
+    /** A use as it can be told: a link that gives nothing is told as very full. */
+    private static double shown(double use) {
+        return Math.min(use, MOST_USE);
+    }
+
     // ---- notes
 
     private void notes(Exchange exchange) {
@@ -469,6 +496,7 @@
             if (!told.add(session.front)) {
                 continue;
             }
+            double share = network.share(cell);
             boolean isShort = share < 0.98;
             if (isShort || session.toldShort) {
                 tellLate(session, new Note(Note.Kind.DELIVERED, session.key, share));
@@ -479,44 +507,38 @@
 
     /** At the stated interval: how full link and uplink are, on one session of each front. */
     void tellUse() {
+        shownLink = shown(network.linkUse(cell));
+        shownUplink = shown(network.uplinkUse(rack));
         Set<Integer> told = new LinkedHashSet<>();
         for (BoxSession session : sessions.values()) {
             if (told.add(session.front)) {
-                tellLate(session, new Note(Note.Kind.LINK, session.key, linkUse()),
-                        new Note(Note.Kind.UPLINK, session.key, rack.use()));
+                tellLate(session, new Note(Note.Kind.LINK, session.key, shownLink),
+                        new Note(Note.Kind.UPLINK, session.key, shownUplink));
             }
         }
-        shownLink = linkUse();
-        rack.show();
     }
 
-    // ---- links
+    // ---- bytes
 
-    double asked() {
-        double sum = 0;
+    /** Moves its transfers on: each session by what the model granted it since the last time. */
+    void advance(double now, double ms) {
+        double share = network.share(cell);
         for (BoxSession session : sessions.values()) {
-            sum += day.ladder().kb().get(session.rung) * session.scale;
+            double perMs = session.flow.rate() * share / 1000;
+            session.bucket.granted(network.granted(now, session.flow), perMs);
+            session.hadRoom |= share >= 1;
+            if (session.transfers == 0) {
+                session.idleMs += ms;
+            } else if (share >= 1) {
+                // Where the link has room a player may fill its buffer.
+                session.bucket.extra(perMs * ms * ((session.segments <= 2 ? START_BOOST : STEADY_BOOST) - 1));
+            }
         }
-        return sum;
-    }
-
-    double gives() {
-        return linkKb * condition.link * (up() ? 1 : 0);
-    }
-
-    double linkUse() {
-        double gives = linkKb * condition.link;
-        return gives <= 0 ? 2 : asked() / gives;
-    }
-
-    void share(double given) {
-        share = given;
-    }
-
-    /** Moves its transfers on by so many milliseconds. */
-    void advance(double ms) {
-        transfers.removeIf(transfer -> !condition.silentTo(transfer.session.zone)
-                && transfer.advance(bytesPerMs(transfer.session, transfer.session.rung) * share, ms));
+        transfers.removeIf(transfer -> {
+            boolean done = !condition.silentTo(transfer.session.zone) && transfer.advance();
+            transfer.session.transfers -= done ? 1 : 0;
+            return done;
+        });
     }
 
     /** Ends sessions that nobody asks for any more. */
--- a/standin/src/main/java/spanrill/standin/day/Day.java
+++ b/standin/src/main/java/spanrill/standin/day/Day.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import spanrill.model.trouble.Kind;
 import spanrill.settings.Default;
 import spanrill.settings.Range;
 
@@ -21,6 +22,8 @@
  * @param notes what boxes tell
  * @param rules figures of the rules
  * @param arrivals new sessions
+ * @param flashes flash crowds
+ * @param distances between halls
  * @param viewers what viewers do
  * @param registry lateness of the list
  * @param troubles what goes wrong
@@ -31,7 +34,8 @@
         @Range(min = 1, max = 64) List<String> zones, @Range(min = 1, max = 64) int fronts, Boxes boxes,
                 Titles titles,
         @Range(min = 1, max = 16) Map<String, DayClass> classes, Ladder ladder, Notes notes, Rules rules,
-        Arrivals arrivals, @Default("{}") Viewers viewers, @Default("{}") Registry registry,
+        Arrivals arrivals, @Default("[]") @Range(max = 100) List<Flash> flashes,
+        @Default("{}") Distances distances, @Default("{}") Viewers viewers, @Default("{}") Registry registry,
         @Default("[]") @Range(max = 200) List<Trouble> troubles) {
 
     /**
@@ -133,6 +137,9 @@
      * @param doubles share that sends its token on two connections at once
      * @param low share that can't use the upper rungs
      * @param frontNoticeMs goes on to a dead front for: from, to
+     * @param bearable share of its rate under which a viewer begins to leave
+     * @param neverReads share that asks and reads nothing
+     * @param bola share whose players choose rungs by their buffer, the others by throughput
      */
     public record Viewers(@Default("0.9") @Range(min = 0, max = 1) double returns,
             @Default("[1200, 2700]") @Range(min = 2, max = 2) List<Double> returnMs,
@@ -141,7 +148,10 @@
             @Default("0.02") @Range(min = 0, max = 1) double leaves,
             @Default("0.02") @Range(min = 0, max = 1) double doubles,
             @Default("0.25") @Range(min = 0, max = 1) double low,
-            @Default("[1100, 4000]") @Range(min = 2, max = 2) List<Double> frontNoticeMs) { }
+            @Default("[1100, 4000]") @Range(min = 2, max = 2) List<Double> frontNoticeMs,
+            @Default("0.75") @Range(min = 0, max = 1) double bearable,
+            @Default("0") @Range(min = 0, max = 1) double neverReads,
+            @Default("0.5") @Range(min = 0, max = 1) double bola) { }
 
     /**
      * Lateness of the list.
@@ -164,39 +174,25 @@
             @Range(min = 1) double forMs,
             @Default("0.2") @Range(min = 0, max = 20) double part) { }
 
-    /** The sorts of trouble. */
-    public enum Kind {
-        /** Boxes die and come back cold. */
-        CRASH,
-        /** Boxes go silent: no reset, no answer; then they are started anew. */
-        VANISH,
-        /** Boxes work slowly. */
-        SLOW,
-        /** All links of some racks give less. */
-        SHARED_SLOW,
-        /** Another program takes links. */
-        NEIGHBOUR,
-        /** Notes come much later. */
-        REPORT_LATE,
-        /** A hall is cut off from the boxes of the others. */
-        ZONE_CUT,
-        /** Set-ups run, but their answers are lost. */
-        ANSWER_LOST,
-        /** Fronts die and come back with their kept list only. */
-        BALANCER_CRASH,
-        /** Fronts stand still. */
-        BALANCER_STALL,
-        /** Boxes are replaced one after the other: drained, gone, new and cold. */
-        DEPLOY,
-        /** More viewers. */
-        BURST,
-        /** More viewers for one title. */
-        HOT_KEY,
-        /** Boxes are told to go with little notice. */
-        PREEMPT,
-        /** Boxes grow slower until they are started anew. */
-        AGEING
-    }
+    /**
+     * A flash crowd at a final whistle: a jump that dies away.
+     *
+     * @param atMs when
+     * @param perS new sessions a second at its peak, on top of the others
+     * @param fadeMs it falls to a third in this time
+     * @param title number of the title that it is for
+     */
+    public record Flash(@Range(min = 0) double atMs, @Range(min = 0.01, max = 10_000) double perS,
+            @Default("3000") @Range(min = 1) double fadeMs, @Default("0") @Range(min = 0) int title) { }
+
+    /**
+     * How far halls are from each other, one way.
+     *
+     * @param sameMs within one
+     * @param crossMs between two
+     */
+    public record Distances(@Default("0.2") @Range(min = 0, max = 1000) double sameMs,
+            @Default("1") @Range(min = 0, max = 1000) double crossMs) { }
 
     /** Checks what fields must be to each other. */
     public Day {
@@ -206,6 +202,11 @@
         if (titles.copies().get(1) > boxes.count()) {
             throw new IllegalArgumentException("titles.copies must not be above boxes.count");
         }
+        for (Flash flash : flashes) {
+            if (flash.title() >= titles.count()) {
+                throw new IllegalArgumentException("flashes: there is no title " + flash.title());
+            }
+        }
         double shares = classes.values().stream().mapToDouble(DayClass::share).sum();
         if (Math.abs(shares - 1) > 0.001) {
             throw new IllegalArgumentException("classes' shares must add up to 1, they give " + shares);
--- a/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
+++ b/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
@@ -18,8 +18,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.model.Draws;
 import spanrill.standin.Net;
-import spanrill.standin.day.Plan;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -50,7 +50,7 @@
     public StandinRegistry(EventLoop loop, Tap tap, long seed) {
         this.loop = loop;
         this.tap = tap;
-        random = Plan.random(seed, "registry");
+        random = Draws.of(seed, "registry");
     }
 
     /** Adds a title to the catalogue; before it listens. */
@@ -75,7 +75,7 @@
     public void change(Entry box, List<Double> lateMs) {
         truth.put(box.id(), box);
         for (View view : views.values()) {
-            loop.schedule(() -> hear(view, box), (long) Plan.between(random, lateMs), TimeUnit.MILLISECONDS);
+            loop.schedule(() -> hear(view, box), (long) Draws.between(random, lateMs), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
+++ b/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
@@ -26,6 +26,12 @@
     public final LongAdder broken = new LongAdder();
     /** Sessions played to their end. */
     public final LongAdder finished = new LongAdder();
+    /** Left for want of rate. */
+    public final LongAdder gaveUp = new LongAdder();
+    /** Came again after a refusal or a break. */
+    public final LongAdder returns = new LongAdder();
+    /** Stalls. */
+    public final LongAdder stalls = new LongAdder();
     /** Segments read. */
     public final LongAdder segments = new LongAdder();
     /** Bytes of media read. */
@@ -40,4 +46,14 @@
     public final Histogram setUp = new ConcurrentHistogram(60_000_000, 3);
     /** How late arrivals were sent, microseconds. */
     public final Histogram late = new ConcurrentHistogram(60_000_000, 3);
+
+    /** Counts an answer. */
+    void count(String answer) {
+        switch (answer) {
+            case "plays" -> plays.increment();
+            case "refused" -> refused.increment();
+            case "failed" -> failed.increment();
+            default -> notTaken.increment();
+        }
+    }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -3,17 +3,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
-import java.util.Locale;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
-import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.model.Draws;
+import spanrill.model.player.Player;
+import spanrill.model.player.Player.Next;
+import spanrill.model.player.Traits;
 import spanrill.standin.day.Arrival;
-import spanrill.standin.day.Day;
-import spanrill.standin.day.Plan;
-import spanrill.standin.token.Issuer;
 import spanrill.wire.dash.Mpd;
 import spanrill.wire.dash.MpdFault;
 import spanrill.wire.dash.MpdParser;
@@ -22,58 +22,53 @@
 import spanrill.wire.http.HttpLimits;
 import spanrill.wire.http.ResponseHead;
 
-/** One viewer: asks, plays, comes again. On one loop. */
+/** One viewer on sockets: does what its {@link Player} says. On one loop. */
 final class Viewer {
     private static final AtomicLong ASKS = new AtomicLong();
     private static final int CONNECT_MS = 1000;
-    private static final double BUFFER_MS = 3000;
     private static final long TOKEN_S = 900;
+    private static final double LOOK_MS = 500;
 
+    private final Stage stage;
     private final Arrival arrival;
-    private final Day day;
-    private final Day.DayClass type;
+    private final Traits traits;
     private final EventLoop loop;
-    private final FrontDoor door;
-    private final Issuer issuer;
-    private final Tap tap;
     private final CrowdStats stats;
     private final UniformRandomProvider random;
     private final String title;
-    private double endsAt;
-    private int tries;
+    private Player player;
     private int tokens;
     private String tokenId;
     private String token;
+    private LongAdder received;
     private int front;
     private long ask;
-    private double askedAt;
     private boolean waiting;
     private ScheduledFuture<?> patience;
     private HttpClientConnection connection;
-    // Playing.
     private Mpd mpd;
-    private int number;
-    private double bufferMs;
-    private double lastAt;
-    private double segmentAt;
-    private boolean started;
+    private boolean fetching;
 
-    Viewer(Arrival arrival, Day day, EventLoop loop, FrontDoor door, Issuer issuer, Tap tap,
-            CrowdStats stats) {
+    Viewer(Stage stage, Arrival arrival, EventLoop loop) {
+        this.stage = stage;
         this.arrival = arrival;
-        this.day = day;
-        type = day.classes().get(arrival.cls());
         this.loop = loop;
-        this.door = door;
-        this.issuer = issuer;
-        this.tap = tap;
-        this.stats = stats;
-        random = RandomSource.XO_RO_SHI_RO_128_PP.create(arrival.seed());
-        title = "title-" + arrival.title();
+        stats = stage.stats();
+        traits = arrival.traits();
+        random = Draws.of(traits.seed() + 1);
+        title = "title-" + traits.title();
+    }
+
+    private double now() {
+        return stage.tap().now();
+    }
+
+    private ScheduledFuture<?> after(double ms, Runnable action) {
+        return loop.schedule(action, (long) (ms * 1000), TimeUnit.MICROSECONDS);
     }
 
     void come() {
-        endsAt = tap.now() + arrival.sessionMs();
+        player = new Player(traits, now(), stage.day().viewers().returnMs());
         newToken();
         ask();
     }
@@ -81,25 +76,55 @@
     private void newToken() {
         tokens++;
         tokenId = "t" + arrival.number() + "." + tokens;
-        token = issuer.issue(tokenId, "v" + arrival.number(), title, arrival.cls(), null, arrival.top(),
+        token = stage.issuer().issue(tokenId, "v" + arrival.number(), title, traits.cls(), null, traits.top(),
                 TOKEN_S);
+        received = stage.receipts().of(tokenId);
+    }
+
+    private void follow(Next next) {
+        if (next instanceof Next.Ask again) {
+            if (again.newToken()) {
+                newToken();
+            }
+            stats.returns.increment();
+            after(again.afterMs(), this::ask);
+        } else if (next instanceof Next.Fetch fetch) {
+            if (fetch.afterMs() > 0) {
+                after(fetch.afterMs(), () -> fetch(fetch));
+            } else {
+                fetch(fetch);
+            }
+        } else if (next instanceof Next.End end) {
+            finish(end.lostPatience());
+        } else {
+            over();
+        }
     }
 
+    private void over() {
+        stats.playedMs.add(Math.round(player.playedMs()));
+        stats.stalledMs.add(Math.round(player.stalledMs()));
+        stats.stalls.add(player.stalls());
+        stage.receipts().forget(tokenId);
+    }
+
+    // ---- asking
+
     private void ask() {
-        tries++;
-        front = door.pick(arrival.zone(), random.nextDouble());
-        connect(front, opened -> {
+        player.asks();
+        boolean first = player.tries() == 1;
+        front = stage.door().pick(traits.hall(), random.nextDouble());
+        connect(opened -> {
             connection = opened;
-            ask = request(opened, true);
-            askedAt = tap.now();
             waiting = true;
             // A moment more than the stated patience: an answer that comes late is still seen as late.
-            patience = after(type.patienceMs() + 200, this::noAnswer);
-            if (arrival.leavesMs() >= 0 && tries == 1) {
-                after(arrival.leavesMs(), this::leave);
+            patience = after(traits.patienceMs() + 200, this::noAnswer);
+            ask = request(opened, true);
+            if (traits.leavesMs() >= 0 && first) {
+                after(traits.leavesMs(), this::leave);
             }
-            if (arrival.doubles() && tries == 1) {
-                connect(front, second -> {
+            if (traits.doubles() && first) {
+                connect(second -> {
                     if (waiting) {
                         request(second, false);
                     } else {
@@ -109,7 +134,7 @@
             }
         }, () -> {
             stats.lost.increment();
-            again(false);
+            follow(player.lost(now(), true));
         });
     }
 
@@ -117,8 +142,8 @@
         void with(HttpClientConnection connection);
     }
 
-    private void connect(int to, Opened opened, Runnable failed) {
-        int port = door.port(to);
+    private void connect(Opened opened, Runnable failed) {
+        int port = stage.door().port(front);
         if (port == 0) {
             failed.run();
             return;
@@ -131,24 +156,19 @@
     /** Writes the request on a connection; the second of a doubled one only looks at its answer. */
     private long request(HttpClientConnection on, boolean first) {
         long number = ASKS.incrementAndGet();
-        double at = tap.now();
-        tap.put(new TapEvent.Ask(at, number, front, tokenId, arrival.cls(), title, type.patienceMs()));
+        stage.tap().put(new TapEvent.Ask(now(), number, front, tokenId, traits.cls(), title,
+                traits.patienceMs()));
         stats.asks.increment();
         // A second answer comes when nothing is asked any more: the checker must see that too.
-        on.onUnasked(() -> tap.put(new TapEvent.Answer(tap.now(), number, 0, "unasked")));
+        on.onUnasked(() -> stage.tap().put(new TapEvent.Answer(now(), number, 0, "unasked")));
+        double at = now();
         ViewerLink[] link = new ViewerLink[1];
-        link[0] = new ViewerLink(true, () -> tap.put(new TapEvent.Answer(tap.now(), number, link[0].seen()
-                .status(),
-                answerOf(link[0].seen()))), (head, all) -> {
+        link[0] = new ViewerLink(true, () -> stage.tap().put(new TapEvent.Answer(now(), number,
+                link[0].seen().status(), answerOf(link[0].seen()))), (head, all) -> {
                     if (first) {
                         answered(head, all, at);
                     } else {
-                        if (head == null) {
-                            tap.put(new TapEvent.AskLost(tap.now(), number, false));
-                        } else {
-                            count(answerOf(head));
-                        }
-                        on.abandon();
+                        second(on, number, head);
                     }
                 });
         if (!ViewerLink.get(on, "/dash/" + title + "/manifest.mpd?token=" + token, link[0])) {
@@ -157,25 +177,26 @@
         return number;
     }
 
+    private void second(HttpClientConnection on, long number, ResponseHead head) {
+        if (head == null) {
+            stage.tap().put(new TapEvent.AskLost(now(), number, false));
+        } else {
+            stats.count(answerOf(head));
+        }
+        on.abandon();
+    }
+
     private static String answerOf(ResponseHead head) {
         String answer = head.headers().get("spanrill-answer");
         return answer == null ? "none" : answer;
     }
 
-    private void count(String answer) {
-        switch (answer) {
-            case "plays" -> stats.plays.increment();
-            case "refused" -> stats.refused.increment();
-            case "failed" -> stats.failed.increment();
-            default -> stats.notTaken.increment();
-        }
-    }
-
     private void noAnswer() {
         if (waiting) {
             waiting = false;
             stats.unanswered.increment();
             connection.abandon();
+            over();
         }
     }
 
@@ -184,8 +205,9 @@
             waiting = false;
             patience.cancel(false);
             stats.left.increment();
-            tap.put(new TapEvent.AskLost(tap.now(), ask, true));
+            stage.tap().put(new TapEvent.AskLost(now(), ask, true));
             connection.abandon();
+            over();
         }
     }
 
@@ -196,43 +218,33 @@
         waiting = false;
         patience.cancel(false);
         if (head == null) {
-            tap.put(new TapEvent.AskLost(tap.now(), ask, false));
+            stage.tap().put(new TapEvent.AskLost(now(), ask, false));
             stats.lost.increment();
             // Whether something was spent isn't known: who has paid asks the issuer, not the next front.
-            if (!type.once()) {
-                newToken();
-                again(false);
-            }
+            follow(player.lost(now(), !stage.day().classes().get(traits.cls()).once()));
             return;
         }
         String answer = answerOf(head);
-        count(answer);
+        stats.count(answer);
         switch (answer) {
             case "plays" -> {
-                stats.setUp.recordValue((long) Math.max(1, (tap.now() - at) * 1000));
+                stats.setUp.recordValue((long) Math.max(1, (now() - at) * 1000));
                 play(link.text());
             }
             case "refused" -> {
                 connection.abandon();
-                String wait = head.headers().get("retry-after");
-                again(wait != null && random.nextDouble() < day.viewers().honour());
+                follow(player.refused(now(), retryAfterMs(head)));
+            }
+            default -> {
+                connection.abandon();
+                over();
             }
-            default -> connection.abandon();
-        }
-    }
-
-    /** Comes again after a break, if it is of those who do. */
-    private void again(boolean honours) {
-        if (tries >= day.viewers().tries() || tap.now() > endsAt - 1000
-                || random.nextDouble() >= day.viewers().returns()) {
-            return;
         }
-        double wait = Plan.between(random, day.viewers().returnMs());
-        after(honours ? Math.max(wait, 1000) : wait, this::ask);
     }
 
-    private ScheduledFuture<?> after(double ms, Runnable action) {
-        return loop.schedule(action, (long) (ms * 1000), TimeUnit.MICROSECONDS);
+    private static double retryAfterMs(ResponseHead head) {
+        String seconds = head.headers().get("retry-after");
+        return seconds != null && seconds.matches("\\d{1,6}") ? Integer.parseInt(seconds) * 1000.0 : 0;
     }
 
     // ---- playing
@@ -243,15 +255,12 @@
         } catch (MpdFault fault) {
             throw new IllegalStateException("a front's MPD is malformed: " + fault.getMessage());
         }
-        number = 1;
-        bufferMs = 0;
-        started = false;
-        lastAt = tap.now();
+        List<Long> ladder = mpd.representations().stream().map(Mpd.Representation::bandwidth).toList();
+        Next first = player.plays(now(), ladder, mpd.segmentMs(), mpd.segments());
         if (!ViewerLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ViewerLink(false, () -> { },
                 (head, link) -> {
                     if (head != null && head.status() == 200) {
-                        stats.bytes.add(link.bytes());
-                        next();
+                        follow(first);
                     } else {
                         broken();
                     }
@@ -260,77 +269,73 @@
         }
     }
 
-    private void next() {
-        double now = tap.now();
-        drain(now);
-        if (now >= endsAt || number > mpd.segments()) {
-            finish();
+    private void fetch(Next.Fetch fetch) {
+        player.fetches(now());
+        int rung = mpd.representations().get(fetch.rung()).id();
+        ViewerLink link = new ViewerLink(false, () -> { }, (head, all) -> segment(head, all));
+        link.count(received);
+        fetching = true;
+        if (!ViewerLink.get(connection, mpd.baseUrl() + "v/" + rung + "/" + fetch.number() + ".m4s", link)) {
+            fetching = false;
+            broken();
             return;
         }
-        segmentAt = now;
-        int top = mpd.representations().get(mpd.representations().size() - 1).id();
-        if (!ViewerLink.get(connection, mpd.baseUrl() + "v/" + top + "/" + number + ".m4s",
-                new ViewerLink(false, () -> { }, this::segment))) {
-            broken();
+        if (traits.neverReads()) {
+            connection.reading(false);
+            return;
         }
+        look(link);
+    }
+
+    /** Looks from time to time whether the viewer still has patience with the segment under way. */
+    private void look(ViewerLink link) {
+        after(LOOK_MS, () -> {
+            if (!fetching || link.over()) {
+                return;
+            }
+            Next next = player.waits(now());
+            if (next == null) {
+                look(link);
+            } else {
+                link.forget();
+                fetching = false;
+                connection.abandon();
+                stats.gaveUp.increment();
+                over();
+            }
+        });
     }
 
     private void segment(ResponseHead head, ViewerLink link) {
-        double now = tap.now();
+        fetching = false;
         if (head == null || head.status() != 200) {
             broken();
             return;
         }
         String rung = head.headers().get("spanrill-rung");
         int served = rung != null && rung.matches("\\d{1,3}") ? Integer.parseInt(rung) : -1;
-        tap.put(new TapEvent.Segment(now, tokenId, front, served, link.bytes(), now - segmentAt));
+        double now = now();
+        stage.tap().put(new TapEvent.Segment(now, tokenId, front, served, link.bytes(), 0));
         stats.segments.increment();
         stats.bytes.add(link.bytes());
         stats.rungs.add(Math.max(0, served));
-        drain(now);
-        started = true;
-        number++;
-        bufferMs += mpd.segmentMs();
-        double wait = Math.max(0, bufferMs - BUFFER_MS);
-        if (wait > 0) {
-            after(wait, this::next);
-        } else {
-            next();
-        }
+        // Bytes are scaled, bandwidths in the MPD are not.
+        follow(player.segment(now, link.bytes() * 8 / stage.day().byteScale()));
     }
 
-    /** Plays what is buffered for the time that went by; what is missing is a stall. */
-    private void drain(double now) {
-        if (started) {
-            double passed = now - lastAt;
-            double played = Math.min(passed, bufferMs);
-            bufferMs -= played;
-            stats.playedMs.add(Math.round(played));
-            stats.stalledMs.add(Math.round(passed - played));
-        }
-        lastAt = now;
-    }
-
-    private void finish() {
-        stats.finished.increment();
+    private void finish(boolean lostPatience) {
+        (lostPatience ? stats.gaveUp : stats.finished).increment();
         String target = mpd.baseUrl().substring(0, mpd.baseUrl().length() - 1);
         if (!connection.send("DELETE", target, Headers.of("host", "front"), new byte[0],
                 new ViewerLink(false, () -> { }, (head, link) -> connection.abandon()))) {
             connection.abandon();
         }
+        over();
     }
 
     private void broken() {
-        drain(tap.now());
         stats.broken.increment();
         connection.abandon();
-        tries = Math.max(1, tries - 1);
-        newToken();
-        again(false);
-    }
-
-    @Override
-    public String toString() {
-        return String.format(Locale.ROOT, "viewer %d, try %d", arrival.number(), tries);
+        follow(player.lost(now(), true));
     }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/ViewerLink.java
+++ b/standin/src/main/java/spanrill/standin/viewer/ViewerLink.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiConsumer;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
@@ -18,6 +19,7 @@
     private final boolean keep;
     private ResponseHead head;
     private long bytes;
+    private LongAdder counter;
     private boolean over;
 
     /**
@@ -37,6 +39,15 @@
         return connection.send("GET", target, Headers.of("host", "front"), new byte[0], link);
     }
 
+    /** Adds each part to this count as it comes. */
+    void count(LongAdder received) {
+        counter = received;
+    }
+
+    boolean over() {
+        return over;
+    }
+
     ResponseHead seen() {
         return head;
     }
@@ -64,6 +75,9 @@
     @Override
     public void data(ByteBuf part) {
         bytes += part.readableBytes();
+        if (counter != null) {
+            counter.add(part.readableBytes());
+        }
         if (keep && body.size() + part.readableBytes() <= KEPT_BYTES) {
             byte[] copy = new byte[part.readableBytes()];
             part.readBytes(copy);
--- a/standin/src/test/java/spanrill/standin/RogueFront.java
+++ b/standin/src/test/java/spanrill/standin/RogueFront.java
@@ -14,6 +14,7 @@
 import spanrill.check.TapEvent;
 import spanrill.check.Verdict;
 import spanrill.standin.box.BoxFleet;
+import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
 import spanrill.wire.box.BoxLink;
@@ -36,7 +37,8 @@
             500),
             new Day.Rules(5, 2000, 0, 250, 2, 1000, 1.0, 0.0, 10_000.0), new Day.Arrivals(1, Day.Shape.STEADY,
             0, 1000),
-            new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, List.of(1.0, 2.0)),
+            List.of(), new Day.Distances(0, 0),
+            new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, List.of(1.0, 2.0), 0, 0, 0),
             new Day.Registry(List.of(0.0, 0.0), List.of(0.0, 0.0)), List.of());
 
     final Tap tap = new Tap(null);
@@ -50,7 +52,7 @@
         loop = group.next();
         tap.put(new TapEvent.Facts(0, Map.of("free", new TapEvent.ClassFacts(false, 0, 0), "paid",
                 new TapEvent.ClassFacts(true, 1, 0)), 20, 250, 4000, 0.5, 2, 1000, 1.0, 0.0, 10_000.0));
-        fleet = new BoxFleet(DAY, 1, loop, tap);
+        fleet = new BoxFleet(DAY, 1, loop, tap, new Receipts(), null);
         fleet.open();
     }
 
