Paid tokens survive a kill, call-offs as proof, one answer to a doubled token; CMCD, CORS

A rehearsal of 150 boxes and 30 fronts broke rule 2: a doubled paid token was refused on one connection and played on the other, and its viewer took it to another front. A token that comes within 250 ms of its refusal is now the same request and gets the same answer. A box's answer to a call-off can prove that a lost set-up never began, if its process is older than the attempt. CMCD, CORS, entity tags.

--- a/check/src/main/java/spanrill/check/Attempts.java
+++ b/check/src/main/java/spanrill/check/Attempts.java
@@ -13,7 +13,7 @@
     static final class Attempt {
         final TapEvent.SetUp setUp;
         double endedAt = Double.POSITIVE_INFINITY;
-        boolean proven;
+        double provenAt = Double.POSITIVE_INFINITY;
         boolean ran;
         double answeredAt = Double.POSITIVE_INFINITY;
 
@@ -21,6 +21,11 @@
             this.setUp = setUp;
         }
 
+        /** True when at this time it was proven that it never ran. */
+        boolean proven(double t) {
+            return provenAt <= t;
+        }
+
         void end(double t) {
             endedAt = Math.min(endedAt, t);
         }
@@ -43,13 +48,21 @@
                 Attempt attempt = byKey.get(answer.key());
                 attempt.answeredAt = answer.t();
                 if (answer.status() == 503 && answer.reason() != null) {
-                    attempt.proven = true;
+                    attempt.provenAt = answer.t();
                 }
                 if (answer.status() != 200) {
                     attempt.end(answer.t());
                 }
+            } else if (event instanceof TapEvent.CallOffAnswer answer && byKey.containsKey(answer.key())) {
+                Attempt attempt = byKey.get(answer.key());
+                // Its word is taken only as far as the records bear it out.
+                if (!answer.ran() && !attempt.ran) {
+                    attempt.provenAt = Math.min(attempt.provenAt, answer.t());
+                }
+                attempt.end(answer.t());
             } else if (event instanceof TapEvent.Ran ran && byKey.containsKey(ran.key())) {
                 byKey.get(ran.key()).ran = true;
+                byKey.get(ran.key()).provenAt = Double.POSITIVE_INFINITY;
             } else if (event instanceof TapEvent.End end && byKey.containsKey(end.key())) {
                 byKey.get(end.key()).end(end.t());
             } else if (event instanceof TapEvent.BoxDown down) {
--- a/check/src/main/java/spanrill/check/TapEvent.java
+++ b/check/src/main/java/spanrill/check/TapEvent.java
@@ -18,6 +18,7 @@
     @JsonSubTypes.Type(value = TapEvent.SetUp.class, name = "setUp"),
     @JsonSubTypes.Type(value = TapEvent.SetUpAnswer.class, name = "setUpAnswer"),
     @JsonSubTypes.Type(value = TapEvent.Ran.class, name = "ran"),
+    @JsonSubTypes.Type(value = TapEvent.CallOffAnswer.class, name = "callOffAnswer"),
     @JsonSubTypes.Type(value = TapEvent.End.class, name = "end"),
     @JsonSubTypes.Type(value = TapEvent.Rung.class, name = "rung"),
     @JsonSubTypes.Type(value = TapEvent.BoxStart.class, name = "boxStart"),
@@ -70,6 +71,9 @@
     /** A box began to run a session, whether or not its answer went out. */
     record Ran(double t, String key) implements TapEvent { }
 
+    /** A box wrote its answer to a call-off: whether the attempt ran there; if not, it never will. */
+    record CallOffAnswer(double t, String key, boolean ran) implements TapEvent { }
+
     /** A box read a release or call-off, or saw an attempt's connection end, or ended a session itself. */
     record End(double t, String key, String why) implements TapEvent { }
 
--- a/check/src/test/java/spanrill/check/CheckerTest.java
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -18,6 +18,7 @@
 import spanrill.check.TapEvent.BoxDown;
 import spanrill.check.TapEvent.BoxMute;
 import spanrill.check.TapEvent.BoxStart;
+import spanrill.check.TapEvent.CallOffAnswer;
 import spanrill.check.TapEvent.End;
 import spanrill.check.TapEvent.FrontDown;
 import spanrill.check.TapEvent.FrontStall;
@@ -117,6 +118,20 @@
                 .setUp(1001, "b", "t", 2, "paid").runs(1030, "t.2").answer(1040, 1, "plays").brokenIs(2);
     }
 
+    @Test
+    void aCallOffThatCameBeforeTheBeginningIsProof() {
+        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new CallOffAnswer(100, "t.1", false))
+                .setUp(110, "b", "t", 2, "paid").runs(160, "t.2").answer(165, 1, "plays").brokenIs();
+        add(new Ran(150, "t.1")).brokenIs(2);
+    }
+
+    @Test
+    void aProofThatCameAfterTheNextSetUpIsNone() {
+        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(90, "t.1", "called off"))
+                .setUp(110, "b", "t", 2, "paid").add(new CallOffAnswer(120, "t.1", false)).runs(160, "t.2")
+                .answer(165, 1, "plays").brokenIs(2);
+    }
+
     @Test
     void aRefusalOfAPaidOneThatMayHaveRunIsCaught() {
         ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
@@ -228,6 +243,23 @@
         brokenIs();
     }
 
+    @Test
+    void ticketsAreCountedAndPlantedFaultsCaught() {
+        paidThatPlays().ask(12, 2, "t", "paid").answer(66, 2, "plays").ask(300, 3, "u", "paid")
+                .setUp(310, "a", "u", 1, "paid").add(new End(900, "u.1", "called off")).answer(950, 3,
+                "failed")
+                .add(new BoxDown(1e6, "nowhere", "end"));
+        assertEquals(new Tickets(3, 0, 2, 1, 1, 1, 1, 1, 1, 0), Tickets.of(events));
+        assertTrue(Tickets.of(events).held());
+        setUp(400, "c", "t", 3, "paid").runs(430, "t.3");
+        assertEquals(2, Tickets.of(events).mostSpends());
+        assertTrue(!Tickets.of(events).held(), "a double spend");
+        events.removeIf(e -> e instanceof Ran ran && ran.key().equals("t.3"));
+        assertTrue(Tickets.of(events).held());
+        answer(700, 2, "plays");
+        assertTrue(!Tickets.of(events).held(), "a double answer");
+    }
+
     @Test
     void recordsAreWrittenAndReadBack(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("tap.jsonl");
--- a/cli/src/main/java/spanrill/cli/Main.java
+++ b/cli/src/main/java/spanrill/cli/Main.java
@@ -18,7 +18,7 @@
             "  spanrill config check front.jsonnet             is this file usable?",
             "  spanrill serve front.jsonnet                    run a front"},
         subcommands = {ServeCommand.class, StandinCommand.class, RehearseCommand.class, CheckCommand.class,
-        MeasureCommand.class, SharesCommand.class, PlotCommand.class,
+        MeasureCommand.class, SharesCommand.class, TicketsCommand.class, PlotCommand.class,
             TokenCommand.class, ConfigCommand.class, CommandLine.HelpCommand.class})
 public final class Main implements Runnable {
     @CommandLine.Spec
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -89,6 +89,7 @@
                         plan.arrivals(), playerLoops);
                 Director director = new Director(day, plan.effects(), fleet, registry, fronts, loop,
                         this::say);
+                double began = tap.now();
                 play(loop, crowd, director, fronts, fleet, rows);
                 fronts.sampleCpu();
                 Resources resources = Resources.take();
@@ -96,9 +97,9 @@
                 fronts.stopAll();
                 long spends = loop.submit(() -> fleet.boxes().stream().mapToLong(StandinBox::spends).sum())
                         .get();
+                List<HealedHall> healed = HealedHall.of(tap.events(), plan.effects(), began, day);
                 return new Report(name, seed, crowd.stats(), Checker.judge(tap.events()), fronts.cpuMs(),
-                        spends,
-                        fleet.shapingLate(), resources, frontsKb);
+                        spends, fleet.shapingLate(), resources, frontsKb, healed);
             } catch (ExecutionException e) {
                 throw new IOException("the stand-ins failed: " + e.getCause(), e);
             } finally {
--- a/cli/src/main/java/spanrill/cli/Report.java
+++ b/cli/src/main/java/spanrill/cli/Report.java
@@ -15,7 +15,7 @@
 
 /** What a rehearsal came to, as a table and as JSON (docs/operators.md has the fields). */
 record Report(String day, long seed, CrowdStats stats, List<Verdict> verdicts, double frontCpuMs, long spends,
-        Histogram shapingLate, Resources resources, long frontsKb) {
+        Histogram shapingLate, Resources resources, long frontsKb, List<HealedHall> healed) {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Load that was sent later than this at the 99th percentile did not measure what it says. */
     private static final double LATE_MS = 50;
@@ -67,6 +67,11 @@
                 .put("shapingLateMsMost", shapingLate.getMaxValue() / 1000.0).put("gaveUp",
                 stats.gaveUp.sum())
                 .put("returns", stats.returns.sum()).put("stalls", stats.stalls.sum());
+        ArrayNode halls = root.putArray("healedHalls");
+        healed.forEach(hall -> halls.addObject().put("hall", hall.hall()).put("returned", hall.returned())
+                .put("answeredMsP99", hall.answeredMsP99()).put("plays", hall.plays()).put("refused",
+                hall.refused())
+                .put("unanswered", hall.unanswered()));
         ObjectNode used = resources.json();
         used.put("frontsCpuMs", frontCpuMs).put("frontsResidentKb", frontsKb);
         root.set("resources", used);
@@ -96,6 +101,10 @@
                 "  set-up p50 %.0f ms, p99 %.0f ms; front CPU %.2f ms a request; load late p99 %.1f ms%s%n",
                 setUp(50), setUp(99), cpuPerRequest(), stats.late.getValueAtPercentile(99) / 1000.0,
                 loadInTime() ? "" : " (too late: this run does not count)");
+        healed.forEach(hall -> out.printf(Locale.ROOT,
+                "  %s healed: %d viewers came again within 10 s, 99%% answered "
+                + "after %.0f ms (plays %d, told to wait %d, none %d)%n", hall.hall(), hall.returned(),
+                hall.answeredMsP99(), hall.plays(), hall.refused(), hall.unanswered()));
         rulesTable(out, verdicts);
         out.flush();
     }
--- a/cli/src/test/java/spanrill/path/HardCasesTest.java
+++ b/cli/src/test/java/spanrill/path/HardCasesTest.java
@@ -130,6 +130,58 @@
         assertEquals(1, bench.allSetUps());
     }
 
+    /** The first set-up's answer is lost; the box answers the call-off with these fields. */
+    private String afterALostAnswer(String... fields) throws Exception {
+        boolean[] lost = {false};
+        bench.boxes.forEach(box -> {
+            box.onCallOff = () -> Headers.of(fields);
+            box.onSetUp = x -> {
+                if (lost[0]) {
+                    ScriptedBox.plays(x);
+                } else {
+                    lost[0] = true;
+                    ScriptedBox.losesTheAnswer(x);
+                }
+            };
+        });
+        return answer(bench.ask(bench.token("paid")));
+    }
+
+    @Test
+    void paidGoesElsewhereWhenItsBoxProvesThatItNeverBegan() throws Exception {
+        assertEquals("plays", afterALostAnswer("spanrill-ran", "0", "spanrill-up-ms", "60000"));
+        assertEquals(2, bench.allSetUps());
+    }
+
+    @Test
+    void paidFailsWhenItsBoxSaysThatItRanOrKnowsTooLittle() throws Exception {
+        assertEquals("failed", afterALostAnswer("spanrill-ran", "1", "spanrill-up-ms", "60000"));
+        // Three boxes, and one that lost an answer is left alone for a while: so three cases.
+        assertEquals("failed", afterALostAnswer("spanrill-ran", "0", "spanrill-up-ms", "10"),
+                "a younger process");
+        assertEquals("failed", afterALostAnswer("spanrill-ran", "0"));
+    }
+
+    @Test
+    void aFrontThatIsKilledRemembersPaidTokens() throws Exception {
+        bench.boxes.forEach(box -> box.onSetUp = x -> { });
+        String during = bench.token("paid");
+        CompletableFuture<HttpResponse<String>> asked = bench.client.sendAsync(
+                HttpRequest.newBuilder(bench.manifest(during)).build(), HttpResponse.BodyHandlers.ofString());
+        someBoxWithASetUp();
+        bench.restart(true);
+        assertTrue(asked.handle((response, lost) -> lost != null).get(5, TimeUnit.SECONDS));
+        bench.boxes.forEach(box -> box.onSetUp = ScriptedBox::plays);
+        String before = bench.token("paid");
+        assertEquals("plays", answer(bench.ask(before)));
+        bench.restart(true);
+        bench.boxes.forEach(box -> box.setUps.clear());
+        assertEquals("failed", answer(bench.ask(during)), "it may have run");
+        assertEquals(403, bench.ask(before).statusCode(), "it played");
+        assertEquals(0, bench.allSetUps());
+        assertEquals("plays", answer(bench.ask(bench.token("paid"))));
+    }
+
     @Test
     void paidThatNeverRanIsRefusedAndMayComeAgain() throws Exception {
         bench.boxes.forEach(box -> box.onSetUp = ScriptedBox::turnsAway);
@@ -369,6 +421,33 @@
         assertEquals("plays", answer(bench.client.send(bearer, HttpResponse.BodyHandlers.ofString())));
     }
 
+    @Test
+    void playersInPagesAndConditionalRequests() throws Exception {
+        Mpd mpd = play("free");
+        HttpRequest.Builder segment = HttpRequest.newBuilder(bench.uri(mpd.baseUrl()
+                + "v/0/1.m4s?CMCD=bs%2Cbl%3D0"));
+        HttpResponse<String> first = bench.client.send(segment.copy().header("origin",
+                "http://player.example")
+                .build(), HttpResponse.BodyHandlers.ofString());
+        assertEquals("http://player.example", first.headers().firstValue("access-control-allow-origin")
+                .orElse(""));
+        String tag = first.headers().firstValue("etag").orElse("");
+        HttpResponse<String> again = bench.client.send(segment.copy().header("if-none-match", "\"x\", " + tag)
+                .header("origin", "http://other.example").build(), HttpResponse.BodyHandlers.ofString());
+        assertEquals(304, again.statusCode());
+        assertTrue(again.headers().firstValue("access-control-allow-origin").isEmpty());
+        HttpRequest preflight = HttpRequest.newBuilder(bench.uri("/dash/title/manifest.mpd"))
+                .method("OPTIONS", HttpRequest.BodyPublishers.noBody()).header("origin",
+                "http://player.example")
+                .header("access-control-request-method", "GET").build();
+        HttpResponse<String> allowed = bench.client.send(preflight, HttpResponse.BodyHandlers.ofString());
+        assertEquals(204, allowed.statusCode());
+        assertTrue(allowed.headers().firstValue("access-control-allow-headers").orElse("").contains("range"));
+        HttpResponse<Void> head = bench.client.send(segment.copy().method("HEAD",
+                HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.discarding());
+        assertEquals("1000", head.headers().firstValue("content-length").orElse(""));
+    }
+
     @Test
     void otherPathsAndMethodsAreTold() throws Exception {
         assertEquals(404, bench.get(bench.uri("/nothing")).statusCode());
--- a/decisions/src/main/java/spanrill/decisions/Admission.java
+++ b/decisions/src/main/java/spanrill/decisions/Admission.java
@@ -20,6 +20,11 @@
         NEW,
         /** Joins the session named. */
         JOIN,
+        /**
+         * Its request was refused a moment ago: this is the same request sent twice, and the answer is
+         * the same.
+         */
+        REFUSED,
         /** Its request failed; the answer stands. */
         FAILED,
         /** Its session is over; the token is used up. */
@@ -34,8 +39,9 @@
      * @param kind what to do
      * @param session the session to join, or null
      * @param again true for a new request of a token that was refused before
+     * @param retryAfterMs what is left of the wait that it was told with a refusal
      */
-    public record Verdict(Kind kind, String session, boolean again) { }
+    public record Verdict(Kind kind, String session, boolean again, double retryAfterMs) { }
 
     private static final class Entry {
         private final boolean once;
@@ -43,6 +49,8 @@
         private String session;
         private Kind after;
         private boolean refusedBefore;
+        private double refusedAt = Double.NEGATIVE_INFINITY;
+        private double retryAfterMs;
 
         Entry(boolean once, double expiresAt) {
             this.once = once;
@@ -51,12 +59,20 @@
     }
 
     private final int most;
+    private final double sameMs;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private double sweptAt = Double.NEGATIVE_INFINITY;
 
-    /** Remembers at most so many ids. */
-    public Admission(int most) {
+    /**
+     * Remembers at most so many ids.
+     *
+     * @param sameMs a token that comes within this time of its refusal is the same request, sent twice:
+     * were it a
+     *     new one, its viewer could be told both "refused" and "plays", and take the token elsewhere
+     */
+    public Admission(int most, double sameMs) {
         this.most = most;
+        this.sameMs = sameMs;
     }
 
     /** A token came: what does it stand for? A {@link Kind#NEW} must be followed by {@link #taken}. */
@@ -66,13 +82,29 @@
             if (entries.size() >= most) {
                 sweep(now);
             }
-            return new Verdict(entries.size() >= most ? Kind.NO_ROOM : Kind.NEW, null, false);
+            return new Verdict(entries.size() >= most ? Kind.NO_ROOM : Kind.NEW, null, false, 0);
         }
         if (entry.session != null) {
-            return new Verdict(Kind.JOIN, entry.session, false);
+            return new Verdict(Kind.JOIN, entry.session, false, 0);
         }
-        return entry.after == null ? new Verdict(Kind.NEW, null, entry.refusedBefore)
-                : new Verdict(entry.after, null, false);
+        if (entry.after != null) {
+            return new Verdict(entry.after, null, false, 0);
+        }
+        double since = now - entry.refusedAt;
+        return since < sameMs ? new Verdict(Kind.REFUSED, null, false,
+                Math.max(0, entry.retryAfterMs - since))
+                : new Verdict(Kind.NEW, null, entry.refusedBefore, 0);
+    }
+
+    /**
+     * A token that was remembered over the death of the process.
+     *
+     * @param used true when it played; else it may have run
+     */
+    public void restore(String tokenId, boolean used, double expiresAt) {
+        Entry entry = new Entry(true, expiresAt);
+        entry.after = used ? Kind.USED : Kind.FAILED;
+        entries.put(tokenId, entry);
     }
 
     /** Its request was taken as this session. */
@@ -89,8 +121,9 @@
      *
      * @param answer the answer that its request was given, null when the viewer left before it
      * @param mayHaveRun true when an attempt may have run
+     * @param retryAfterMs the wait told with a refusal
      */
-    public void over(String tokenId, Answer answer, boolean mayHaveRun) {
+    public void over(double now, String tokenId, Answer answer, boolean mayHaveRun, double retryAfterMs) {
         Entry entry = entries.get(tokenId);
         if (entry == null) {
             return;
@@ -104,6 +137,8 @@
         } else {
             entry.after = null;
             entry.refusedBefore = true;
+            entry.refusedAt = answer == Answer.REFUSED ? now : Double.NEGATIVE_INFINITY;
+            entry.retryAfterMs = retryAfterMs;
         }
     }
 
--- a/decisions/src/main/java/spanrill/decisions/OutcomeTable.java
+++ b/decisions/src/main/java/spanrill/decisions/OutcomeTable.java
@@ -10,7 +10,7 @@
  *
  * <p>The rule behind it: an attempt can only have run when at least one byte of it was handed to the
  * operating system. Until then whatever goes wrong proves that it never ran; from then on only the box's own
- * word (a 503 with a reason that it knows) does.
+ * word (a 503 with a reason that it knows, or a call-off that came before the beginning) does.
  */
 public final class OutcomeTable {
     /** How far the attempt had come on this front's side when the event happened. */
@@ -43,6 +43,8 @@
         TURNED_AWAY,
         /** 409: the box tells that this attempt was called off before it began. */
         TOMBSTONED,
+        /** The box tells that it was called off before it began, and never will: see {@link CallOffProof}. */
+        SETTLED_UNSEEN,
         /** Any other status that is no success. */
         ERROR_STATUS,
         /** Bytes that are no HTTP/1.1 answer. */
@@ -74,6 +76,7 @@
         written.put(Event.CALLED_OFF, Outcome.CANCELLED);
         written.put(Event.TURNED_AWAY, Outcome.FULL);
         written.put(Event.TOMBSTONED, Outcome.ERROR);
+        written.put(Event.SETTLED_UNSEEN, Outcome.FULL);
         written.put(Event.ERROR_STATUS, Outcome.ERROR);
         written.put(Event.MALFORMED, Outcome.ERROR);
         written.put(Event.NO_ROOM, Outcome.RESET);
@@ -81,6 +84,7 @@
         Map<Event, Outcome> answering = new EnumMap<>(written);
         // A success head was seen: the attempt ran, whatever comes after it.
         answering.put(Event.TURNED_AWAY, Outcome.ERROR);
+        answering.put(Event.SETTLED_UNSEEN, Outcome.ERROR);
         TABLE.put(Stage.ANSWERING, answering);
     }
 
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -22,6 +22,7 @@
 import spanrill.front.dash.DashViewerSide;
 import spanrill.front.list.KeptList;
 import spanrill.front.list.ListClient;
+import spanrill.front.store.TokenStore;
 import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
 import spanrill.wire.http.HttpLimits;
@@ -42,6 +43,7 @@
     });
     private final FrontSettings settings;
     private final SessionCore core;
+    private final TokenStore tokens;
     private final HttpBoxSide boxes;
     private final ListClient list;
     private final TokenKeys keys;
@@ -55,7 +57,13 @@
         keys = new TokenKeys(base.resolve(settings.keys()), settings.classes().keySet());
         keys.reload();
         Clock clock = new Clock();
-        core = new SessionCore(settings, loop, clock);
+        tokens = TokenStore.open(base.resolve(settings.state()), loop);
+        core = new SessionCore(settings, loop, clock, tokens);
+        tokens.kept().forEach((token, kept) -> {
+            if (kept.expiresAt() > clock.now()) {
+                core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
+            }
+        });
         gate = new TokenGate(keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting());
         BoxBook book = new BoxBook(settings.limits().boxes());
         boxes = new HttpBoxSide(settings, loop, core, book::box);
@@ -154,6 +162,7 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         gate.close();
         disk.shutdownNow();
+        tokens.close();
     }
 
     /** Waits until it is stopped. */
--- a/front/src/main/java/spanrill/front/FrontSession.java
+++ b/front/src/main/java/spanrill/front/FrontSession.java
@@ -27,6 +27,8 @@
     ScheduledFuture<?> until;
     ScheduledFuture<?> net;
     double retryAfterMs;
+    int starved;
+    long leastBufferMs = Long.MAX_VALUE;
     String overWhy;
 
     FrontSession(String id, ViewerRequest request, FrontSettings.ClassSettings type, Title title,
--- a/front/src/main/java/spanrill/front/FrontSettings.java
+++ b/front/src/main/java/spanrill/front/FrontSettings.java
@@ -26,6 +26,7 @@
  * @param notes how boxes tell of themselves
  * @param rules figures of the rules
  * @param limits bounds of this process
+ * @param web players in pages
  */
 public record FrontSettings(@Range(min = 0, max = 100_000) int me, @Range(min = 1, max = 100_000) int fronts,
         @Range(min = 1, max = 64) String zone, @Default("1") long seed, Address listen, Address registry,
@@ -33,7 +34,7 @@
         @Range(min = 1, max = 64) Map<String, ClassSettings> classes,
         @Default("{}") Map<String, TenantSettings> tenants,
         @Range(min = 1, max = 64) Map<String, KindSettings> kinds, Ladder ladder, Fleet fleet, Notes notes,
-        Rules rules, @Default("{}") Limits limits) {
+        Rules rules, @Default("{}") Limits limits, @Default("{}") Web web) {
 
     /**
      * An address.
@@ -160,6 +161,8 @@
      * @param idleMs a session whose player says nothing for so long is over
      * @param requestMs a request's head and body must come within
      * @param moveReturnMs a moved session waits at most so long for its old box's word
+     * @param settleMs a box is given so long to say whether a paid set-up whose answer was lost ran
+     * @param sameMs a token that comes again so soon after its refusal is the same request
      * @param tokens token ids remembered
      * @param tokenThreads threads that verify tokens
      * @param tokenWaiting tokens that may wait for them
@@ -173,11 +176,20 @@
             @Default("8000") @Range(min = 100) double idleMs,
             @Default("5000") @Range(min = 100) long requestMs,
             @Default("250") @Range(min = 1, max = 60_000) double moveReturnMs,
+            @Default("300") @Range(min = 1, max = 60_000) double settleMs,
+            @Default("250") @Range(min = 0, max = 60_000) double sameMs,
             @Default("200000") @Range(min = 1, max = 100_000_000) int tokens,
             @Default("2") @Range(min = 1, max = 64) int tokenThreads,
             @Default("2000") @Range(min = 1, max = 1_000_000) int tokenWaiting,
             @Default("2000") @Range(min = 1, max = 1_000_000) int boxes) { }
 
+    /**
+     * Players in pages.
+     *
+     * @param origins origins that may use this front (Fetch standard, CORS protocol); "*" for all
+     */
+    public record Web(@Default("[]") @Range(max = 1000) List<String> origins) { }
+
     /** Checks what fields must be to each other. */
     public FrontSettings {
         if (me >= fronts) {
--- /dev/null
+++ b/front/src/main/java/spanrill/front/TokenMemory.java
@@ -0,0 +1,39 @@
+package spanrill.front;
+
+import java.util.function.Consumer;
+
+/** Remembers tokens of paid sessions over the death of the process. Called on the front's loop. */
+public interface TokenMemory {
+    /** What a token came to. */
+    enum Fate {
+        /** Its request was taken: a set-up may have been sent. */
+        TAKEN,
+        /** It may have run, and its viewer was not told that it plays. */
+        FAILED,
+        /** It played. */
+        USED
+    }
+
+    /**
+     * A token's request was taken.
+     *
+     * @param then called on the loop once that is safe on disk, with true; with false when it can't be
+     */
+    void taken(String tokenId, double expiresAt, Consumer<Boolean> then);
+
+    /** What it came to; null: nothing ran, it may be forgotten. Needs not be safe at once. */
+    void over(String tokenId, Fate fate);
+
+    /** Remembers nothing. */
+    static TokenMemory none() {
+        return new TokenMemory() {
+            @Override
+            public void taken(String tokenId, double expiresAt, Consumer<Boolean> then) {
+                then.accept(true);
+            }
+
+            @Override
+            public void over(String tokenId, Fate fate) { }
+        };
+    }
+}
--- a/front/src/main/java/spanrill/front/box/HttpBoxSide.java
+++ b/front/src/main/java/spanrill/front/box/HttpBoxSide.java
@@ -5,11 +5,13 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.BoxBook.Box;
+import spanrill.decisions.CallOffProof;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.PoolPolicy;
 import spanrill.front.BoxSide;
@@ -101,6 +103,28 @@
         control(box, "DELETE", BoxLink.ATTEMPT + key, load -> { });
     }
 
+    double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** Calls an attempt off and tells whether that proves that it never ran; false after a time. */
+    void settle(String box, String key, double sentAt, Consumer<Boolean> done) {
+        boolean[] told = {false};
+        Consumer<Boolean> once = neverRan -> {
+            if (!told[0]) {
+                told[0] = true;
+                done.accept(neverRan);
+            }
+        };
+        loop.schedule(() -> once.accept(false), (long) settings.limits().settleMs(), TimeUnit.MILLISECONDS);
+        exchange(box, "DELETE", BoxLink.ATTEMPT + key, (load, head) -> {
+            String ran = head == null ? null : head.headers().get(BoxLink.RAN);
+            double upMs = head == null || head.headers().get(BoxLink.UP_MS) == null ? Double.NaN
+                    : BoxLink.number(head.headers().get(BoxLink.UP_MS));
+            once.accept(CallOffProof.neverRan(ran == null ? null : ran.equals("1"), upMs, now() - sentAt));
+        });
+    }
+
     @Override
     public void rung(String box, String key, int rung) {
         control(box, "POST", BoxLink.ATTEMPT + key + "/rung?to=" + rung, load -> { });
@@ -112,9 +136,13 @@
     }
 
     private void control(String box, String method, String target, Consumer<Load> done) {
+        exchange(box, method, target, (load, head) -> done.accept(load));
+    }
+
+    private void exchange(String box, String method, String target, BiConsumer<Load, ResponseHead> done) {
         BoxPool pool = pool(box);
         if (pool == null) {
-            done.accept(null);
+            done.accept(null, null);
             return;
         }
         ControlCall call = new ControlCall(pool, method, target, done);
@@ -122,17 +150,19 @@
         pool.take(true, false, call);
     }
 
-    /** A small exchange whose answer only tells the load. */
+    /** A small exchange of which only the head matters. */
     private final class ControlCall implements BoxPool.Taker, HttpClientConnection.Listener {
         private final BoxPool pool;
         private final String method;
         private final String target;
-        private final Consumer<Load> done;
+        private final BiConsumer<Load, ResponseHead> done;
         private HttpClientConnection connection;
-        private Load load;
+        private ResponseHead seen;
+        private boolean answered;
         private boolean over;
 
-        ControlCall(BoxPool pool, String method, String target, Consumer<Load> done) {
+        ControlCall(BoxPool pool, String method, String target,
+                BiConsumer<Load, ResponseHead> done) {
             this.pool = pool;
             this.method = method;
             this.target = target;
@@ -158,12 +188,13 @@
 
         @Override
         public void head(ResponseHead head) {
-            load = BoxLink.load(head.headers().get(BoxLink.LOAD));
+            seen = head;
         }
 
         @Override
         public void end() {
             pool.giveBack(connection);
+            answered = true;
             finish();
         }
 
@@ -182,7 +213,8 @@
         private void finish() {
             if (!over) {
                 over = true;
-                done.accept(load);
+                ResponseHead whole = answered ? seen : null;
+                done.accept(whole == null ? null : BoxLink.load(whole.headers().get(BoxLink.LOAD)), whole);
             }
         }
     }
--- a/front/src/main/java/spanrill/front/box/SetUpAttempt.java
+++ b/front/src/main/java/spanrill/front/box/SetUpAttempt.java
@@ -24,6 +24,8 @@
     private Stage stage = Stage.CONNECTING;
     private Load load;
     private Event refusal;
+    private double sentAt;
+    private boolean settling;
     private boolean over;
 
     SetUpAttempt(HttpBoxSide side, BoxSide.Order order, BoxPool pool, BoxSide.AttemptListener listener) {
@@ -49,6 +51,7 @@
         }
         if (connection.send("POST", BoxLink.SETUP, headers, NO_BODY, this)) {
             stage = Stage.WRITTEN;
+            sentAt = side.now();
         } else {
             finish(Event.CLOSED);
         }
@@ -94,12 +97,27 @@
     }
 
     private void finish(Event event) {
+        if (over || settling) {
+            return;
+        }
+        Outcome outcome = OutcomeTable.read(stage, event);
+        boolean unknown = stage != Stage.CONNECTING && stage != Stage.CONNECTED && !outcome.neverRan();
+        if (unknown && order.spends() && stage == Stage.WRITTEN) {
+            // What spends must not be tried again on a guess: the box is asked before the loss is told.
+            settling = true;
+            side.settle(order.box(), order.key(), sentAt, neverRan -> ended(neverRan
+                    ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome));
+            return;
+        }
+        if (unknown) {
+            side.callOff(order.box(), order.key());
+        }
+        ended(outcome);
+    }
+
+    private void ended(Outcome outcome) {
         if (!over) {
             over = true;
-            Outcome outcome = OutcomeTable.read(stage, event);
-            if (stage != Stage.CONNECTING && stage != Stage.CONNECTED && !outcome.neverRan()) {
-                side.callOff(order.box(), order.key());
-            }
             listener.ended(outcome, load);
         }
     }
@@ -111,7 +129,9 @@
             over = true;
             if (connection != null) {
                 connection.abandon();
-                side.callOff(order.box(), order.key());
+                if (!settling) {
+                    side.callOff(order.box(), order.key());
+                }
             }
         }
         return outcome;
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -39,6 +39,7 @@
     private final SessionCore core;
     private final BoxSide boxes;
     private final TokenGate gate;
+    private final Cors cors;
     private final Clock clock;
 
     /** A viewer side on a core. */
@@ -48,6 +49,7 @@
         this.core = core;
         this.boxes = boxes;
         this.gate = gate;
+        cors = new Cors(settings.web().origins());
         this.clock = clock;
     }
 
@@ -57,6 +59,9 @@
             String path = exchange.head().path();
             String method = exchange.head().method();
             boolean reads = method.equals("GET") || method.equals("HEAD");
+            if (cors.answers(exchange)) {
+                return;
+            }
             Matcher manifest = MANIFEST.matcher(path);
             Matcher segment = SEGMENT.matcher(path);
             Matcher session = SESSION.matcher(path);
--- a/front/src/main/java/spanrill/front/dash/Relay.java
+++ b/front/src/main/java/spanrill/front/dash/Relay.java
@@ -7,6 +7,7 @@
 import spanrill.front.BoxSide;
 import spanrill.front.FrontSession;
 import spanrill.front.SessionCore;
+import spanrill.wire.dash.Cmcd;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.ResponseHead;
@@ -30,6 +31,7 @@
     private String key;
     private int tries;
     private int servedRung;
+    private String tag;
 
     Relay(SessionCore core, BoxSide boxes, Exchange exchange, FrontSession session, int asked, String name) {
         this.core = core;
@@ -58,6 +60,15 @@
         exchange.onClosed(this::viewerGone);
         exchange.onWritable(() -> reading(true));
         int rung = RungGate.serve(asked, session.rung(), session.type().floor());
+        tag = "\"" + session.title().name() + "." + (name.equals("init.mp4") ? "" : rung + ".") + name + "\"";
+        if (tries == 0) {
+            told();
+            if (exchange.head().headers().lists("if-none-match", tag)) {
+                // RFC 9110 section 13.1.2: media never changes, so the name of what would be served decides.
+                exchange.respond(304, Headers.of("etag", tag), new byte[0]);
+                return;
+            }
+        }
         key = session.key();
         tries++;
         String path = name.equals("init.mp4") ? name : rung + "/" + name;
@@ -65,6 +76,22 @@
         servedRung = rung;
     }
 
+    /** What the player tells of itself is kept with its session. */
+    private void told() {
+        String query = exchange.head().query("CMCD");
+        String text = query;
+        if (text == null) {
+            Headers headers = exchange.head().headers();
+            String request = headers.get("cmcd-request");
+            String status = headers.get("cmcd-status");
+            text = request == null ? status : status == null ? request : request + "," + status;
+        }
+        if (text != null) {
+            Cmcd told = Cmcd.parse(text);
+            core.told(session, told.starved(), told.bufferMs());
+        }
+    }
+
     private String range() {
         String range = exchange.head().headers().get("range");
         // RFC 9110 section 14.2: a range that isn't understood is passed over.
@@ -84,7 +111,7 @@
     @Override
     public void head(ResponseHead head) {
         Headers headers = Headers.of("content-type", "video/mp4", "cache-control", "no-store",
-                DashViewerSide.RUNG, Integer.toString(servedRung));
+                DashViewerSide.RUNG, Integer.toString(servedRung), "etag", tag);
         String range = head.headers().get("content-range");
         if (range != null) {
             headers.add("content-range", range);
--- a/model/src/main/java/spanrill/model/player/Traits.java
+++ b/model/src/main/java/spanrill/model/player/Traits.java
@@ -11,6 +11,7 @@
  * @param patienceMs waits so long for an answer
  * @param leavesMs leaves so long after its first request, -1 for no such whim
  * @param doubles sends its token on two connections at once
+ * @param replays sends its token again on another connection once it plays
  * @param honours waits out a Retry-After
  * @param returns share of breaks and refusals after which it comes again
  * @param tries requests at most
@@ -20,5 +21,6 @@
  * @param seed of its own draws
  */
 public record Traits(String cls, int title, int hall, double watchMs, int top, double patienceMs,
-        double leavesMs, boolean doubles, boolean honours, double returns, int tries, double bearable,
+        double leavesMs, boolean doubles, boolean replays, boolean honours, double returns, int tries,
+        double bearable,
         boolean neverReads, boolean bola, long seed) { }
--- a/standin/src/main/java/spanrill/standin/box/Transfer.java
+++ b/standin/src/main/java/spanrill/standin/box/Transfer.java
@@ -20,6 +20,11 @@
         left = bytes;
     }
 
+    /** True when its reader took less than it might have had. */
+    boolean held() {
+        return left > 0 && session.bucket.whole() > 0;
+    }
+
     /** Writes what is due; true when it is done. */
     boolean advance() {
         if (exchange.over()) {
--- a/standin/src/main/java/spanrill/standin/day/Day.java
+++ b/standin/src/main/java/spanrill/standin/day/Day.java
@@ -135,6 +135,7 @@
      * @param honour share that waits out Retry-After
      * @param leaves share that leaves while it waits for the answer
      * @param doubles share that sends its token on two connections at once
+     * @param replays share that sends its token again on another connection once it plays
      * @param low share that can't use the upper rungs
      * @param frontNoticeMs goes on to a dead front for: from, to
      * @param bearable share of its rate under which a viewer begins to leave
@@ -147,6 +148,7 @@
             @Default("0.6") @Range(min = 0, max = 1) double honour,
             @Default("0.02") @Range(min = 0, max = 1) double leaves,
             @Default("0.02") @Range(min = 0, max = 1) double doubles,
+            @Default("0") @Range(min = 0, max = 1) double replays,
             @Default("0.25") @Range(min = 0, max = 1) double low,
             @Default("[1100, 4000]") @Range(min = 2, max = 2) List<Double> frontNoticeMs,
             @Default("0.75") @Range(min = 0, max = 1) double bearable,
--- a/standin/src/main/java/spanrill/standin/day/Plan.java
+++ b/standin/src/main/java/spanrill/standin/day/Plan.java
@@ -103,7 +103,8 @@
         double leaves = random.nextDouble() < who.leaves() ? 5 + random.nextDouble() * 400 : -1;
         return new Traits(cls, title, random.nextInt(day.zones().size()),
                 Draws.between(random, type.sessionMs()), top, type.patienceMs(), leaves,
-                random.nextDouble() < who.doubles(), random.nextDouble() < who.honour(), who.returns(),
+                random.nextDouble() < who.doubles(), random.nextDouble() < who.replays(),
+                random.nextDouble() < who.honour(), who.returns(),
                 who.tries(),
                 who.bearable(), random.nextDouble() < who.neverReads(), random.nextDouble() < who.bola(),
                 random.nextLong());
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -230,6 +230,9 @@
             case "plays" -> {
                 stats.setUp.recordValue((long) Math.max(1, (now() - at) * 1000));
                 play(link.text());
+                if (traits.replays()) {
+                    connect(second -> request(second, false), () -> { });
+                }
             }
             case "refused" -> {
                 connection.abandon();
--- a/wire/src/main/java/spanrill/wire/box/BoxLink.java
+++ b/wire/src/main/java/spanrill/wire/box/BoxLink.java
@@ -36,6 +36,13 @@
     public static final String CONTINUES = "spanrill-continues";
     /** Why a set-up was turned away unseen: places, link, draining or cold. */
     public static final String REASON = "spanrill-reason";
+    /**
+     * In the answer to a call-off: {@code 1} when the attempt ran, {@code 0} when it never did and never
+     * will.
+     */
+    public static final String RAN = "spanrill-ran";
+    /** In the answer to a call-off: how long the box's process has been up, ms. */
+    public static final String UP_MS = "spanrill-up-ms";
     /** Load report in answers. */
     public static final String LOAD = "spanrill-load";
 
@@ -65,7 +72,7 @@
     }
 
     /** A finite number from 0, or NaN. */
-    static double number(String text) {
+    public static double number(String text) {
         try {
             double value = Double.parseDouble(text);
             return Double.isFinite(value) && value >= 0 && value < 1e9 ? value : Double.NaN;
--- a/wire/src/main/java/spanrill/wire/http/Exchange.java
+++ b/wire/src/main/java/spanrill/wire/http/Exchange.java
@@ -19,6 +19,7 @@
     private boolean ended;
     private boolean chunked;
     private long left;
+    private Headers also;
     private Runnable onWritable;
     private Runnable onClosed;
 
@@ -44,6 +45,11 @@
         return channel;
     }
 
+    /** These fields go out with the answer too, whatever it is. */
+    public void also(Headers headers) {
+        also = headers;
+    }
+
     /** Called when the connection takes more after {@link #writable} was false. */
     public void onWritable(Runnable action) {
         onWritable = action;
@@ -92,6 +98,9 @@
             return;
         }
         started = true;
+        for (int i = 0; also != null && i < also.size(); i++) {
+            headers.add(also.name(i), also.value(i));
+        }
         boolean none = status == 204 || status == 304;
         chunked = length < 0 && !none;
         if (chunked && head.minor() == 0) {
