Tokens wait by deadline and worth; a short rehearsal with real processes in the tests

Under a flash crowd a first-come queue of signatures serves viewers whose patience is over. WaitingRoom (pure) serves by earliest deadline, sheds at once who can't be in time, and when full the least worth; who left is not served. HttpServer, Turns and BoxNotes take what two places had, or what was beside the point where it stood.

--- a/cli/src/main/java/spanrill/cli/FrontProcesses.java
+++ b/cli/src/main/java/spanrill/cli/FrontProcesses.java
@@ -93,7 +93,8 @@
             // Thirty optimizing compilers at once leave no machine for the rehearsal.
             command.add("-XX:TieredStopAtLevel=1");
         }
-        command.addAll(List.of("-Dspanrill.log=System.out", "-cp", System.getProperty("java.class.path"),
+        command.addAll(List.of("-Dspanrill.log=System.out", "-Dlogback.configurationFile=logback.xml", "-cp",
+                System.getProperty("java.class.path"),
                 Main.class.getName(), "serve", file.toString()));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         front.process = process;
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -9,7 +9,6 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -28,7 +27,6 @@
 import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
 import spanrill.standin.day.Plan;
-import spanrill.standin.registry.Entry;
 import spanrill.standin.registry.StandinRegistry;
 import spanrill.standin.token.Issuer;
 import spanrill.standin.trouble.Director;
@@ -188,16 +186,8 @@
 
     private StandinRegistry registry(EventLoop loop, Tap tap, BoxFleet fleet) {
         StandinRegistry registry = new StandinRegistry(loop, tap, seed);
-        List<int[]> placement = new Plan(day, seed).placement();
-        for (int i = 0; i < placement.size(); i++) {
-            registry.title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles().durationMs(),
-                    day.titles().segmentMs());
-        }
-        List<Entry> entries = new ArrayList<>();
-        for (StandinBox box : fleet.boxes()) {
-            entries.add(new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), "ready", 1, 0));
-        }
-        registry.begin(entries);
+        registry.catalogue(day, seed);
+        registry.begin(fleet.entries());
         return registry;
     }
 
--- a/cli/src/main/java/spanrill/cli/StandinCommand.java
+++ b/cli/src/main/java/spanrill/cli/StandinCommand.java
@@ -9,7 +9,6 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
@@ -23,9 +22,7 @@
 import spanrill.settings.Settings;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.Receipts;
-import spanrill.standin.box.StandinBox;
 import spanrill.standin.day.Day;
-import spanrill.standin.day.Plan;
 import spanrill.standin.registry.Entry;
 import spanrill.standin.registry.StandinRegistry;
 import spanrill.standin.token.Issuer;
@@ -80,10 +77,7 @@
             Day day = Settings.read(file, Day.class);
             BoxFleet fleet = new BoxFleet(day, day.seed(), loop(), new Tap(null), new Receipts(), null);
             fleet.open();
-            List<Entry> entries = new ArrayList<>();
-            for (StandinBox box : fleet.boxes()) {
-                entries.add(new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), "ready", 1, 0));
-            }
+            List<Entry> entries = fleet.entries();
             Files.writeString(list, new ObjectMapper().writerWithDefaultPrettyPrinter()
                     .writeValueAsString(entries));
             say(spec, entries.size() + " boxes; list in " + list);
@@ -109,12 +103,7 @@
         public Integer call() throws Exception {
             Day day = Settings.read(file, Day.class);
             StandinRegistry registry = new StandinRegistry(loop(), new Tap(null), day.seed());
-            List<int[]> placement = new Plan(day, day.seed()).placement();
-            for (int i = 0; i < placement.size(); i++) {
-                registry.title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles()
-                        .durationMs(),
-                        day.titles().segmentMs());
-            }
+            registry.catalogue(day, day.seed());
             try {
                 registry.begin(new ObjectMapper().readValue(Files.readString(list),
                         new TypeReference<List<Entry>>() { }));
--- /dev/null
+++ b/cli/src/test/java/spanrill/cli/RehearseTest.java
@@ -0,0 +1,107 @@
+package spanrill.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import spanrill.check.Tap;
+import spanrill.check.TapEvent;
+import spanrill.model.trouble.Effect;
+import spanrill.results.CountRow;
+import spanrill.results.Rows;
+import spanrill.standin.day.Day;
+
+/** A short day with a real front process: the whole path, with troubles, held to the rules. */
+@Timeout(120)
+class RehearseTest {
+    private static final String DAY = "local common = import 'common.libsonnet';\n"
+            + "common { seed: 1, lengthMs: 7000, tailMs: 1000, byteScale: 0.01, fronts: 2,\n"
+            + "  boxes: { count: 6, racks: 2, places: 20, linkKb: 3000, setUpMs: 20, coldMs: 2000,\n"
+            + "    coldShare: 0.5 },\n"
+            + "  titles: { count: 6, copies: [3, 4] }, arrivals: { perS: 12 }, viewers: { doubles: 0.2 },\n"
+            + "  troubles: [common.trouble('answer_lost', 1, 3, 0.5), common.trouble('crash', 2, 1, 0.2),\n"
+            + "    common.trouble('zone_cut', 3, 2, 0.3), common.trouble('balancer_crash', 4, 1, 0.5)] }\n";
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aShortBadDayHoldsTheRules() throws Exception {
+        Files.copy(Path.of("..", "days", "common.libsonnet"), folder.resolve("common.libsonnet"));
+        Path day = folder.resolve("day.jsonnet");
+        Files.writeString(day, DAY);
+        StringWriter said = new StringWriter();
+        int code = Main.line().setOut(new PrintWriter(said, true)).setErr(new PrintWriter(said, true))
+                .execute(
+                "rehearse", day.toString(), "--report", folder.resolve("r.json").toString(), "--taps",
+                folder.resolve("taps").toString(), "--results", folder.resolve("rows").toString());
+        // A machine that is busy with other things may be too slow to send the load in time: that is told
+        // by 4.
+        assertTrue(code == Exit.HELD || code == Exit.COULD_NOT_RUN, code + "\n" + said);
+        JsonNode report = new ObjectMapper().readTree(folder.resolve("r.json").toFile());
+        assertTrue(report.path("held").asBoolean(), report.toPrettyString());
+        assertTrue(report.path("requests").asInt() > 60, said.toString());
+        assertTrue(report.path("answers").path("plays").asInt() > 20, said.toString());
+        assertEquals(6, report.path("rules").size());
+        assertTrue(report.path("resources").path("liveBytes").path("model").asLong() > 0);
+        assertTrue(Files.size(folder.resolve("rows").resolve("answers.png")) > 0);
+        assertTrue(Rows.read(folder.resolve("rows").resolve("counts.parquet"), CountRow.class).size() >= 6);
+        assertEquals(0, Main.line().setOut(new PrintWriter(said, true)).execute("check",
+                folder.resolve("taps").toString()), said.toString());
+        assertEquals(0, Main.line().setOut(new PrintWriter(said, true)).execute("tickets",
+                folder.resolve("taps").toString()), said.toString());
+    }
+
+    @Test
+    void aHealedHallsViewersAreFollowed() throws Exception {
+        Files.copy(Path.of("..", "days", "common.libsonnet"), folder.resolve("common.libsonnet"));
+        Path file = folder.resolve("day.jsonnet");
+        Files.writeString(file, DAY);
+        Day day = spanrill.settings.Settings.read(file, Day.class);
+        List<TapEvent> events = List.of(new TapEvent.Ask(10, 1, 1, "t1.1", "highlight", "title-0", 3000),
+                new TapEvent.Ask(10, 2, 1, "t2.1", "highlight", "title-0", 3000),
+                new TapEvent.Ask(10, 3, 1, "t3.1", "highlight", "title-0", 3000),
+                new TapEvent.Ask(1100, 4, 1, "t1.1", "highlight", "title-0", 3000),
+                new TapEvent.Ask(1100, 5, 1, "t2.2", "highlight", "title-0", 3000),
+                new TapEvent.Ask(1100, 6, 1, "t9.1", "highlight", "title-0", 3000),
+                new TapEvent.Ask(1100, 7, 0, "t3.2", "highlight", "title-0", 3000),
+                new TapEvent.Answer(1150, 4, 200, "plays"), new TapEvent.Answer(1400, 5, 503, "refused"));
+        assertEquals(List.of(new HealedHall("east-hall", 2, 400, 1, 1, 0)),
+                HealedHall.of(events, List.of(new Effect.HallCut(500, 1, true), new Effect.HallCut(950, 1,
+                false)), 50,
+                        day));
+    }
+
+    @Test
+    void recordsOfAnotherKindAreTold() throws Exception {
+        Path file = folder.resolve("x.parquet");
+        Files.writeString(file, "nonsense");
+        CommandLineOutput shares = run("shares", file.toString());
+        assertEquals(Exit.BAD_INPUT, shares.code());
+        assertTrue(shares.text().contains("is no Parquet file"), shares.text());
+        assertEquals(Exit.BAD_INPUT, run("tickets", file.toString()).code());
+        assertEquals(Exit.BAD_INPUT, run("plot", folder.toString()).code());
+        try (Tap tap = new Tap(folder.resolve("tap.jsonl"))) {
+            tap.put(new TapEvent.FrontUp(1, 0));
+        }
+        assertEquals(Exit.RULE_BROKEN, run("tickets", folder.toString()).code(), "nothing was shown");
+    }
+
+    private record CommandLineOutput(int code, String text) { }
+
+    private static CommandLineOutput run(String... words) {
+        StringWriter said = new StringWriter();
+        PrintWriter out = new PrintWriter(said, true);
+        int code = Main.line().setOut(out).setErr(out).execute(words);
+        return new CommandLineOutput(code, said.toString());
+    }
+}
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -1,15 +1,9 @@
 package spanrill.front;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -26,6 +20,7 @@
 import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
 import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.HttpServer;
 import spanrill.wire.http.HttpServerHandler;
 
 /** A front that runs: one event loop with its core, viewer side, box side and list. */
@@ -64,7 +59,8 @@
                 core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
             }
         });
-        gate = new TokenGate(keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting());
+        gate = new TokenGate(keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting(),
+                clock::now);
         BoxBook book = new BoxBook(settings.limits().boxes());
         boxes = new HttpBoxSide(settings, loop, core, book::box);
         list = new ListClient(settings, loop, core, book, new KeptList(base.resolve(settings.state())), disk);
@@ -95,26 +91,8 @@
     private Channel bind(DashViewerSide viewers) throws IOException {
         HttpServerHandler.Times times = new HttpServerHandler.Times(settings.limits().requestMs(),
                 IDLE_CONNECTION_MS, PIPELINED_BYTES);
-        ServerBootstrap bootstrap = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 4096)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 * 1024,
-                256 * 1024))
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        if (connections >= settings.limits().connections()) {
-                            channel.close();
-                            return;
-                        }
-                        connections++;
-                        channel.closeFuture().addListener(f -> connections--);
-                        channel.pipeline().addLast(new HttpServerHandler(HttpLimits.SERVER, times,
-                                viewers::route));
-                    }
-                });
-        var future = bootstrap.bind(new InetSocketAddress(settings.listen().host(), settings.listen()
-                .port()));
+        var future = HttpServer.bind(group, new InetSocketAddress(settings.listen().host(),
+                settings.listen().port()), HttpLimits.SERVER, times, this::admit, viewers::route);
         if (!future.awaitUninterruptibly().isSuccess()) {
             close();
             throw new IOException("can't listen on " + settings.listen().host() + ":" + settings.listen()
@@ -124,6 +102,15 @@
         return future.channel();
     }
 
+    private boolean admit(Channel channel) {
+        if (connections >= settings.limits().connections()) {
+            return false;
+        }
+        connections++;
+        channel.closeFuture().addListener(f -> connections--);
+        return true;
+    }
+
     private void reloadKeys() {
         try {
             if (keys.reload()) {
--- a/front/src/main/java/spanrill/front/SessionCore.java
+++ b/front/src/main/java/spanrill/front/SessionCore.java
@@ -6,7 +6,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -14,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 import spanrill.Control;
 import spanrill.SessionControl;
@@ -45,7 +43,7 @@
     private static final Duration OVER_KEPT = Duration.ofMinutes(2);
 
     private final FrontSettings settings;
-    private final EventLoop loop;
+    private final Turns turns;
     private final Clock clock;
     private final Control control;
     private final Admission admission;
@@ -58,18 +56,16 @@
     private final Map<ViewerCall, FrontSession> calls = new IdentityHashMap<>();
     private final Cache<String, FrontSession> over = Caffeine.newBuilder().maximumSize(20_000)
             .expireAfterWrite(OVER_KEPT).build();
-    private final ArrayDeque<DoubleConsumer> turn = new ArrayDeque<>();
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private Map<String, Title> titles = Map.of();
     private BoxSide boxes;
-    private boolean inside;
     private boolean listed;
 
     /** A core on a loop; {@link #begin} starts it. */
     public SessionCore(FrontSettings settings, EventLoop loop, Clock clock, TokenMemory memory) {
         this.memory = memory;
         this.settings = settings;
-        this.loop = loop;
+        turns = new Turns(loop, clock);
         this.clock = clock;
         control = new Control(settings.module(), settings.seed(), this);
         admission = new Admission(settings.limits().tokens(), settings.limits().sameMs());
@@ -85,33 +81,15 @@
     public void begin(BoxSide side) {
         boxes = side;
         tell(control::start);
-        loop.scheduleAtFixedRate(() -> tell(this::lookForIdle), IDLE_LOOK_MS, IDLE_LOOK_MS,
-                TimeUnit.MILLISECONDS);
+        turns.every(IDLE_LOOK_MS, this::lookForIdle);
     }
 
     private void tell(DoubleConsumer event) {
-        turn.add(event);
-        if (inside) {
-            return;
-        }
-        inside = true;
-        try {
-            for (DoubleConsumer next = turn.poll(); next != null; next = turn.poll()) {
-                try {
-                    next.accept(clock.now());
-                } catch (RuntimeException e) {
-                    // One event's fault must not cost the others theirs; owed answers are given by the net.
-                    EventLog.error("core.fault", e);
-                }
-            }
-        } finally {
-            inside = false;
-        }
+        turns.tell(event);
     }
 
     private ScheduledFuture<?> after(double ms, DoubleConsumer event) {
-        return loop.schedule(() -> tell(event), (long) Math.ceil(Math.max(0, ms) * 1000),
-                TimeUnit.MICROSECONDS);
+        return turns.after(ms, event);
     }
 
     // ---- the list
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -11,6 +11,7 @@
 import spanrill.front.ViewerRequest;
 import spanrill.front.token.SessionToken;
 import spanrill.front.token.TokenGate;
+import spanrill.front.token.TokenKeys;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -30,6 +31,7 @@
     public static final String RUNG = "spanrill-rung";
 
     private static final double BUSY_MS = 1000;
+    private static final double SHORTEST_MS = 500;
     private static final Pattern MANIFEST = Pattern.compile("/dash/([A-Za-z0-9._~-]{1,200})/manifest\\.mpd");
     private static final Pattern SEGMENT = Pattern.compile(
             "/s/([A-Za-z0-9_-]{22})/v/(?:(init\\.mp4)|(\\d{1,3})/(\\d{1,9}\\.m4s))");
@@ -84,17 +86,25 @@
 
     private void ask(Exchange exchange, String title) {
         double arrivedAt = clock.now();
-        boolean taken = gate.verify(tokenOf(exchange), title, (long) (arrivedAt / 1000),
-                exchange.channel().eventLoop(), verdict -> {
-                    if (verdict.fault() != null) {
+        String text = tokenOf(exchange);
+        // Read before it is verified: only how long it may wait hangs on it.
+        FrontSettings.ClassSettings type = settings.classes().get(TokenKeys.claimedClass(text));
+        double patience = type == null ? SHORTEST_MS : type.patienceMs() - settings.limits().answerMarginMs();
+        Runnable leave = gate.verify(new TokenGate.Wish(text, title, (long) (arrivedAt / 1000), arrivedAt
+                + patience,
+                type == null ? 0 : type.worth()), exchange.channel().eventLoop(), verdict -> {
+                    if (verdict.noRoom()) {
+                        Problem.answer(exchange, 503, "no-room", "none", "Too many ask; come later.",
+                                BUSY_MS);
+                    } else if (verdict.fault() != null) {
                         Problem.answer(exchange, verdict.fault().status(), "token", "none",
                                 verdict.fault().getMessage(), 0);
                     } else if (!exchange.over()) {
                         offer(exchange, verdict.token(), arrivedAt);
                     }
                 });
-        if (!taken) {
-            Problem.answer(exchange, 503, "no-room", "none", "Too many tokens wait; come later.", BUSY_MS);
+        if (!exchange.started()) {
+            exchange.onGone(leave);
         }
     }
 
--- a/front/src/main/java/spanrill/front/token/TokenKeys.java
+++ b/front/src/main/java/spanrill/front/token/TokenKeys.java
@@ -114,6 +114,20 @@
         return check(verifySignature(text), title, nowS);
     }
 
+    /**
+     * The class that a token claims, before anything of it is verified; an empty text when it can't be
+     * read.
+     */
+    public static String claimedClass(String text) {
+        try {
+            String claimed = text == null || text.length() > MOST_CHARS ? null
+                    : SignedJWT.parse(text).getJWTClaimsSet().getStringClaim("class");
+            return claimed == null ? "" : claimed;
+        } catch (ParseException | IllegalArgumentException e) {
+            return "";
+        }
+    }
+
     /** True while the key that a signature was found right by is still in force. */
     boolean inForce(Signed signed) {
         return keys.containsValue(signed.key());
--- a/standin/src/main/java/spanrill/standin/Net.java
+++ b/standin/src/main/java/spanrill/standin/Net.java
@@ -1,19 +1,14 @@
 package spanrill.standin;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.HttpServer;
 import spanrill.wire.http.HttpServerHandler;
 
 /** Listening on loopback. */
@@ -37,18 +32,11 @@
     /** The same without waiting, for use on the loop. */
     public static ChannelFuture bind(EventLoop loop, int port, Consumer<Channel> opened,
             Consumer<Exchange> route) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 * 1024,
-                256 * 1024))
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        opened.accept(channel);
-                        channel.pipeline().addLast(new HttpServerHandler(HttpLimits.SERVER, TIMES, route));
-                    }
-                }).bind(new InetSocketAddress("127.0.0.1", port));
+        return HttpServer.bind(loop, new InetSocketAddress("127.0.0.1", port), HttpLimits.SERVER, TIMES,
+                channel -> {
+            opened.accept(channel);
+            return true;
+        }, route);
     }
 
     /** Port of a listening channel. */
--- a/standin/src/main/java/spanrill/standin/box/BoxFleet.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxFleet.java
@@ -12,6 +12,7 @@
 import spanrill.results.Rows;
 import spanrill.results.SecondRow;
 import spanrill.standin.day.Day;
+import spanrill.standin.registry.Entry;
 
 /** All boxes of a day, each on a port of its own, on one loop, on the links of one model. */
 public final class BoxFleet {
@@ -100,6 +101,13 @@
         return boxes;
     }
 
+    /** The boxes as a registry lists them at the start. */
+    public List<Entry> entries() {
+        return boxes.stream().map(box -> new Entry(box.id(), box.port(), box.zone(), "std", box.cell(),
+                "ready", 1, 0))
+                .toList();
+    }
+
     /** A box's link gives this share. */
     public void link(int box, double share) {
         network.give(tap.now(), box, Math.round(linkBytes[box] * share));
--- a/standin/src/main/java/spanrill/standin/box/StandinBox.java
+++ b/standin/src/main/java/spanrill/standin/box/StandinBox.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -57,7 +56,7 @@
         }
     };
     private final List<Transfer> transfers = new ArrayList<>();
-    private final Map<Integer, Exchange> notes = new HashMap<>();
+    private final BoxNotes notes;
     private final Set<Channel> connections = new LinkedHashSet<>();
     private final List<Double> coldSends = new ArrayList<>();
     private final List<Runnable> parked = new ArrayList<>();
@@ -85,6 +84,7 @@
         this.loop = loop;
         this.tap = tap;
         random = Draws.of(seed, id);
+        notes = new BoxNotes(loop);
     }
 
     /** Its name. */
@@ -246,7 +246,7 @@
         if (path.equals(BoxLink.SETUP) && method.equals("POST")) {
             setUp(exchange);
         } else if (path.equals(BoxLink.NOTES)) {
-            notes(exchange);
+            notes.open(exchange, process);
         } else if (path.startsWith(BoxLink.ATTEMPT)) {
             attempt(exchange, method, path.substring(BoxLink.ATTEMPT.length()));
         } else {
@@ -350,8 +350,8 @@
         exchange.start(200, headers, Media.INIT_BYTES);
         exchange.write(Media.part(session.title, 0, Media.INIT_BYTES));
         exchange.end();
-        tell(session.front, new Note(Note.Kind.LINK, session.key, shown(network.linkUse(cell))));
-        tell(session.front, new Note(Note.Kind.UPLINK, session.key, shown(network.uplinkUse(rack))));
+        notes.tell(session.front, new Note(Note.Kind.LINK, session.key, shown(network.linkUse(cell))));
+        notes.tell(session.front, new Note(Note.Kind.UPLINK, session.key, shown(network.uplinkUse(rack))));
     }
 
     private void answer(Exchange exchange, String key, int status, String reason) {
@@ -465,34 +465,10 @@
 
     // ---- notes
 
-    private void notes(Exchange exchange) {
-        String front = String.valueOf(exchange.head().headers().get(BoxLink.FRONT));
-        if (!front.matches("\\d{1,6}")) {
-            exchange.respond(400, new Headers(), new byte[0]);
-            return;
-        }
-        exchange.start(200, Headers.of("content-type", "text/tab-separated-values"), -1);
-        notes.put(Integer.parseInt(front), exchange);
-        tell(Integer.parseInt(front), new Note(Note.Kind.HELLO, "", process));
-    }
-
-    private void tell(int front, Note note) {
-        Exchange exchange = notes.get(front);
-        if (exchange != null && !exchange.over() && exchange.writable()) {
-            byte[] line = note.line().getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-            exchange.write(io.netty.buffer.Unpooled.wrappedBuffer(line));
-        }
-    }
-
     private void tellLate(BoxSession session, Note... told) {
         long own = process;
-        loop.schedule(() -> {
-            if (own == process && !condition.silentTo(session.zone)) {
-                for (Note note : told) {
-                    tell(session.front, note);
-                }
-            }
-        }, (long) (day.notes().lateMs() + condition.lateMs), TimeUnit.MILLISECONDS);
+        notes.tellLate(day.notes().lateMs() + condition.lateMs,
+                () -> own == process && !condition.silentTo(session.zone), session.front, told);
     }
 
     /** Each second: the share delivered, on one session of each front. */
@@ -562,9 +538,9 @@
         }
         for (BoxSession session : due) {
             end(session.key, "idle");
-            tell(session.front, new Note(Note.Kind.OVER, session.key, 0));
+            notes.tell(session.front, new Note(Note.Kind.OVER, session.key, 0));
         }
         connections.removeIf(channel -> !channel.isActive());
-        notes.values().removeIf(Exchange::over);
+        notes.sweep();
     }
 }
--- a/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
+++ b/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
@@ -20,6 +20,8 @@
 import spanrill.check.TapEvent;
 import spanrill.model.Draws;
 import spanrill.standin.Net;
+import spanrill.standin.day.Day;
+import spanrill.standin.day.Plan;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -60,6 +62,15 @@
                 .put("segmentMs", segmentMs);
     }
 
+    /** Adds all titles of a day, placed by its seed; before it listens. */
+    public void catalogue(Day day, long seed) {
+        List<int[]> placement = new Plan(day, seed).placement();
+        for (int i = 0; i < placement.size(); i++) {
+            title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles().durationMs(),
+                    day.titles().segmentMs());
+        }
+    }
+
     /** Lists boxes that every front knows from the start; before it listens. */
     public void begin(Collection<Entry> boxes) {
         boxes.forEach(box -> truth.put(box.id(), box));
--- a/wire/src/main/java/spanrill/wire/http/Exchange.java
+++ b/wire/src/main/java/spanrill/wire/http/Exchange.java
@@ -60,6 +60,13 @@
         onClosed = action;
     }
 
+    /** Called once when the connection is lost before the end, unless {@link #onClosed} was set already. */
+    public void onGone(Runnable action) {
+        if (onClosed == null) {
+            onClosed = action;
+        }
+    }
+
     /** False when the connection holds as much as it may: write no more until {@link #onWritable}. */
     public boolean writable() {
         return channel.isWritable();
