--- a/check/src/main/java/spanrill/check/Attempts.java
+++ b/check/src/main/java/spanrill/check/Attempts.java
@@ -34,7 +34,10 @@
     private final Map<String, Attempt> byKey = new LinkedHashMap<>();
     private final Map<String, List<Attempt>> byToken = new LinkedHashMap<>();
     private final Map<String, List<double[]>> mute = new HashMap<>();
+    private final Map<String, List<double[]>> cut = new HashMap<>();
+    private final Map<String, List<Double>> down = new HashMap<>();
     private final Map<Integer, List<double[]>> away = new HashMap<>();
+    private final Map<Integer, List<double[]>> dead = new HashMap<>();
 
     Attempts(List<TapEvent> events) {
         Map<String, List<Attempt>> open = new HashMap<>();
@@ -68,12 +71,18 @@
             } else if (event instanceof TapEvent.BoxDown down) {
                 open.getOrDefault(down.box(), List.of()).forEach(a -> a.end(down.t()));
                 open.remove(down.box());
+                this.down.computeIfAbsent(down.box(), k -> new ArrayList<>()).add(down.t());
             } else if (event instanceof TapEvent.BoxMute m) {
                 span(mute.computeIfAbsent(m.box(), k -> new ArrayList<>()), m.t(), m.on());
+                if (m.from() != null) {
+                    span(cut.computeIfAbsent(m.box(), k -> new ArrayList<>()), m.t(), m.on());
+                }
             } else if (event instanceof TapEvent.FrontDown down) {
                 span(away.computeIfAbsent(down.front(), k -> new ArrayList<>()), down.t(), true);
+                span(dead.computeIfAbsent(down.front(), k -> new ArrayList<>()), down.t(), true);
             } else if (event instanceof TapEvent.FrontUp up) {
                 span(away.computeIfAbsent(up.front(), k -> new ArrayList<>()), up.t(), false);
+                span(dead.computeIfAbsent(up.front(), k -> new ArrayList<>()), up.t(), false);
             } else if (event instanceof TapEvent.FrontStall stall) {
                 away.computeIfAbsent(stall.front(), k -> new ArrayList<>())
                         .add(new double[] {stall.t(), stall.t() + stall.ms()});
@@ -106,6 +115,21 @@
         return overlaps(mute.getOrDefault(box, List.of()), from, to) > 0;
     }
 
+    /** True when the box could not be reached from some hall at any time from one time to another. */
+    boolean cut(String box, double from, double to) {
+        return overlaps(cut.getOrDefault(box, List.of()), from, to) > 0;
+    }
+
+    /** True when the box's process ended from one time to another. */
+    boolean down(String box, double from, double to) {
+        return down.getOrDefault(box, List.of()).stream().anyMatch(t -> t >= from && t <= to);
+    }
+
+    /** True when the front's process was dead at any time from one time to another. */
+    boolean dead(int front, double from, double to) {
+        return overlaps(dead.getOrDefault(front, List.of()), from, to) > 0;
+    }
+
     /** How long a front did not run (dead or standing still) from one time to another. */
     double away(int front, double from, double to) {
         return overlaps(away.getOrDefault(front, List.of()), from, to);
--- a/check/src/main/java/spanrill/check/TapEvent.java
+++ b/check/src/main/java/spanrill/check/TapEvent.java
@@ -14,6 +14,10 @@
     @JsonSubTypes.Type(value = TapEvent.Ask.class, name = "ask"),
     @JsonSubTypes.Type(value = TapEvent.Answer.class, name = "answer"),
     @JsonSubTypes.Type(value = TapEvent.AskLost.class, name = "askLost"),
+    @JsonSubTypes.Type(value = TapEvent.NoAnswer.class, name = "noAnswer"),
+    @JsonSubTypes.Type(value = TapEvent.Came.class, name = "came"),
+    @JsonSubTypes.Type(value = TapEvent.Went.class, name = "went"),
+    @JsonSubTypes.Type(value = TapEvent.Broke.class, name = "broke"),
     @JsonSubTypes.Type(value = TapEvent.Segment.class, name = "segment"),
     @JsonSubTypes.Type(value = TapEvent.SetUp.class, name = "setUp"),
     @JsonSubTypes.Type(value = TapEvent.SetUpAnswer.class, name = "setUpAnswer"),
@@ -48,7 +52,13 @@
 
     /** A viewer wrote a request for a session; {@code ask} numbers it. */
     record Ask(double t, long ask, int front, String token, String cls, String title, double patienceMs)
-            implements TapEvent { }
+            implements TapEvent {
+        /** Its viewer: a token's id is its viewer's name, a dot and a count. */
+        public String viewer() {
+            int dot = token.lastIndexOf('.');
+            return dot < 0 ? token : token.substring(0, dot);
+        }
+    }
 
     /** A viewer read the head of an answer: plays, refused, failed, or none when it was never taken. */
     record Answer(double t, long ask, int status, String answer) implements TapEvent { }
@@ -56,6 +66,24 @@
     /** A request ended without an answer: the viewer left, or its connection was lost. */
     record AskLost(double t, long ask, boolean viewerLeft) implements TapEvent { }
 
+    /** A viewer's patience with a request was up, a little later than stated; it went away then. */
+    record NoAnswer(double t, long ask) implements TapEvent { }
+
+    /** A viewer wants to watch, from now on, whether or not a front can be reached. */
+    record Came(double t, String viewer, String cls) implements TapEvent { }
+
+    /** A viewer does not come again; {@code why} in a word, such as watched, refused, failed, left. */
+    record Went(double t, String viewer, String why) implements TapEvent { }
+
+    /**
+     * A playing session ended before its viewer wished it.
+     *
+     * @param status status of the answer that told it, 0 when the connection was lost, -1 when the viewer had
+     *     no more patience with a segment
+     * @param why the front's word for it, or null
+     */
+    record Broke(double t, String token, int front, int status, String why) implements TapEvent { }
+
     /** A viewer read a segment whole. */
     record Segment(double t, String token, int front, int rung, long bytes, double tookMs)
             implements TapEvent { }
@@ -86,8 +114,8 @@
     /** A box's process ended. */
     record BoxDown(double t, String box, String why) implements TapEvent { }
 
-    /** A box neither reads nor writes: to all, or to the fronts of the zones named. */
-    record BoxMute(double t, String box, boolean on) implements TapEvent { }
+    /** A box neither reads nor writes: to all, or, where {@code from} names a hall, to the fronts there. */
+    record BoxMute(double t, String box, boolean on, String from) implements TapEvent { }
 
     /** The registry wrote to a front what a box's state is. */
     record Told(double t, int front, String box, String state, double startedAt) implements TapEvent { }
--- a/check/src/main/java/spanrill/check/Tickets.java
+++ b/check/src/main/java/spanrill/check/Tickets.java
@@ -36,40 +36,27 @@
         List<TapEvent> events = new ArrayList<>(records);
         events.sort(Comparator.comparingDouble(TapEvent::t));
         Attempts attempts = new Attempts(events);
-        Map<Long, TapEvent.Ask> asks = new HashMap<>();
-        Map<Long, Integer> answers = new HashMap<>();
-        Set<Long> excused = new HashSet<>();
         Map<String, Integer> plays = new HashMap<>();
         Set<String> tokens = new HashSet<>();
         List<String> failed = new ArrayList<>();
-        double end = events.isEmpty() ? 0 : events.get(events.size() - 1).t();
-        for (TapEvent event : events) {
-            if (event instanceof TapEvent.Ask ask) {
-                asks.put(ask.ask(), ask);
-                tokens.add(ask.token());
-                double until = ask.t() + ask.patienceMs();
-                // The front's kill is recorded a moment before its viewers see it.
-                if (until > end || attempts.away(ask.front(), ask.t() - 1000, until) > 0) {
-                    excused.add(ask.ask());
-                }
-            } else if (event instanceof TapEvent.AskLost lost && lost.viewerLeft()) {
-                excused.add(lost.ask());
-            } else if (event instanceof TapEvent.Answer answer && asks.containsKey(answer.ask())) {
-                answers.merge(answer.ask(), 1, Integer::sum);
-                String token = asks.get(answer.ask()).token();
-                if (answer.answer().equals("plays")) {
-                    plays.merge(token, 1, Integer::sum);
-                } else if (answer.answer().equals("failed")) {
-                    failed.add(token);
-                }
-            }
-        }
+        long requests = 0;
+        long excused = 0;
         long least = Long.MAX_VALUE;
         long most = 0;
-        for (long ask : asks.keySet()) {
-            int count = answers.getOrDefault(ask, 0);
-            most = Math.max(most, count);
-            least = excused.contains(ask) ? least : Math.min(least, count);
+        for (Requests.Judged request : new Requests(events, attempts).all()) {
+            requests++;
+            tokens.add(request.ask().token());
+            most = Math.max(most, request.answers());
+            switch (request.fate()) {
+                case PLAYS -> plays.merge(request.ask().token(), 1, Integer::sum);
+                case FAILED -> failed.add(request.ask().token());
+                default -> { }
+            }
+            if (request.answers() == 0 && !request.owed()) {
+                excused++;
+            } else {
+                least = Math.min(least, request.answers());
+            }
         }
         Map<String, Integer> spends = new HashMap<>();
         Set<String> ran = new HashSet<>();
@@ -82,7 +69,7 @@
             }
         }
         long failedRan = failed.stream().filter(ran::contains).count();
-        return new Tickets(asks.size(), excused.size(), tokens.size(), least == Long.MAX_VALUE ? 0 : least,
+        return new Tickets(requests, excused, tokens.size(), least == Long.MAX_VALUE ? 0 : least,
                 most,
                 spends.values().stream().mapToInt(i -> i).max().orElse(0), spends.size(),
                 plays.values().stream().mapToLong(n -> n - 1).sum(), failed.size() - failedRan, failedRan);
--- a/check/src/test/java/spanrill/check/CheckerTest.java
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -22,6 +22,7 @@
 import spanrill.check.TapEvent.End;
 import spanrill.check.TapEvent.FrontDown;
 import spanrill.check.TapEvent.FrontStall;
+import spanrill.check.TapEvent.NoAnswer;
 import spanrill.check.TapEvent.Ran;
 import spanrill.check.TapEvent.Rung;
 import spanrill.check.TapEvent.Segment;
@@ -112,6 +113,26 @@
         ask(10, 1, "t", "free").answer(3900, 1, "plays").add(new FrontStall(500, 0, 1000)).brokenIs();
     }
 
+    @Test
+    void aFrontThatStoodStillOwesTheAnswerByAsMuchLater() {
+        // Stood 3 s of the 3 s: nobody waits any more when it runs again.
+        ask(10, 1, "t", "free").add(new FrontStall(500, 0, 3000), new NoAnswer(3210, 1)).brokenIs();
+        // Stood 100 ms: the viewer that waited 200 ms more than its time should have had its answer.
+        events.removeIf(e -> !(e instanceof TapEvent.Facts));
+        ask(10, 1, "t", "free").add(new FrontStall(500, 0, 100), new NoAnswer(3210, 1)).brokenIs(1);
+        assertEquals(1, Tally.of(events).unanswered());
+        assertEquals(0, Tally.of(events).excused());
+    }
+
+    @Test
+    void aRequestThatItsDeadFrontTookIsCountedOnce() {
+        ask(10, 1, "t", "free").ask(20, 2, "u", "free").ask(30, 3, "v", "free").answer(60, 1, "plays")
+                .add(new FrontDown(70, 0), new AskLost(72, 2, false)).brokenIs();
+        Tally tally = Tally.of(events);
+        assertEquals(new Tally(3, 1, 0, 0, 0, 0, 0, 0, 2), tally);
+        assertTrue(tally.addsUp());
+    }
+
     @Test
     void aPaidSetUpSentAgainAfterATimeOutIsCaught() {
         ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
@@ -165,7 +186,7 @@
 
     @Test
     void anEndThatABoxWithoutALineCanNotSeeIsNotJudged() {
-        ask(10, 1, "t", "free").add(new BoxMute(15, "a", true)).setUp(20, "a", "t", 1, "free")
+        ask(10, 1, "t", "free").add(new BoxMute(15, "a", true, null)).setUp(20, "a", "t", 1, "free")
                 .setUp(700, "b", "t", 2, "free").runs(760, "t.2").answer(765, 1, "plays").brokenIs();
     }
 
--- a/cli/src/main/java/spanrill/cli/HealedHall.java
+++ b/cli/src/main/java/spanrill/cli/HealedHall.java
@@ -44,8 +44,7 @@
         long refused = 0;
         for (TapEvent event : events) {
             if (event instanceof TapEvent.Ask ask) {
-                // A token's id is its viewer's and a count.
-                String viewer = ask.token().substring(0, ask.token().lastIndexOf('.'));
+                String viewer = ask.viewer();
                 if (ask.t() >= healed && ask.t() < healed + WITHIN_MS
                         && ask.front() % day.zones().size() == hall && !answered.containsKey(viewer)) {
                     answered.put(viewer, Double.NaN);
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -16,13 +16,14 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import spanrill.check.Checker;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
 import spanrill.model.hall.HallWatch;
 import spanrill.results.CountRow;
+import spanrill.results.EndRow;
 import spanrill.results.Rows;
 import spanrill.results.SecondRow;
+import spanrill.results.ViewerRow;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
@@ -39,6 +40,8 @@
 final class Rehearsal {
     static final String SECONDS = "seconds.parquet";
     static final String COUNTS = "counts.parquet";
+    static final String VIEWERS = "viewers.parquet";
+    static final String ENDS = "ends.parquet";
     private static final long PROGRESS_MS = 5000;
     private static final long CPU_MS = 500;
     private static final int PLAYER_LOOPS = 2;
@@ -99,7 +102,9 @@
                 long spends = loop.submit(() -> fleet.boxes().stream().mapToLong(StandinBox::spends).sum())
                         .get();
                 List<HealedHall> healed = HealedHall.of(tap.events(), plan.effects(), began, day);
-                return new Report(name, seed, crowd.stats(), Checker.judge(tap.events()), fronts.cpuMs(),
+                Judgement judged = Judgement.of(tap.events());
+                rows.viewers(judged, began);
+                return new Report(name, seed, crowd.stats(), judged, fronts.cpuMs(),
                         spends, fleet.shapingLate(), resources, frontsKb, healed);
             } catch (ExecutionException e) {
                 throw new IOException("the stand-ins failed: " + e.getCause(), e);
@@ -115,10 +120,12 @@
 
     /** The row files of a run; without a folder there are none. */
     private static final class RunRows implements AutoCloseable {
+        private final Path folder;
         private final Rows<SecondRow> seconds;
         private final Rows<CountRow> counts;
 
         RunRows(Path folder) throws IOException {
+            this.folder = folder;
             if (folder != null) {
                 Files.createDirectories(folder);
             }
@@ -126,6 +133,20 @@
             counts = folder == null ? null : new Rows<>(folder.resolve(COUNTS), CountRow.class);
         }
 
+        void viewers(Judgement judged, double began) throws IOException {
+            if (folder != null) {
+                try (Rows<ViewerRow> viewers = new Rows<>(folder.resolve(VIEWERS), ViewerRow.class);
+                        Rows<EndRow> ends = new Rows<>(folder.resolve(ENDS), EndRow.class)) {
+                    judged.viewers().each().forEach(v -> viewers.add(new ViewerRow(v.name(), v.cls(),
+                            v.cameAt() - began, v.played() ? v.waitMs() : -1, v.asks(),
+                            v.went() == null ? "" : v.went())));
+                    judged.ends().forEach(end -> ends.add(new EndRow(
+                            (int) Math.max(0, Math.ceil((end.t() - began) / 1000)), end.cls(),
+                            end.cause().name().toLowerCase(Locale.ROOT).replace('_', ' '))));
+                }
+            }
+        }
+
         @Override
         public void close() throws IOException {
             if (seconds != null) {
--- a/cli/src/main/java/spanrill/cli/RehearseCommand.java
+++ b/cli/src/main/java/spanrill/cli/RehearseCommand.java
@@ -9,10 +9,6 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
-import spanrill.results.CountRow;
-import spanrill.results.Pictures;
-import spanrill.results.Rows;
-import spanrill.results.SecondRow;
 import spanrill.settings.Settings;
 import spanrill.settings.SettingsException;
 import spanrill.standin.day.Day;
@@ -69,8 +65,7 @@
             result.write(report);
         }
         if (results != null) {
-            Pictures.write(results, Rows.read(results.resolve(Rehearsal.SECONDS), SecondRow.class),
-                    Rows.read(results.resolve(Rehearsal.COUNTS), CountRow.class));
+            PlotCommand.draw(results);
         }
         if (!result.loadInTime()) {
             return Exit.COULD_NOT_RUN;
--- a/cli/src/main/java/spanrill/cli/Report.java
+++ b/cli/src/main/java/spanrill/cli/Report.java
@@ -10,18 +10,19 @@
 import java.util.List;
 import java.util.Locale;
 import org.HdrHistogram.Histogram;
+import spanrill.check.Tally;
 import spanrill.check.Verdict;
 import spanrill.standin.viewer.CrowdStats;
 
 /** What a rehearsal came to, as a table and as JSON (docs/operators.md has the fields). */
-record Report(String day, long seed, CrowdStats stats, List<Verdict> verdicts, double frontCpuMs, long spends,
+record Report(String day, long seed, CrowdStats stats, Judgement judged, double frontCpuMs, long spends,
         Histogram shapingLate, Resources resources, long frontsKb, List<HealedHall> healed) {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Load that was sent later than this at the 99th percentile did not measure what it says. */
     private static final double LATE_MS = 50;
 
     boolean held() {
-        return verdicts.stream().allMatch(Verdict::held) && stats.unanswered.sum() == 0;
+        return judged.held();
     }
 
     boolean loadInTime() {
@@ -34,7 +35,7 @@
     }
 
     private double cpuPerRequest() {
-        return frontCpuMs / Math.max(1, stats.asks.sum());
+        return frontCpuMs / Math.max(1, judged.tally().requests());
     }
 
     static ArrayNode rules(List<Verdict> verdicts) {
@@ -50,12 +51,16 @@
 
     ObjectNode json() {
         ObjectNode root = JSON.createObjectNode().put("day", day).put("seed", seed).put("held", held())
-                .put("loadInTime", loadInTime()).put("requests", stats.asks.sum());
-        root.putObject("answers").put("plays", stats.plays.sum()).put("refused", stats.refused.sum())
-                .put("failed", stats.failed.sum()).put("notTaken", stats.notTaken.sum());
-        root.put("unanswered", stats.unanswered.sum()).put("left", stats.left.sum())
-                .put("connectionsLost", stats.lost.sum());
-        root.set("rules", rules(verdicts));
+                .put("loadInTime", loadInTime()).put("requests", judged.tally().requests());
+        Tally tally = judged.tally();
+        root.putObject("answers").put("plays", tally.plays()).put("refused", tally.refused())
+                .put("failed", tally.failed()).put("notTaken", tally.notTaken());
+        root.put("unanswered", tally.unanswered()).put("unansweredExcused", tally.excused())
+                .put("left", tally.left()).put("lostWithFront", tally.lostWithFront())
+                .put("addsUp", judged.addsUp()).put("connectionsLost", stats.lost.sum());
+        root.set("viewers", judged.viewersJson());
+        root.set("endedEarly", judged.endedEarlyJson());
+        root.set("rules", rules(judged.verdicts()));
         root.putObject("setupMs").put("p50", setUp(50)).put("p99", setUp(99));
         root.put("delivered", delivered()).put("frontCpuMsPerRequest", cpuPerRequest())
                 .put("sessionsFinished", stats.finished.sum()).put("sessionsBroken", stats.broken.sum())
@@ -88,11 +93,8 @@
 
     void print(PrintWriter out) {
         out.printf(Locale.ROOT, "%n%s, seed %d%n", day, seed);
-        out.printf(Locale.ROOT, "  requests %d: plays %d, refused %d, failed %d, not taken %d%n",
-                stats.asks.sum(),
-                stats.plays.sum(), stats.refused.sum(), stats.failed.sum(), stats.notTaken.sum());
-        out.printf(Locale.ROOT, "  no answer %d, left %d, connection lost %d%n", stats.unanswered.sum(),
-                stats.left.sum(), stats.lost.sum());
+        judged.printRequests(out);
+        judged.printViewers(out);
         out.printf(Locale.ROOT,
                 "  sessions finished %d, broken %d; delivered %.3f of the time, mean rung %.2f%n",
                 stats.finished.sum(), stats.broken.sum(), delivered(),
@@ -105,7 +107,8 @@
                 "  %s healed: %d viewers asked within 1 s, 99%% answered "
                 + "after %.0f ms (plays %d, told to wait %d, none %d)%n", hall.hall(), hall.returned(),
                 hall.answeredMsP99(), hall.plays(), hall.refused(), hall.unanswered()));
-        rulesTable(out, verdicts);
+        rulesTable(out, judged.verdicts());
+        judged.whyNotHeld().forEach(reason -> out.println("  NOT HELD: " + reason));
         out.flush();
     }
 
--- a/cli/src/test/java/spanrill/layout/LayoutTest.java
+++ b/cli/src/test/java/spanrill/layout/LayoutTest.java
@@ -20,6 +20,7 @@
         layeredArchitecture().consideringOnlyDependenciesInLayers()
                 .layer("core").definedBy("spanrill")
                 .layer("decisions").definedBy("spanrill.decisions..")
+                .layer("session").definedBy("spanrill.session..")
                 .layer("model").definedBy("spanrill.model..")
                 .layer("results").definedBy("spanrill.results..")
                 .layer("settings").definedBy("spanrill.settings..")
@@ -35,19 +36,23 @@
                 .whereLayer("check").mayOnlyBeAccessedByLayers("standin", "cli")
                 .whereLayer("front").mayOnlyBeAccessedByLayers("cli")
                 .whereLayer("wire").mayOnlyBeAccessedByLayers("front", "standin")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("wire", "front")
+                .whereLayer("session").mayOnlyBeAccessedByLayers("front", "cli")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("session", "wire", "front")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("front", "standin", "cli")
-                .whereLayer("core").mayOnlyBeAccessedByLayers("decisions", "wire", "front", "standin")
+                .whereLayer("core").mayOnlyBeAccessedByLayers("decisions", "session", "wire", "front",
+                        "standin")
                 .check(ALL);
     }
 
     @Test
     void decisionsAreFreeOfInputOutputThreadsAndClocks() {
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.model..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.session..",
+                "spanrill.model..").should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "io.netty..", "org.slf4j..", "com.fasterxml..").check(ALL);
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.model..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.session..",
+                "spanrill.model..").should()
                 .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
                 .orShould().callMethod(Math.class, "random").check(ALL);
@@ -63,11 +68,9 @@
 
     @Test
     void theCoreOfTheFrontIsFreeOfDashAndHttp() {
-        classes().that().haveFullyQualifiedName("spanrill.front.SessionCore").should()
-                .onlyDependOnClassesThat()
-                .resideOutsideOfPackages("spanrill.front.dash..", "spanrill.front.box..",
-                "spanrill.front.list..",
-                        "spanrill.front.token..", "spanrill.wire.dash..", "spanrill.wire.http..").check(ALL);
+        classes().that().resideInAPackage("spanrill.session..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("java..", "spanrill", "spanrill.decisions..", "spanrill.session..")
+                .check(ALL);
     }
 
     @Test
--- /dev/null
+++ b/decisions/src/test/java/spanrill/decisions/EndsAndTimesTest.java
@@ -0,0 +1,66 @@
+package spanrill.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class EndsAndTimesTest {
+    @Test
+    void whatAViewerWaitedForComesOutOfItsTime() {
+        AnswerTime time = new AnswerTime(2000, 150);
+        assertEquals(1850, time.left(100, 100));
+        assertEquals(1350, time.left(600, 100));
+        assertEquals(1850, time.whole());
+        assertEquals(1950, time.deadline(100));
+        assertTrue(time.net(600, 100) > time.left(600, 100), "the module is given its time first");
+        assertTrue(600 + time.net(600, 100) < 100 + 2000, "and the viewer still waits then");
+        assertEquals(0, time.net(9000, 100));
+        assertThrows(IllegalArgumentException.class, () -> new AnswerTime(150, 150));
+        assertThrows(IllegalArgumentException.class, () -> new AnswerTime(Double.NaN, 1));
+    }
+
+    @Test
+    void onlyARefusedMoveBringsAPlayerBack() {
+        assertEquals(SessionEnd.REFUSED, SessionEnd.of(true, true));
+        assertEquals(SessionEnd.MOVE_REFUSED, SessionEnd.of(true, false));
+        assertEquals(SessionEnd.FAILED, SessionEnd.of(false, true));
+        assertEquals(SessionEnd.MOVE_FAILED, SessionEnd.of(false, false));
+        for (SessionEnd end : SessionEnd.values()) {
+            assertEquals(end == SessionEnd.MOVE_REFUSED, end.told() == SessionEnd.Told.COME_AGAIN);
+        }
+        assertEquals("move-refused", SessionEnd.MOVE_REFUSED.word());
+    }
+
+    /** Beside a plain map: kept for its time and no longer, the newest are those that stay. */
+    @Property(tries = 300)
+    void whatIsOverIsKeptForItsTime(@ForAll List<@IntRange(min = 0, max = 9) Integer> ids,
+            @ForAll @IntRange(min = 1, max = 5) int most) {
+        RecentlyOver<Integer> kept = new RecentlyOver<>(100, most);
+        Map<String, double[]> plain = new HashMap<>();
+        double now = 0;
+        for (int i = 0; i < ids.size(); i++) {
+            now += ids.get(i) * 7;
+            String id = "s" + ids.get(i);
+            kept.over(now, id, i);
+            plain.put(id, new double[] {now, i});
+            assertTrue(kept.size() <= most);
+            for (Map.Entry<String, double[]> each : plain.entrySet()) {
+                double at = each.getValue()[1];
+                long newer = plain.values().stream().filter(other -> other[1] > at).count();
+                boolean there = each.getValue()[0] + 100 > now && newer < most;
+                assertEquals(there ? (Integer) (int) at : null, kept.get(now, each.getKey()));
+            }
+        }
+        assertNull(kept.get(now + 100, "s0"));
+        assertEquals(0, kept.size());
+    }
+}
--- a/front/src/main/java/spanrill/front/EventLog.java
+++ b/front/src/main/java/spanrill/front/EventLog.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import net.logstash.logback.argument.StructuredArgument;
 import net.logstash.logback.argument.StructuredArguments;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import spanrill.session.EventSink;
 
 /**
  * Structured logs: one line an event, with the event's name and its fields (docs/operators.md lists
@@ -14,35 +14,51 @@
 public final class EventLog {
     private static final Logger LOG = LoggerFactory.getLogger("spanrill.front");
 
+    private static final EventSink SINK = new EventSink() {
+        @Override
+        public void info(String event, Object... fields) {
+            EventLog.info(event, fields);
+        }
+
+        @Override
+        public void error(String event, Throwable cause, Object... fields) {
+            EventLog.error(event, cause, fields);
+        }
+    };
+
     private EventLog() { }
 
+    /** The log as the core writes to it. */
+    public static EventSink sink() {
+        return SINK;
+    }
+
     /** A thing that operators want to see. */
     public static void info(String event, Object... fields) {
         if (LOG.isInfoEnabled()) {
-            LOG.info("{}", arguments(event, fields));
+            LOG.info(event, arguments(null, fields));
         }
     }
 
     /** Something is wrong outside this program. */
     public static void warn(String event, Object... fields) {
-        LOG.warn("{}", arguments(event, fields));
+        LOG.warn(event, arguments(null, fields));
     }
 
     /** A fault of this program. */
     public static void error(String event, Throwable cause, Object... fields) {
-        List<Object> all = new ArrayList<>(List.of(arguments(event, fields)));
-        if (cause != null) {
-            all.add(cause);
-        }
-        LOG.error("{}", all.toArray());
+        LOG.error(event, arguments(cause, fields));
     }
 
-    private static Object[] arguments(String event, Object... fields) {
-        StructuredArgument[] arguments = new StructuredArgument[1 + fields.length / 2];
-        arguments[0] = StructuredArguments.value("event", event);
+    /** The event's name is the message, which the encoder writes as "event"; the rest are its fields. */
+    private static Object[] arguments(Throwable cause, Object... fields) {
+        List<Object> arguments = new ArrayList<>(fields.length / 2 + 1);
         for (int i = 0; i + 1 < fields.length; i += 2) {
-            arguments[1 + i / 2] = StructuredArguments.keyValue((String) fields[i], fields[i + 1]);
+            arguments.add(StructuredArguments.keyValue((String) fields[i], fields[i + 1]));
+        }
+        if (cause != null) {
+            arguments.add(cause);
         }
-        return arguments;
+        return arguments.toArray();
     }
 }
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -19,6 +19,9 @@
 import spanrill.front.store.TokenStore;
 import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
+import spanrill.session.SessionCore;
+import spanrill.session.TokenMemory;
+import spanrill.wire.http.HttpFault;
 import spanrill.wire.http.HttpLimits;
 import spanrill.wire.http.HttpServer;
 import spanrill.wire.http.HttpServerHandler;
@@ -43,6 +46,7 @@
     private final ListClient list;
     private final TokenKeys keys;
     private final TokenGate gate;
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final Channel server;
     private int connections;
 
@@ -53,7 +57,9 @@
         keys.reload();
         Clock clock = new Clock();
         tokens = TokenStore.open(base.resolve(settings.state()), loop);
-        core = new SessionCore(settings, loop, clock, tokens);
+        core = new SessionCore(settings.core(), new SessionCore.Host(new LoopScheduler(loop, clock),
+                EventLog.sink(), tokens, new SessionNames()));
+        core.onReady(() -> ready.complete(null));
         tokens.kept().forEach((token, kept) -> {
             if (kept.expiresAt() > clock.now()) {
                 core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
@@ -92,7 +98,8 @@
         HttpServerHandler.Times times = new HttpServerHandler.Times(settings.limits().requestMs(),
                 IDLE_CONNECTION_MS, PIPELINED_BYTES);
         var future = HttpServer.bind(group, new InetSocketAddress(settings.listen().host(),
-                settings.listen().port()), HttpLimits.SERVER, times, this::admit, viewers::route);
+                settings.listen().port()), HttpLimits.SERVER, times, this::admit, viewers::route,
+                FrontDaemon::refused);
         if (!future.awaitUninterruptibly().isSuccess()) {
             close();
             throw new IOException("can't listen on " + settings.listen().host() + ":" + settings.listen()
@@ -102,6 +109,12 @@
         return future.channel();
     }
 
+    private static void refused(HttpFault fault) {
+        if (fault.tlsHello()) {
+            EventLog.warn("viewer.tls", "reason", fault.getMessage());
+        }
+    }
+
     private boolean admit(Channel channel) {
         if (connections >= settings.limits().connections()) {
             return false;
@@ -128,7 +141,7 @@
 
     /** Complete once it can serve viewers: boxes and titles are known. */
     public CompletableFuture<Void> ready() {
-        return core.ready();
+        return ready;
     }
 
     /** Sessions held now; may be asked from any thread. */
--- a/front/src/main/java/spanrill/front/FrontSettings.java
+++ b/front/src/main/java/spanrill/front/FrontSettings.java
@@ -1,9 +1,13 @@
 package spanrill.front;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import spanrill.SessionControl;
+import spanrill.decisions.AnswerTime;
+import spanrill.session.CoreSettings;
+import spanrill.session.SessionType;
 import spanrill.settings.Default;
 import spanrill.settings.Range;
 
@@ -229,6 +233,15 @@
                         orNaN(rules.attemptWindowMs())));
     }
 
+    /** What the core starts with. */
+    public CoreSettings core() {
+        Map<String, SessionType> types = new HashMap<>();
+        classes.forEach((name, c) -> types.put(name, new SessionType(c.once(), c.floor(), c.scale(),
+                new AnswerTime(c.patienceMs(), limits.answerMarginMs()))));
+        return new CoreSettings(module(), seed, Map.copyOf(types), limits.idleMs(), limits.moveReturnMs(),
+                limits.sameMs(), limits.tokens(), rules.maxRetryAfterMs());
+    }
+
     private static double orNaN(Double value) {
         return value == null ? Double.NaN : value;
     }
--- a/front/src/main/java/spanrill/front/box/HttpBoxSide.java
+++ b/front/src/main/java/spanrill/front/box/HttpBoxSide.java
@@ -14,16 +14,16 @@
 import spanrill.decisions.CallOffProof;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.PoolPolicy;
-import spanrill.front.BoxSide;
+import spanrill.session.BoxSide;
 import spanrill.front.FrontSettings;
-import spanrill.front.SessionCore;
+import spanrill.session.SessionCore;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
 import spanrill.wire.http.ResponseHead;
 
 /** Reaches boxes over HTTP/1.1. */
-public final class HttpBoxSide implements BoxSide {
+public final class HttpBoxSide implements BoxSide, SegmentSource {
     /**
      * A release or rung that isn't answered within this time is given up: the box ends idle sessions
      * itself.
--- a/front/src/main/java/spanrill/front/box/NotesStream.java
+++ b/front/src/main/java/spanrill/front/box/NotesStream.java
@@ -8,8 +8,9 @@
 import java.util.concurrent.TimeUnit;
 import spanrill.SessionControl.NoteKind;
 import spanrill.decisions.Backoff;
+import spanrill.decisions.SessionEnd;
 import spanrill.front.EventLog;
-import spanrill.front.SessionCore;
+import spanrill.session.SessionCore;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.box.Note;
 import spanrill.wire.http.HttpClientConnection;
@@ -52,7 +53,7 @@
             }
         }, cause -> {
             // Nothing listens there: the process that played the sessions is gone.
-            core.boxLost(box, "box gone");
+            core.boxLost(box, SessionEnd.BOX_GONE);
             again();
         });
     }
@@ -114,11 +115,11 @@
         switch (note.kind()) {
             case HELLO -> {
                 if (!Double.isNaN(process) && process != note.value()) {
-                    core.boxLost(box, "box restarted");
+                    core.boxLost(box, SessionEnd.BOX_RESTARTED);
                 }
                 process = note.value();
             }
-            case OVER -> core.lost(note.attempt(), "box ended it");
+            case OVER -> core.lost(note.attempt(), SessionEnd.BOX_ENDED);
             case DELIVERED -> core.note(box, note.attempt(), NoteKind.DELIVERED, note.value());
             case LINK -> core.note(box, note.attempt(), NoteKind.LINK_USE, note.value());
             default -> core.note(box, note.attempt(), NoteKind.UPLINK_USE, note.value());
--- a/front/src/main/java/spanrill/front/box/SegmentFetch.java
+++ b/front/src/main/java/spanrill/front/box/SegmentFetch.java
@@ -2,27 +2,26 @@
 
 import io.netty.buffer.ByteBuf;
 import spanrill.decisions.OutcomeTable;
-import spanrill.front.BoxSide;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
 import spanrill.wire.http.ResponseHead;
 
 /** One segment on its way from a box; held back, never kept. */
-final class SegmentFetch implements BoxSide.Segment, BoxPool.Taker, HttpClientConnection.Listener {
+final class SegmentFetch implements SegmentSource.Segment, BoxPool.Taker, HttpClientConnection.Listener {
     private static final byte[] NO_BODY = {};
 
     private final HttpBoxSide side;
     private final BoxPool pool;
     private final String target;
     private final String range;
-    private final BoxSide.SegmentSink sink;
+    private final SegmentSource.SegmentSink sink;
     private HttpClientConnection connection;
     private int refusedStatus;
     private boolean over;
 
     SegmentFetch(HttpBoxSide side, BoxPool pool, String key, String path, String range,
-            BoxSide.SegmentSink sink) {
+            SegmentSource.SegmentSink sink) {
         this.side = side;
         this.pool = pool;
         this.target = BoxLink.ATTEMPT + key + "/" + path;
--- a/front/src/main/java/spanrill/front/box/SetUpAttempt.java
+++ b/front/src/main/java/spanrill/front/box/SetUpAttempt.java
@@ -6,7 +6,7 @@
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
-import spanrill.front.BoxSide;
+import spanrill.session.BoxSide;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -1,14 +1,17 @@
 package spanrill.front.dash;
 
+import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import spanrill.front.BoxSide;
+import spanrill.front.box.SegmentSource;
 import spanrill.front.Clock;
 import spanrill.front.EventLog;
-import spanrill.front.FrontSession;
+import spanrill.session.Session;
 import spanrill.front.FrontSettings;
-import spanrill.front.SessionCore;
-import spanrill.front.ViewerRequest;
+import spanrill.decisions.SessionEnd;
+import spanrill.session.SessionCore;
+import spanrill.session.SessionType;
+import spanrill.session.ViewerRequest;
 import spanrill.front.token.SessionToken;
 import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
@@ -27,6 +30,8 @@
 public final class DashViewerSide {
     /** Field that tells what became of a request: plays, refused, failed or none. */
     public static final String ANSWER = "spanrill-answer";
+    /** Field that tells, in a word, why a session is over: the words of {@link SessionEnd}. */
+    public static final String OVER = "spanrill-over";
     /** Field that tells which rung a segment is of. */
     public static final String RUNG = "spanrill-rung";
 
@@ -39,13 +44,14 @@
 
     private final FrontSettings settings;
     private final SessionCore core;
-    private final BoxSide boxes;
+    private final SegmentSource boxes;
     private final TokenGate gate;
     private final Cors cors;
     private final Clock clock;
+    private final Map<String, SessionType> types;
 
     /** A viewer side on a core. */
-    public DashViewerSide(FrontSettings settings, SessionCore core, BoxSide boxes, TokenGate gate,
+    public DashViewerSide(FrontSettings settings, SessionCore core, SegmentSource boxes, TokenGate gate,
             Clock clock) {
         this.settings = settings;
         this.core = core;
@@ -53,6 +59,7 @@
         this.gate = gate;
         cors = new Cors(settings.web().origins());
         this.clock = clock;
+        types = settings.core().types();
     }
 
     /** Takes a request. */
@@ -88,10 +95,11 @@
         double arrivedAt = clock.now();
         String text = tokenOf(exchange);
         // Read before it is verified: only how long it may wait hangs on it.
-        FrontSettings.ClassSettings type = settings.classes().get(TokenKeys.claimedClass(text));
-        double patience = type == null ? SHORTEST_MS : type.patienceMs() - settings.limits().answerMarginMs();
-        Runnable leave = gate.verify(new TokenGate.Wish(text, title, (long) (arrivedAt / 1000), arrivedAt
-                + patience,
+        String claimed = TokenKeys.claimedClass(text);
+        FrontSettings.ClassSettings type = settings.classes().get(claimed);
+        double deadline = type == null ? arrivedAt + SHORTEST_MS
+                : types.get(claimed).time().deadline(arrivedAt);
+        Runnable leave = gate.verify(new TokenGate.Wish(text, title, (long) (arrivedAt / 1000), deadline,
                 type == null ? 0 : type.worth()), exchange.channel().eventLoop(), verdict -> {
                     if (verdict.noRoom()) {
                         Problem.answer(exchange, 503, "no-room", "none", "Too many ask; come later.",
@@ -132,7 +140,7 @@
     }
 
     private void segment(Exchange exchange, Matcher path) {
-        FrontSession session = core.session(path.group(1));
+        Session session = core.session(path.group(1));
         if (session == null) {
             Problem.answer(exchange, 404, "no-session", "none", "There is no such session.", 0);
             return;
@@ -145,10 +153,11 @@
     }
 
     private void session(Exchange exchange, String id, boolean manifest) {
-        FrontSession session = core.session(id);
-        if (session == null || !session.inPlay()) {
-            Problem.answer(exchange, session == null ? 404 : 410, "no-session", "none",
-                    "There is no such session in play.", 0);
+        Session session = core.session(id);
+        if (session == null) {
+            Problem.answer(exchange, 404, "no-session", "none", "There is no such session.", 0);
+        } else if (!session.inPlay()) {
+            Problem.over(exchange, 410, "session-over", "The session is not in play.", session.end(), 0);
         } else if (manifest) {
             ManifestCall.manifest(settings, exchange, session, "none");
         } else {
--- a/front/src/main/java/spanrill/front/dash/ManifestCall.java
+++ b/front/src/main/java/spanrill/front/dash/ManifestCall.java
@@ -1,8 +1,8 @@
 package spanrill.front.dash;
 
-import spanrill.front.FrontSession;
+import spanrill.session.Session;
 import spanrill.front.FrontSettings;
-import spanrill.front.ViewerCall;
+import spanrill.session.ViewerCall;
 import spanrill.wire.dash.Mpd;
 import spanrill.wire.dash.MpdWriter;
 import spanrill.wire.http.Exchange;
@@ -19,7 +19,7 @@
     }
 
     @Override
-    public void plays(FrontSession session) {
+    public void plays(Session session) {
         manifest(settings, exchange, session, "plays");
     }
 
@@ -51,7 +51,7 @@
     }
 
     /** Answers with the session's MPD: its Representations go from the class's floor to the rung in force. */
-    static void manifest(FrontSettings settings, Exchange exchange, FrontSession session, String answer) {
+    static void manifest(FrontSettings settings, Exchange exchange, Session session, String answer) {
         java.util.List<Mpd.Representation> rungs = new java.util.ArrayList<>();
         int floor = session.type().floor();
         for (int rung = floor; rung <= Math.max(floor, session.rung()); rung++) {
--- a/front/src/main/java/spanrill/front/dash/Problem.java
+++ b/front/src/main/java/spanrill/front/dash/Problem.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import spanrill.decisions.SessionEnd;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -19,9 +20,24 @@
      */
     static void answer(Exchange exchange, int status, String type, String answer, String detail,
             double retryAfterMs) {
+        write(exchange, status, type, Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer),
+                detail, retryAfterMs);
+    }
+
+    /** Answers a player that asks for more of a session that is over; {@code end} is null when not known. */
+    static void over(Exchange exchange, int status, String type, String detail, SessionEnd end,
+            double retryAfterMs) {
+        Headers headers = Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, "none");
+        if (end != null) {
+            headers.add(DashViewerSide.OVER, end.word());
+        }
+        write(exchange, status, type, headers, detail, retryAfterMs);
+    }
+
+    private static void write(Exchange exchange, int status, String type, Headers headers, String detail,
+            double retryAfterMs) {
         ObjectNode document = JSON.createObjectNode().put("type", "urn:spanrill:problem:" + type)
                 .put("title", type.replace('-', ' ')).put("status", status).put("detail", detail);
-        Headers headers = Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer);
         if (retryAfterMs > 0) {
             document.put("retryAfterMs", Math.round(retryAfterMs));
             // RFC 9110 section 10.2.3 knows whole seconds only; the document has the milliseconds.
--- a/front/src/main/java/spanrill/front/dash/Relay.java
+++ b/front/src/main/java/spanrill/front/dash/Relay.java
@@ -3,10 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.RungGate;
+import spanrill.decisions.SessionEnd;
 import spanrill.decisions.SessionState.Phase;
-import spanrill.front.BoxSide;
-import spanrill.front.FrontSession;
-import spanrill.front.SessionCore;
+import spanrill.front.box.SegmentSource;
+import spanrill.session.Session;
+import spanrill.session.SessionCore;
 import spanrill.wire.dash.Cmcd;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
@@ -16,24 +17,24 @@
  * One segment from a box to a viewer. It waits while its session is on the move, asks anew when the box was
  * lost before the first byte went out, and holds the box back while the viewer reads slowly.
  */
-final class Relay implements BoxSide.SegmentSink {
+final class Relay implements SegmentSource.SegmentSink {
     /** A box that lost a segment may be about to be given up: the session's fate shows within this time. */
     private static final long FATE_MS = 150;
     private static final int MOST_TRIES = 3;
 
     private final SessionCore core;
-    private final BoxSide boxes;
+    private final SegmentSource boxes;
     private final Exchange exchange;
-    private final FrontSession session;
+    private final Session session;
     private final int asked;
     private final String name;
-    private BoxSide.Segment segment;
+    private SegmentSource.Segment segment;
     private String key;
     private int tries;
     private int servedRung;
     private String tag;
 
-    Relay(SessionCore core, BoxSide boxes, Exchange exchange, FrontSession session, int asked, String name) {
+    Relay(SessionCore core, SegmentSource boxes, Exchange exchange, Session session, int asked, String name) {
         this.core = core;
         this.boxes = boxes;
         this.exchange = exchange;
@@ -98,12 +99,12 @@
     }
 
     private void over() {
-        if (session.retryAfterMs() > 0) {
-            Problem.answer(exchange, 503, "move-refused", "none", "No box can go on with this session.",
+        SessionEnd end = session.end();
+        if (end != null && end.told() == SessionEnd.Told.COME_AGAIN) {
+            Problem.over(exchange, 503, "move-refused", "No box can go on with this session.", end,
                     session.retryAfterMs());
         } else {
-            Problem.answer(exchange, 410, "session-over", "none", "The session is over: " + session.overWhy()
-                    + ".", 0);
+            Problem.over(exchange, 410, "session-over", "The session is over.", end, 0);
         }
     }
 
@@ -151,7 +152,7 @@
             return;
         }
         if (status == 404) {
-            core.lost(key, "box doesn't know it");
+            core.lost(key, SessionEnd.BOX_FORGOT);
         } else if (status == 416) {
             exchange.respond(416, new Headers(), new byte[0]);
             return;
--- a/front/src/main/java/spanrill/front/list/ListClient.java
+++ b/front/src/main/java/spanrill/front/list/ListClient.java
@@ -15,7 +15,7 @@
 import spanrill.decisions.BoxBook;
 import spanrill.front.EventLog;
 import spanrill.front.FrontSettings;
-import spanrill.front.SessionCore;
+import spanrill.session.SessionCore;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
 import spanrill.wire.http.HttpLimits;
--- a/front/src/main/java/spanrill/front/list/ListDocument.java
+++ b/front/src/main/java/spanrill/front/list/ListDocument.java
@@ -15,7 +15,7 @@
 import spanrill.SessionControl.ServerState;
 import spanrill.decisions.BoxBook.Box;
 import spanrill.decisions.BoxBook.Sheet;
-import spanrill.front.Title;
+import spanrill.session.Title;
 
 /**
  * A list as the registry sends it:
--- a/front/src/main/java/spanrill/front/store/TokenStore.java
+++ b/front/src/main/java/spanrill/front/store/TokenStore.java
@@ -16,7 +16,7 @@
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
 import spanrill.front.EventLog;
-import spanrill.front.TokenMemory;
+import spanrill.session.TokenMemory;
 
 /**
  * Tokens in an MVStore file. One thread writes: it takes all that waits, commits and syncs once (group
--- a/front/src/test/java/spanrill/front/TokenStoreTest.java
+++ b/front/src/test/java/spanrill/front/TokenStoreTest.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import spanrill.front.TokenMemory.Fate;
+import spanrill.session.TokenMemory.Fate;
 import spanrill.front.store.TokenStore;
 
 class TokenStoreTest {
--- a/results/src/main/java/spanrill/results/Pictures.java
+++ b/results/src/main/java/spanrill/results/Pictures.java
@@ -40,6 +40,42 @@
         save(stalls, folder, "stalls");
     }
 
+    /** Draws how long viewers waited for their first play, and why sessions ended early. */
+    public static void viewers(Path folder, List<ViewerRow> viewers, List<EndRow> ends) throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        XYChart waits = chart("Viewers who play, by the time since they came",
+                "share of the class's viewers");
+        waits.getStyler().setYAxisMax(1.0);
+        TreeMap<String, List<ViewerRow>> classes = new TreeMap<>();
+        viewers.forEach(v -> classes.computeIfAbsent(v.cls(), k -> new ArrayList<>()).add(v));
+        classes.forEach((cls, all) -> {
+            double[] played = all.stream().mapToDouble(ViewerRow::firstPlayMs).filter(ms -> ms >= 0).sorted()
+                    .toArray();
+            List<Double> x = new ArrayList<>();
+            List<Double> y = new ArrayList<>();
+            for (int i = 0; i < played.length; i++) {
+                x.add(played[i] / 1000);
+                y.add((i + 1.0) / all.size());
+            }
+            series(waits, cls, x, y);
+        });
+        save(waits, folder, "waits");
+        XYChart early = chart("Sessions that ended early, so far, by cause", "sessions");
+        TreeMap<String, TreeMap<Integer, Integer>> causes = new TreeMap<>();
+        ends.forEach(end -> causes.computeIfAbsent(end.cause(), k -> new TreeMap<>())
+                .merge(end.second(), 1, Integer::sum));
+        causes.forEach((cause, seconds) -> {
+            List<Integer> sums = new ArrayList<>();
+            int sum = 0;
+            for (int count : seconds.values()) {
+                sum += count;
+                sums.add(sum);
+            }
+            series(early, cause, new ArrayList<>(seconds.keySet()), sums);
+        });
+        save(early, folder, "ended-early");
+    }
+
     private static void offered(Path folder, List<SecondRow> rows) throws IOException {
         TreeMap<Integer, double[]> sums = new TreeMap<>();
         for (SecondRow row : rows) {
@@ -113,7 +149,8 @@
                 rows.stream().map(value::applyAsDouble).toList());
     }
 
-    private static void series(XYChart chart, String name, List<Integer> x, List<Double> y) {
+    private static void series(XYChart chart, String name, List<? extends Number> x,
+            List<? extends Number> y) {
         if (!x.isEmpty()) {
             chart.addSeries(name, x, y).setMarker(SeriesMarkers.NONE);
         }
--- /dev/null
+++ b/session/src/main/java/spanrill/session/Attempts.java
@@ -0,0 +1,110 @@
+package spanrill.session;
+
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.SessionState.Event;
+import spanrill.decisions.SessionState.Phase;
+
+/** The attempts that are out: each is sent once, and ends once, whatever its box and its timer do. */
+final class Attempts {
+    /** Hears what attempts come to, within a turn. */
+    interface Owner {
+        /** It plays. */
+        void plays(double now, Session session, double tookMs);
+
+        /** It ended before it played. */
+        void ended(double now, Session session, Outcome outcome, Load load);
+    }
+
+    private final Turns turns;
+    private final SessionTable table;
+    private final EventSink log;
+    private final Owner owner;
+    private BoxSide boxes;
+
+    Attempts(Turns turns, SessionTable table, EventSink log, Owner owner) {
+        this.turns = turns;
+        this.table = table;
+        this.log = log;
+        this.owner = owner;
+    }
+
+    void begin(BoxSide side) {
+        boxes = side;
+    }
+
+    /** Sends one; it is given up at the time {@code until}. */
+    void send(Session session, double until, String box) {
+        session.state.on(Event.SEND);
+        session.box = box;
+        session.sentAt = turns.now();
+        String key = session.moduleRequest + "." + session.state.attempts();
+        table.attempt(session, key);
+        boolean goesOn = session.phase() == Phase.MOVING_SET_UP;
+        session.until = turns.after(until - session.sentAt, now -> timedOut(now, session, key));
+        session.attempt = boxes.setUp(new BoxSide.Order(box, key, session.request(), session.rung,
+                session.type().once() && !goesOn, goesOn ? session.firstKey : null),
+                new BoxSide.AttemptListener() {
+                    @Override
+                    public void plays() {
+                        turns.tell(now -> playing(now, session, key));
+                    }
+
+                    @Override
+                    public void ended(Outcome outcome, Load load) {
+                        turns.tell(now -> attemptEnded(now, session, key, outcome, load));
+                    }
+                });
+    }
+
+    private static boolean isOut(Session session, String key) {
+        return session.state.attemptOut() && key.equals(session.key);
+    }
+
+    private void timedOut(double now, Session session, String key) {
+        if (isOut(session, key)) {
+            attemptEnded(now, session, key, stop(session, OutcomeTable.Event.TIMED_OUT), null);
+        }
+    }
+
+    private void attemptEnded(double now, Session session, String key, Outcome outcome, Load load) {
+        if (!isOut(session, key)) {
+            return;
+        }
+        session.until.cancel();
+        table.forgetKey(key);
+        session.state.attemptEnded(outcome);
+        log.info("attempt.ended", "session", session.id(), "box", session.box, "outcome", outcome,
+                "neverRan", outcome.neverRan(), "ms", Math.round(now - session.sentAt));
+        owner.ended(now, session, outcome, load);
+    }
+
+    private void playing(double now, Session session, String key) {
+        if (!isOut(session, key)) {
+            return;
+        }
+        session.until.cancel();
+        owner.plays(now, session, now - session.sentAt);
+    }
+
+    /** Gives up the attempt that is out, if any. */
+    void callOff(Session session) {
+        if (session.state.attemptOut()) {
+            session.state.attemptEnded(stop(session, OutcomeTable.Event.CALLED_OFF));
+        }
+    }
+
+    private Outcome stop(Session session, OutcomeTable.Event why) {
+        session.until.cancel();
+        table.forgetKey(session.key);
+        return session.attempt.abandon(why);
+    }
+
+    /** Tells the box of a session its rung, where one plays it or sets it up. */
+    void rate(Session session) {
+        if (session.phase() == Phase.PLAYING || session.state.attemptOut()) {
+            boxes.rung(session.box, session.key, session.rung);
+        }
+    }
+}
--- a/front/src/main/java/spanrill/front/BoxSide.java
+++ b/session/src/main/java/spanrill/session/BoxSide.java
@@ -1,13 +1,12 @@
-package spanrill.front;
+package spanrill.session;
 
-import io.netty.buffer.ByteBuf;
 import java.util.function.Consumer;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.OutcomeTable;
-import spanrill.wire.http.ResponseHead;
 
-/** What the core asks of boxes. All calls and callbacks on the front's loop; callbacks may come within. */
+/** What the core asks of boxes. All calls and callbacks come one after the other;
+ * callbacks may come within a call. */
 public interface BoxSide {
     /**
      * An order to set a session up.
@@ -42,30 +41,6 @@
         Outcome abandon(OutcomeTable.Event why);
     }
 
-    /** Takes a segment as it comes. */
-    interface SegmentSink {
-        /** Its head; the status is a success. */
-        void head(ResponseHead head);
-
-        /** Part of it; lent for the call. */
-        void data(ByteBuf part);
-
-        /** It is complete. */
-        void end();
-
-        /** It was lost, or never began. */
-        void lost(int status, String reason);
-    }
-
-    /** A segment under way. */
-    interface Segment {
-        /** Reads on or holds back. */
-        void reading(boolean on);
-
-        /** Gives it up; its sink hears no more. */
-        void cancel();
-    }
-
     /** Sets a session up. */
     Attempt setUp(Order order, AttemptListener listener);
 
@@ -74,7 +49,4 @@
 
     /** Releases a session; {@code done} is called once, with the load or null when the box didn't answer. */
     void release(String box, String key, Consumer<Load> done);
-
-    /** Fetches a segment of a session: {@code path} is what follows the attempt's prefix. */
-    Segment fetch(String box, String key, String path, String range, SegmentSink sink);
 }
--- /dev/null
+++ b/session/src/main/java/spanrill/session/EventSink.java
@@ -0,0 +1,21 @@
+package spanrill.session;
+
+/** Takes what operators may want to see: an event's name and its fields, names and values in turn. */
+public interface EventSink {
+    /** Something happened. */
+    void info(String event, Object... fields);
+
+    /** A fault of this program; {@code cause} may be null. */
+    void error(String event, Throwable cause, Object... fields);
+
+    /** Keeps nothing. */
+    static EventSink none() {
+        return new EventSink() {
+            @Override
+            public void info(String event, Object... fields) { }
+
+            @Override
+            public void error(String event, Throwable cause, Object... fields) { }
+        };
+    }
+}
--- a/front/src/main/java/spanrill/front/FrontSession.java
+++ b/session/src/main/java/spanrill/session/Session.java
@@ -1,15 +1,15 @@
-package spanrill.front;
+package spanrill.session;
 
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
+import spanrill.decisions.SessionEnd;
 import spanrill.decisions.SessionState;
 
 /** A session as the core holds it. Viewer sides read it; only the core changes it. */
-public final class FrontSession {
+public final class Session {
     private final String id;
     private final ViewerRequest request;
-    private final FrontSettings.ClassSettings type;
+    private final SessionType type;
     private final Title title;
     final SessionState state;
     final double takenAt;
@@ -24,13 +24,13 @@
     String firstKey;
     double sentAt;
     BoxSide.Attempt attempt;
-    ScheduledFuture<?> until;
-    ScheduledFuture<?> net;
+    Scheduler.Timer until;
+    Scheduler.Timer net;
     double retryAfterMs;
     int starved;
-    String overWhy;
+    SessionEnd end;
 
-    FrontSession(String id, ViewerRequest request, FrontSettings.ClassSettings type, Title title,
+    Session(String id, ViewerRequest request, SessionType type, Title title,
             double now) {
         this.id = id;
         this.request = request;
@@ -52,7 +52,7 @@
     }
 
     /** Its class. */
-    public FrontSettings.ClassSettings type() {
+    public SessionType type() {
         return type;
     }
 
@@ -86,9 +86,9 @@
         return key;
     }
 
-    /** Why it is over, in a word, or null. */
-    public String overWhy() {
-        return overWhy;
+    /** Why it is over, or null. */
+    public SessionEnd end() {
+        return end;
     }
 
     /** How long to stay away before another try, when a move was turned away; 0 otherwise. */
--- /dev/null
+++ b/session/src/main/java/spanrill/session/SessionLives.java
@@ -0,0 +1,291 @@
+package spanrill.session;
+
+import java.util.ArrayList;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import spanrill.SessionControl;
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.AnswerTime;
+import spanrill.decisions.IdleWatch;
+import spanrill.decisions.SessionEnd;
+import spanrill.decisions.SessionState.Event;
+import spanrill.decisions.SessionState.Phase;
+
+/**
+ * The life of each session, from the request to its end: who waits for its answer, what it is told, when it
+ * moves and when it is over. Which step a session may take is decided by its state, where it goes by the
+ * module.
+ */
+final class SessionLives implements Attempts.Owner {
+    private static final double IDLE_LOOK_MS = 250;
+
+    private final CoreSettings settings;
+    private final SessionControl control;
+    private final Turns turns;
+    private final EventSink log;
+    private final Supplier<String> names;
+    private final TokenDesk tokens;
+    private final SessionTable table;
+    private final Attempts attempts;
+    private final IdleWatch idle;
+    private final Map<ViewerCall, Session> calls = new IdentityHashMap<>();
+    private BoxSide boxes;
+
+    SessionLives(CoreSettings settings, SessionControl control, Turns turns, EventSink log,
+            Supplier<String> names, TokenDesk tokens, SessionTable table) {
+        this.settings = settings;
+        this.control = control;
+        this.turns = turns;
+        this.log = log;
+        this.names = names;
+        this.tokens = tokens;
+        this.table = table;
+        attempts = new Attempts(turns, table, log, this);
+        idle = new IdleWatch(settings.idleMs());
+    }
+
+    void begin(BoxSide side) {
+        boxes = side;
+        attempts.begin(side);
+        turns.every(IDLE_LOOK_MS, this::lookForIdle);
+    }
+
+    // ---- the request
+
+    /** A new request is taken. */
+    void take(double now, ViewerRequest wish, Title title, ViewerCall call, boolean again) {
+        SessionType type = settings.types().get(wish.className());
+        Session session = new Session(names.get(), wish, type, title, now);
+        await(session, call);
+        table.add(session);
+        AnswerTime time = type.time();
+        session.net = turns.after(time.net(now, wish.arrivedAt()), at -> overdue(at, session));
+        tokens.taken(session, safe -> turns.tell(at -> {
+            if (!session.state.answerOwed()) {
+                return;
+            }
+            if (safe) {
+                ask(at, session, time.left(at, wish.arrivedAt()), false, again);
+            } else {
+                answer(session, Event.REFUSE, settings.maxRetryAfterMs());
+            }
+        }));
+    }
+
+    /** Another request of the same token. */
+    void join(Session session, ViewerCall call) {
+        if (session.state.answerOwed()) {
+            await(session, call);
+        } else {
+            call.plays(session);
+        }
+    }
+
+    private void await(Session session, ViewerCall call) {
+        session.waiting.add(call);
+        calls.put(call, session);
+    }
+
+    private void ask(double now, Session session, double left, boolean moved, boolean again) {
+        table.ask(session, session.id() + "-" + session.moves);
+        ViewerRequest wish = session.request();
+        control.request(now, new SessionControl.Request(session.moduleRequest, wish.className(),
+                wish.tenant(), wish.viewer(), wish.title(), left, session.title().home(),
+                session.title().copies(), wish.top(), moved, moved || again));
+    }
+
+    /** A viewer that waited for the answer to its call went away. */
+    void left(ViewerCall call) {
+        Session session = calls.remove(call);
+        if (session == null) {
+            return;
+        }
+        turns.tell(now -> {
+            if (session.waiting.remove(call) && session.waiting.isEmpty() && session.state.answerOwed()) {
+                attempts.callOff(session);
+                session.state.on(Event.LEAVE);
+                close(now, session, SessionEnd.LEFT);
+                control.gone(now, session.moduleRequest);
+            }
+        });
+    }
+
+    /** The core's own answer when the module's is overdue: a net that should never be needed. */
+    private void overdue(double now, Session session) {
+        if (!session.state.answerOwed()) {
+            return;
+        }
+        log.error("answer.overdue", null, "session", session.id(), "phase", session.phase());
+        attempts.callOff(session);
+        answer(session, session.state.may(Event.REFUSE) ? Event.REFUSE : Event.FAIL, 0);
+        control.gone(now, session.moduleRequest);
+    }
+
+    /** The module's final answer, or the core's in its place. */
+    void answer(Session session, Event event, double retryAfterMs) {
+        if (session == null) {
+            return;
+        }
+        boolean owed = session.state.answerOwed();
+        session.state.on(event);
+        session.retryAfterMs = retryAfterMs;
+        List<ViewerCall> due = answered(session);
+        boolean refused = event == Event.REFUSE;
+        close(turns.now(), session, SessionEnd.of(refused, owed));
+        for (ViewerCall call : due) {
+            if (refused) {
+                call.refused(retryAfterMs);
+            } else {
+                call.failed();
+            }
+        }
+    }
+
+    /** The calls that wait for a session's answer, which is given now. */
+    private List<ViewerCall> answered(Session session) {
+        List<ViewerCall> waiting = new ArrayList<>(session.waiting);
+        session.waiting.clear();
+        waiting.forEach(calls::remove);
+        return waiting;
+    }
+
+    // ---- attempts
+
+    /** The module sends a session to a box. */
+    void send(Session session, double until, String box) {
+        attempts.send(session, until, box);
+    }
+
+    /** The module sets a rung. */
+    void rate(Session session, int rung) {
+        if (session != null) {
+            session.rung = rung;
+            attempts.rate(session);
+        }
+    }
+
+    @Override
+    public void ended(double now, Session session, Outcome outcome, Load load) {
+        control.ended(now, session.moduleRequest, false, outcome, session.box, load);
+    }
+
+    @Override
+    public void plays(double now, Session session, double tookMs) {
+        boolean first = session.state.answerOwed();
+        session.state.on(Event.PLAYS);
+        idle.seen(now, session.id());
+        if (first) {
+            session.firstKey = session.key;
+            session.net.cancel();
+            tokens.plays(session);
+            log.info("session.plays", "session", session.id(), "class", session.request().className(),
+                    "title", session.request().title(), "box", session.box, "rung", session.rung, "attempts",
+                    session.state.attempts(), "ms", Math.round(now - session.takenAt));
+            answered(session).forEach(call -> call.plays(session));
+        }
+        control.playing(now, session.moduleRequest, session.box, tookMs);
+        session.changed();
+    }
+
+    // ---- moves
+
+    /** The module takes a playing session off its box. */
+    void move(Session session) {
+        if (session == null || session.phase() != Phase.PLAYING) {
+            // It ended a moment ago; the module hears of that next.
+            return;
+        }
+        session.state.on(Event.MOVE);
+        String box = session.box;
+        String request = session.moduleRequest;
+        table.forgetModule(request);
+        table.forgetKey(session.key);
+        session.moves++;
+        int move = session.moves;
+        log.info("session.moves", "session", session.id(), "from", box);
+        turns.tell(now -> control.ended(now, request, true, Outcome.CANCELLED, box, null));
+        boxes.release(box, session.key, load -> comeBack(session, move));
+        turns.after(settings.moveReturnMs(), now -> comeBack(session, move));
+    }
+
+    /** The old box gave a moved session up, or had its time to: it asks anew, once. */
+    private void comeBack(Session session, int move) {
+        turns.tell(now -> {
+            if (session.phase() == Phase.MOVING && session.moves == move
+                    && !(session.id() + "-" + move).equals(session.moduleRequest)) {
+                ask(now, session, session.type().time().whole(), true, true);
+            }
+        });
+    }
+
+    // ---- the end
+
+    /** A sign of life of a session's player. */
+    void seen(Session session) {
+        if (session.state.inPlay()) {
+            idle.seen(turns.now(), session.id());
+        }
+    }
+
+    private void lookForIdle(double now) {
+        for (String id : idle.due(now)) {
+            Session session = table.live(id);
+            if (session != null) {
+                end(now, session, SessionEnd.IDLE);
+            }
+        }
+    }
+
+    /** It is over on the viewer's side. */
+    void end(double now, Session session, SessionEnd why) {
+        String request = session.moduleRequest;
+        switch (session.phase()) {
+            case PLAYING -> {
+                session.state.on(Event.END);
+                String box = session.box;
+                String key = session.key;
+                close(now, session, why);
+                boxes.release(box, key, load -> turns.tell(at -> {
+                    table.forgetModule(request);
+                    control.ended(at, request, true, Outcome.OK, box, load);
+                }));
+            }
+            case MOVING, MOVING_SET_UP -> {
+                attempts.callOff(session);
+                session.state.on(Event.END);
+                close(now, session, why);
+                control.gone(now, request);
+            }
+            default -> { }
+        }
+    }
+
+    /** It is over on the box's side. */
+    void lose(double now, Session session, SessionEnd why) {
+        if (session == null || session.phase() != Phase.PLAYING) {
+            return;
+        }
+        String request = session.moduleRequest;
+        String box = session.box;
+        session.state.on(Event.END);
+        close(now, session, why);
+        control.ended(now, request, true, Outcome.RESET, box, null);
+    }
+
+    /** Forgets a session that is over; its token's fate is remembered. */
+    private void close(double now, Session session, SessionEnd why) {
+        session.end = why;
+        session.net.cancel();
+        table.over(now, session);
+        idle.over(session.id());
+        tokens.over(now, session);
+        log.info("session.over", "session", session.id(), "class", session.request().className(), "why",
+                why.word(), "answer", String.valueOf(session.state.answer()), "attempts",
+                session.state.attempts(), "moves", session.moves, "starved", session.starved, "ms",
+                Math.round(now - session.takenAt));
+        session.changed();
+    }
+}
--- a/front/src/main/java/spanrill/front/Title.java
+++ b/session/src/main/java/spanrill/session/Title.java
@@ -1,4 +1,4 @@
-package spanrill.front;
+package spanrill.session;
 
 /**
  * A title of the catalogue.
--- /dev/null
+++ b/session/src/main/java/spanrill/session/TokenDesk.java
@@ -0,0 +1,63 @@
+package spanrill.session;
+
+import java.util.function.Consumer;
+import spanrill.decisions.Admission;
+import spanrill.decisions.SessionState.Answer;
+
+/**
+ * What a core knows of tokens: which request one stands for, decided by {@link Admission}, and for paid ones
+ * what must be remembered over the death of the process.
+ */
+final class TokenDesk {
+    private final Admission admission;
+    private final TokenMemory memory;
+
+    TokenDesk(Admission admission, TokenMemory memory) {
+        this.admission = admission;
+        this.memory = memory;
+    }
+
+    void restore(String tokenId, boolean used, double expiresAt) {
+        admission.restore(tokenId, used, expiresAt);
+    }
+
+    Admission.Verdict offer(double now, String tokenId) {
+        return admission.offer(now, tokenId);
+    }
+
+    /**
+     * A request was taken as a session.
+     *
+     * @param then told whether a set-up may be sent: what may spend must be remembered before it does, so
+     *     that
+     *     a front killed in between doesn't take the token again
+     */
+    void taken(Session session, Consumer<Boolean> then) {
+        ViewerRequest wish = session.request();
+        admission.taken(wish.tokenId(), session.id(), session.type().once(), wish.expiresAt());
+        if (session.type().once()) {
+            memory.taken(wish.tokenId(), wish.expiresAt(), then);
+        } else {
+            then.accept(true);
+        }
+    }
+
+    /** A session plays for the first time. */
+    void plays(Session session) {
+        if (session.type().once()) {
+            memory.over(session.request().tokenId(), TokenMemory.Fate.USED);
+        }
+    }
+
+    /** A session is over. */
+    void over(double now, Session session) {
+        boolean mayHaveRun = session.state.mayHaveRun();
+        Answer answer = session.state.answer();
+        String tokenId = session.request().tokenId();
+        admission.over(now, tokenId, answer, mayHaveRun, session.retryAfterMs);
+        if (session.type().once()) {
+            memory.over(tokenId, answer == Answer.PLAYS ? TokenMemory.Fate.USED
+                    : mayHaveRun ? TokenMemory.Fate.FAILED : null);
+        }
+    }
+}
--- a/front/src/main/java/spanrill/front/TokenMemory.java
+++ b/session/src/main/java/spanrill/session/TokenMemory.java
@@ -1,4 +1,4 @@
-package spanrill.front;
+package spanrill.session;
 
 import java.util.function.Consumer;
 
--- a/front/src/main/java/spanrill/front/Turns.java
+++ b/session/src/main/java/spanrill/session/Turns.java
@@ -1,26 +1,26 @@
-package spanrill.front;
+package spanrill.session;
 
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleConsumer;
 
 /**
  * Gives events to the module one after the other, each with its time. What happens within an event (a box
- * side
- * that answers at once) waits until that event is over: the module is never entered from within its own
- * calls.
+ * side that answers at once) waits until that event is over: the module is never entered from
+ * within its own calls.
  */
 final class Turns {
-    private final EventLoop loop;
-    private final Clock clock;
+    private final Scheduler scheduler;
+    private final EventSink log;
     private final ArrayDeque<DoubleConsumer> waiting = new ArrayDeque<>();
     private boolean inside;
 
-    Turns(EventLoop loop, Clock clock) {
-        this.loop = loop;
-        this.clock = clock;
+    Turns(Scheduler scheduler, EventSink log) {
+        this.scheduler = scheduler;
+        this.log = log;
+    }
+
+    double now() {
+        return scheduler.now();
     }
 
     /** Tells an event, now or when the one at hand is over. */
@@ -33,10 +33,10 @@
         try {
             for (DoubleConsumer next = waiting.poll(); next != null; next = waiting.poll()) {
                 try {
-                    next.accept(clock.now());
+                    next.accept(scheduler.now());
                 } catch (RuntimeException e) {
                     // One event's fault must not cost the others theirs; owed answers are given by the net.
-                    EventLog.error("core.fault", e);
+                    log.error("core.fault", e);
                 }
             }
         } finally {
@@ -45,13 +45,15 @@
     }
 
     /** Tells an event after a time. */
-    ScheduledFuture<?> after(double ms, DoubleConsumer event) {
-        return loop.schedule(() -> tell(event), (long) Math.ceil(Math.max(0, ms) * 1000),
-                TimeUnit.MICROSECONDS);
+    Scheduler.Timer after(double ms, DoubleConsumer event) {
+        return scheduler.after(ms, () -> tell(event));
     }
 
     /** Tells an event again and again. */
-    void every(long ms, DoubleConsumer event) {
-        loop.scheduleAtFixedRate(() -> tell(event), ms, ms, TimeUnit.MILLISECONDS);
+    void every(double ms, DoubleConsumer event) {
+        scheduler.after(ms, () -> {
+            tell(event);
+            every(ms, event);
+        });
     }
 }
--- a/front/src/main/java/spanrill/front/ViewerCall.java
+++ b/session/src/main/java/spanrill/session/ViewerCall.java
@@ -1,4 +1,4 @@
-package spanrill.front;
+package spanrill.session;
 
 /**
  * One request at a viewer side that waits for its answer. Exactly one of {@link #plays}, {@link #refused},
@@ -7,7 +7,7 @@
  */
 public interface ViewerCall {
     /** The session plays. */
-    void plays(FrontSession session);
+    void plays(Session session);
 
     /** Turned away: a later try is harmless. */
     void refused(double retryAfterMs);
--- a/front/src/main/java/spanrill/front/ViewerRequest.java
+++ b/session/src/main/java/spanrill/session/ViewerRequest.java
@@ -1,4 +1,4 @@
-package spanrill.front;
+package spanrill.session;
 
 /**
  * A viewer's wish for a session, as a viewer side read it from a verified token.
--- a/front/src/test/java/spanrill/front/SessionCoreTest.java
+++ b/session/src/test/java/spanrill/session/SessionCoreTest.java
@@ -1,42 +1,43 @@
-package spanrill.front;
+package spanrill.session;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.DefaultEventLoop;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import spanrill.SessionControl;
 import spanrill.SessionControl.ListKind;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.Outcome;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
+import spanrill.decisions.AnswerTime;
 import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.SessionEnd;
 
 /**
- * The core on a real loop with a box side that does what the test says: the orders that wires seldom
+ * The core on a clock that the test moves, with a box side that does what the test says: the orders that
+ * wires seldom
  * show.
  */
 class SessionCoreTest {
-    private final DefaultEventLoop loop = new DefaultEventLoop();
-    private final Clock clock = new Clock();
+    private final HandClock clock = new HandClock();
     private final FakeBoxes boxes = new FakeBoxes();
-    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private final Deque<String> answers = new ArrayDeque<>();
     private SessionCore core;
+    private long names;
 
     /** A set-up that is out. */
     private record Out(BoxSide.Order order, BoxSide.AttemptListener listener) { }
 
     private static final class FakeBoxes implements BoxSide {
-        private final BlockingQueue<Out> out = new LinkedBlockingQueue<>();
+        private final Deque<Out> out = new ArrayDeque<>();
         private final List<String> told = new ArrayList<>();
         private final List<Consumer<Load>> releases = new ArrayList<>();
         private Outcome atOnce;
@@ -63,16 +64,11 @@
             told.add("release " + key);
             releases.add(done);
         }
-
-        @Override
-        public Segment fetch(String box, String key, String path, String range, SegmentSink sink) {
-            throw new UnsupportedOperationException();
-        }
     }
 
     private final class Call implements ViewerCall {
         @Override
-        public void plays(FrontSession session) {
+        public void plays(Session session) {
             answers.add("plays " + session.id());
         }
 
@@ -92,45 +88,44 @@
         }
     }
 
-    static FrontSettings settings() {
-        return new FrontSettings(0, 1, "a", 1, new FrontSettings.Address("127.0.0.1", 0),
-                new FrontSettings.Address("127.0.0.1", 1), "keys", "state",
-                Map.of("free", new FrontSettings.ClassSettings(200, 500, 1, false, 0, 4, 1, 0),
-                        "paid", new FrontSettings.ClassSettings(200, 500, 3, true, 1, 4, 1, 0)), Map.of(),
-                Map.of("std", new FrontSettings.KindSettings(24)),
-                new FrontSettings.Ladder(List.of(200.0, 350.0, 600.0, 1000.0, 1700.0),
-                        List.of(0.2, 0.4, 0.6, 0.8, 1.0)),
-                new FrontSettings.Fleet(4, 1, 40_000, 10_000, 30_000), new FrontSettings.Notes(800, 3000, 6,
-                500),
-                new FrontSettings.Rules(5, 2000, 0, 1, 250, 0, 0.5, 2, 1500, null, null, null),
-                new FrontSettings.Limits(50, 100, 32, 32, 250, 8000, 1000, 100, 300, 250, 1000, 2, 100, 100),
-                new FrontSettings.Web(List.of("http://player.example")));
+    private static final List<SessionControl.ServiceClass> CLASSES = List.of(
+            new SessionControl.ServiceClass("free", 200, 1, false, 0, 4, 1, 0),
+            new SessionControl.ServiceClass("paid", 200, 3, true, 1, 4, 1, 0));
+
+    static CoreSettings settings() {
+        SessionControl.Rules rules = new SessionControl.Rules(0, 0.5, 2, 1500, Double.NaN, Double.NaN,
+                Double.NaN);
+        SessionControl.Settings module = new SessionControl.Settings(0, 1, "a", CLASSES, List.of(),
+                List.of(new SessionControl.Kind("std", 24)), List.of(200.0, 350.0, 600.0, 1000.0, 1700.0),
+                List.of(0.2, 0.4, 0.6, 0.8, 1.0), 4, 1, 40_000, 10_000, 30_000, 6, 500, 800, 3000, 5, 2000, 0,
+                1, rules);
+        AnswerTime time = new AnswerTime(500, 50);
+        return new CoreSettings(module, 1, Map.of("free", new SessionType(false, 0, 1, time),
+                "paid", new SessionType(true, 1, 1, time)), 8000, 100, 250, 1000, 2000);
     }
 
-    @BeforeEach
-    void start() throws Exception {
-        core = new SessionCore(settings(), loop, clock, TokenMemory.none());
-        run(() -> {
-            core.begin(boxes);
-            core.titles(Map.of("title", new Title("title", 0, 4, 60_000, 2000)));
-            List<Server> servers = new ArrayList<>();
-            for (int i = 0; i < 4; i++) {
-                servers.add(new Server("s" + i, "a", "std", i, ServerState.READY, 1, Double.NaN));
-            }
-            core.servers(ListKind.WHOLE, servers);
-        });
+    private SessionCore fresh() {
+        return new SessionCore(settings(), new SessionCore.Host(clock, EventSink.none(), TokenMemory.none(),
+                () -> String.format("%022d", ++names)));
     }
 
-    @AfterEach
-    void stop() {
-        loop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    @BeforeEach
+    void start() {
+        core = fresh();
+        core.begin(boxes);
+        core.titles(Map.of("title", new Title("title", 0, 4, 60_000, 2000)));
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            servers.add(new Server("s" + i, "a", "std", i, ServerState.READY, 1, Double.NaN));
+        }
+        core.servers(ListKind.WHOLE, servers);
     }
 
-    private void run(Runnable action) throws Exception {
-        loop.submit(action).get(5, TimeUnit.SECONDS);
+    private void run(Runnable action) {
+        action.run();
     }
 
-    private Call ask(String token, String cls) throws Exception {
+    private Call ask(String token, String cls) {
         Call call = new Call();
         run(() -> core.offer(new ViewerRequest(token, clock.now(), clock.now() + 60_000, "title", cls, null,
                 "v", 4),
@@ -138,33 +133,25 @@
         return call;
     }
 
-    private Out out() throws Exception {
-        Out out = boxes.out.poll(5, TimeUnit.SECONDS);
+    private Out out() {
+        Out out = clock.runUntil(() -> !boxes.out.isEmpty(), 5000) ? boxes.out.poll() : null;
         assertTrue(out != null, "no set-up came");
         return out;
     }
 
-    private String answer() throws Exception {
-        String answer = answers.poll(5, TimeUnit.SECONDS);
+    private String answer() {
+        String answer = clock.runUntil(() -> !answers.isEmpty(), 5000) ? answers.poll() : null;
         assertTrue(answer != null, "no answer came");
         return answer;
     }
 
-    /** Stands the loop still until a time has passed, so that what is due meanwhile comes in one turn. */
-    private void standStill(double ms) {
-        double until = clock.now() + ms;
-        while (clock.now() < until) {
-            Thread.onSpinWait();
-        }
-    }
-
     @Test
-    void anAnswerInTheSameTurnAsItsTimeOutCountsOnce() throws Exception {
+    void anAnswerInTheSameTurnAsItsTimeOutCountsOnce() {
         ask("t", "paid");
         Out out = out();
         // The time-out is due when the turn ends, but the box's answer is taken first.
         run(() -> {
-            standStill(600);
+            clock.standStill(600);
             out.listener().plays();
         });
         assertTrue(answer().startsWith("plays"));
@@ -174,7 +161,7 @@
     }
 
     @Test
-    void aTimeOutInTheSameTurnAsTheAnswerCountsOnce() throws Exception {
+    void aTimeOutInTheSameTurnAsTheAnswerCountsOnce() {
         ask("t", "paid");
         Out out = out();
         assertEquals("failed", answer());
@@ -189,7 +176,7 @@
     }
 
     @Test
-    void aBoxThatTurnsAwayWithinTheCallIsOneOutcome() throws Exception {
+    void aBoxThatTurnsAwayWithinTheCallIsOneOutcome() {
         boxes.atOnce = Outcome.FULL;
         ask("t", "paid");
         assertEquals("refused", answer());
@@ -199,7 +186,7 @@
     }
 
     @Test
-    void aTokenOnTwoConnectionsIsOneSetUpAndTwoAnswers() throws Exception {
+    void aTokenOnTwoConnectionsIsOneSetUpAndTwoAnswers() {
         ask("t", "paid");
         ask("t", "paid");
         Out out = out();
@@ -212,7 +199,7 @@
     }
 
     @Test
-    void theLastViewerThatLeavesCallsTheSetUpOff() throws Exception {
+    void theLastViewerThatLeavesCallsTheSetUpOff() {
         Call first = ask("t", "free");
         Call second = ask("t", "free");
         out();
@@ -225,7 +212,7 @@
     }
 
     @Test
-    void aPaidTokenWhoseViewerLeftDuringSetUpFailsAfterwards() throws Exception {
+    void aPaidTokenWhoseViewerLeftDuringSetUpFailsAfterwards() {
         Call call = ask("t", "paid");
         out();
         run(() -> core.left(call));
@@ -235,7 +222,7 @@
     }
 
     @Test
-    void aFreeSessionGoesOnElsewhereAfterAnUnprovenLoss() throws Exception {
+    void aFreeSessionGoesOnElsewhereAfterAnUnprovenLoss() {
         ask("t", "free");
         Out first = out();
         run(() -> first.listener().ended(Outcome.RESET, null));
@@ -246,20 +233,20 @@
     }
 
     @Test
-    void aLostBoxEndsItsSessionsAndTheTokenIsUsed() throws Exception {
+    void aLostBoxEndsItsSessionsAndTheTokenIsUsed() {
         ask("t", "free");
         Out out = out();
         run(out.listener()::plays);
         String id = answer().substring("plays ".length());
-        run(() -> core.boxLost(out.order().box(), "gone"));
-        run(() -> assertEquals("gone", core.session(id).overWhy()));
+        run(() -> core.boxLost(out.order().box(), SessionEnd.BOX_GONE));
+        run(() -> assertEquals(SessionEnd.BOX_GONE, core.session(id).end()));
         ask("t", "free");
         assertEquals("USED", answer());
         assertEquals(0, core.size());
     }
 
     @Test
-    void aSessionWithoutASignOfLifeIsReleased() throws Exception {
+    void aSessionWithoutASignOfLifeIsReleased() {
         ask("t", "free");
         Out out = out();
         run(out.listener()::plays);
@@ -270,18 +257,18 @@
         assertEquals(0, core.size());
     }
 
-    private FrontSession session(Out out) {
+    private Session session(Out out) {
         return core.session(out.order().key().substring(0, 22));
     }
 
     @Test
-    void aMoveReleasesFirstAndSpendsNothingAnew() throws Exception {
+    void aMoveReleasesFirstAndSpendsNothingAnew() {
         ask("t", "paid");
         Out out = out();
         assertTrue(out.order().spends());
         run(out.listener()::plays);
         answer();
-        FrontSession session = session(out);
+        Session session = session(out);
         run(() -> core.move(session.id() + "-0"));
         assertEquals("release " + out.order().key(), boxes.told.get(0));
         assertEquals(0, boxes.out.size(), "before the old box gave it up");
@@ -295,7 +282,7 @@
     }
 
     @Test
-    void aMoveWhoseOldBoxIsSilentGoesOnAfterItsTime() throws Exception {
+    void aMoveWhoseOldBoxIsSilentGoesOnAfterItsTime() {
         ask("t", "free");
         Out out = out();
         run(out.listener()::plays);
@@ -308,11 +295,56 @@
     }
 
     @Test
-    void requestsBeforeTheListAndForUnknownTitlesAreTold() throws Exception {
+    void aPlayerThatIsSilentIsReleasedAndToldWhy() {
+        ask("t", "free");
+        Out out = out();
+        run(out.listener()::plays);
+        answer();
+        Session session = session(out);
+        clock.run(7000);
+        core.seen(session);
+        clock.run(7000);
+        assertEquals(1, core.size(), "it was heard of 7 s ago");
+        clock.run(1500);
+        assertEquals(SessionEnd.IDLE, session.end());
+        assertEquals(List.of("release " + out.order().key()), boxes.told);
+    }
+
+    @Test
+    void aMoveThatNoBoxTakesEndsTheSessionWithAWait() {
+        ask("t", "free");
+        Out out = out();
+        run(out.listener()::plays);
+        answer();
+        Session session = session(out);
+        core.move(session.id() + "-0");
+        boxes.atOnce = Outcome.FULL;
+        boxes.releases.get(0).accept(null);
+        clock.run(1000);
+        assertEquals(SessionEnd.MOVE_REFUSED, session.end());
+        assertTrue(session.retryAfterMs() > 0);
+        assertEquals(0, answers.size(), "the request was answered long ago");
+    }
+
+    @Test
+    void aSessionIsForgottenSomeTimeAfterItsEnd() {
+        ask("t", "free");
+        Out out = out();
+        run(out.listener()::plays);
+        answer();
+        core.finish(session(out));
+        clock.run(119_000);
+        assertEquals(SessionEnd.ENDED, session(out).end());
+        clock.run(2000);
+        assertEquals(null, session(out));
+    }
+
+    @Test
+    void requestsBeforeTheListAndForUnknownTitlesAreTold() {
         run(() -> core.offer(new ViewerRequest("x", clock.now(), 1e15, "nowhere", "free", null, "v", 4),
                 new Call()));
         assertEquals("NO_TITLE", answer());
-        SessionCore empty = new SessionCore(settings(), loop, clock, TokenMemory.none());
+        SessionCore empty = fresh();
         run(() -> empty.begin(boxes));
         run(() -> empty.offer(new ViewerRequest("x", clock.now(), 1e15, "title", "free", null, "v", 4),
                 new Call()));
--- a/standin/src/main/java/spanrill/standin/Net.java
+++ b/standin/src/main/java/spanrill/standin/Net.java
@@ -36,7 +36,7 @@
                 channel -> {
             opened.accept(channel);
             return true;
-        }, route);
+        }, route, fault -> { });
     }
 
     /** Port of a listening channel. */
--- a/standin/src/main/java/spanrill/standin/box/StandinBox.java
+++ b/standin/src/main/java/spanrill/standin/box/StandinBox.java
@@ -204,7 +204,7 @@
     /** It goes silent, or comes back to life with what waits in its sockets. */
     public void mute(boolean on) {
         condition.mute = on;
-        tap.put(new TapEvent.BoxMute(tap.now(), id, on));
+        tap.put(new TapEvent.BoxMute(tap.now(), id, on, null));
         if (!on) {
             unpark();
         }
@@ -216,7 +216,7 @@
             return;
         }
         condition.cut(from, on);
-        tap.put(new TapEvent.BoxMute(tap.now(), id, on));
+        tap.put(new TapEvent.BoxMute(tap.now(), id, on, from));
         if (!on) {
             unpark();
         }
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -70,6 +70,7 @@
     }
 
     void come() {
+        stage.tap().put(new TapEvent.Came(now(), name(), traits.cls()));
         player = new Player(traits, now(), stage.day().viewers().returnMs());
         newToken();
         if (!waitsForHall()) {
@@ -82,18 +83,23 @@
         return waits && stage.halls().whenHealed(traits.hall(), () -> loop.execute(this::ask));
     }
 
+    private String name() {
+        return stage.run() + "-t" + arrival.number();
+    }
+
     private void newToken() {
         if (tokenId != null) {
             stage.receipts().forget(tokenId);
         }
         tokens++;
-        tokenId = stage.run() + "-t" + arrival.number() + "." + tokens;
+        tokenId = name() + "." + tokens;
         token = stage.issuer().issue(tokenId, "v" + arrival.number(), title, traits.cls(), null, traits.top(),
                 TOKEN_S);
         received = stage.receipts().of(tokenId);
     }
 
-    private void follow(Next next) {
+    /** Goes on as its player says; {@code why} is what it goes with when it doesn't come again. */
+    private void follow(Next next, String why) {
         if (next instanceof Next.Ask again) {
             if (again.newToken()) {
                 newToken();
@@ -111,11 +117,12 @@
         } else if (next instanceof Next.End end) {
             finish(end.lostPatience());
         } else {
-            over();
+            over(why);
         }
     }
 
-    private void over() {
+    private void over(String why) {
+        stage.tap().put(new TapEvent.Went(now(), name(), why));
         stats.playedMs.add(Math.round(player.playedMs()));
         stats.stalledMs.add(Math.round(player.stalledMs()));
         stats.stalls.add(player.stalls());
@@ -148,7 +155,7 @@
             }
         }, () -> {
             stats.lost.increment();
-            follow(player.lost(now(), true));
+            follow(player.lost(now(), true), "no front");
         });
     }
 
@@ -209,8 +216,9 @@
         if (waiting) {
             waiting = false;
             stats.unanswered.increment();
+            stage.tap().put(new TapEvent.NoAnswer(now(), ask));
             connection.abandon();
-            over();
+            over("no answer");
         }
     }
 
@@ -221,7 +229,7 @@
             stats.left.increment();
             stage.tap().put(new TapEvent.AskLost(now(), ask, true));
             connection.abandon();
-            over();
+            over("left");
         }
     }
 
@@ -235,7 +243,7 @@
             stage.tap().put(new TapEvent.AskLost(now(), ask, false));
             stats.lost.increment();
             // Whether something was spent isn't known: who has paid asks the issuer, not the next front.
-            follow(player.lost(now(), !stage.day().classes().get(traits.cls()).once()));
+            follow(player.lost(now(), !stage.day().classes().get(traits.cls()).once()), "front lost");
             return;
         }
         String answer = answerOf(head);
@@ -250,11 +258,11 @@
             }
             case "refused" -> {
                 connection.abandon();
-                follow(player.refused(now(), retryAfterMs(head)));
+                follow(player.refused(now(), retryAfterMs(head)), "refused");
             }
             default -> {
                 connection.abandon();
-                over();
+                over(answer.equals("failed") ? "failed" : "not taken");
             }
         }
     }
@@ -277,12 +285,12 @@
         if (!ViewerLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ViewerLink(false, () -> { },
                 (head, link) -> {
                     if (head != null && head.status() == 200) {
-                        follow(first);
+                        follow(first, "watched");
                     } else {
-                        broken();
+                        broken(head);
                     }
                 }))) {
-            broken();
+            broken(null);
         }
     }
 
@@ -294,7 +302,7 @@
         fetching = true;
         if (!ViewerLink.get(connection, mpd.baseUrl() + "v/" + rung + "/" + fetch.number() + ".m4s", link)) {
             fetching = false;
-            broken();
+            broken(null);
             return;
         }
         if (traits.neverReads()) {
@@ -318,8 +326,7 @@
                 fetching = false;
                 connection.abandon();
                 stats.gaveUp.increment();
-                newToken();
-                follow(player.gaveUp(now()));
+                tooSlow();
             }
         });
     }
@@ -327,7 +334,7 @@
     private void segment(ResponseHead head, ViewerLink link) {
         fetching = false;
         if (head == null || head.status() != 200) {
-            broken();
+            broken(head);
             return;
         }
         String rung = head.headers().get("spanrill-rung");
@@ -338,7 +345,7 @@
         stats.bytes.add(link.bytes());
         stats.rungs.add(Math.max(0, served));
         // Bytes are scaled, bandwidths in the MPD are not.
-        follow(player.segment(now, link.bytes() * 8 / stage.day().byteScale()));
+        follow(player.segment(now, link.bytes() * 8 / stage.day().byteScale()), "watched");
     }
 
     private void finish(boolean lostPatience) {
@@ -349,16 +356,24 @@
             connection.abandon();
         }
         if (lostPatience) {
-            newToken();
-            follow(player.gaveUp(now()));
+            tooSlow();
         } else {
-            over();
+            over("watched");
         }
     }
 
-    private void broken() {
+    private void tooSlow() {
+        stage.tap().put(new TapEvent.Broke(now(), tokenId, front, -1, null));
+        newToken();
+        follow(player.gaveUp(now()), "too slow");
+    }
+
+    /** The session ended before its time; the head tells it, or is null when the connection was lost. */
+    private void broken(ResponseHead head) {
         stats.broken.increment();
+        stage.tap().put(new TapEvent.Broke(now(), tokenId, front, head == null ? 0 : head.status(),
+                head == null ? null : head.headers().get("spanrill-over")));
         connection.abandon();
-        follow(player.lost(now(), true));
+        follow(player.lost(now(), true), "broken");
     }
 }
--- a/wire/src/main/java/spanrill/wire/http/HttpParser.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpParser.java
@@ -31,6 +31,9 @@
     private enum State { START, HEADER, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, UNTIL_CLOSE, BROKEN }
 
     private static final int MOST_INTERIM = 8;
+    /** RFC 9110 section 9.1 has none above 7; the registry none above 17 (UPDATEREDIRECTREF). */
+    private static final int MOST_METHOD = 20;
+    private static final byte TLS_HANDSHAKE = 0x16;
 
     private final Role role;
     private final HttpLimits limits;
@@ -38,6 +41,7 @@
     private final byte[] line;
     private int lineLength;
     private boolean sawCr;
+    private boolean inMethod;
     private State state = State.START;
     private int headBytes;
     private int emptyLines;
@@ -153,10 +157,17 @@
                     "a line is longer than " + limits.lineBytes() + " bytes");
         }
         in.readBytes(line, lineLength, bytes);
+        boolean begins = state == State.START && role == Role.REQUEST;
         for (int i = lineLength; i < lineLength + bytes; i++) {
             if (sawCr) {
                 throw new HttpFault(400, "a bare CR");
             }
+            if (begins && i <= MOST_METHOD) {
+                inMethod = (i == 0 || inMethod) && line[i] != ' ';
+                if (inMethod) {
+                    checkMethodByte(i);
+                }
+            }
             sawCr = line[i] == '\r';
         }
         lineLength += bytes;
@@ -172,6 +183,23 @@
         return true;
     }
 
+    /**
+     * Refuses bytes that can't begin a request as soon as they come: whoever speaks another protocol here
+     * must
+     * not wait in silence for a line end that it never sends.
+     */
+    private void checkMethodByte(int at) throws HttpFault {
+        if (at == 0 && line[0] == TLS_HANDSHAKE) {
+            throw HttpFault.ofTlsHello();
+        }
+        if (line[at] != '\r' && !isToken((char) (line[at] & 0xff))) {
+            throw new HttpFault(400, "the method is no token");
+        }
+        if (line[at] != '\r' && at == MOST_METHOD) {
+            throw new HttpFault(501, "the method is not known");
+        }
+    }
+
     private boolean takeLine() throws HttpFault {
         int length = lineLength;
         lineLength = 0;
@@ -237,14 +265,6 @@
         if (a <= 0 || b <= a + 1 || first.indexOf(' ', a + 1) != b) {
             throw new HttpFault(400, "the request line is not method, target and version");
         }
-        for (int i = 0; i < a; i++) {
-            if (!isToken(first.charAt(i))) {
-                throw new HttpFault(400, "the method is no token");
-            }
-        }
-        if (a > 20) {
-            throw new HttpFault(501, "the method is not known");
-        }
         checkVersion(first.substring(b + 1));
         String target = first.substring(a + 1, b);
         if (!target.startsWith("/") && !target.equals("*") && !target.startsWith("http://")) {
--- a/wire/src/main/java/spanrill/wire/http/HttpServer.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpServer.java
@@ -27,9 +27,11 @@
      *
      * @param admit told of each new connection; false closes it
      * @param route takes each request
+     * @param refused told of bytes that are no request; their sender is answered already
      */
     public static ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, HttpLimits limits,
-            HttpServerHandler.Times times, Predicate<Channel> admit, Consumer<Exchange> route) {
+            HttpServerHandler.Times times, Predicate<Channel> admit, Consumer<Exchange> route,
+            Consumer<HttpFault> refused) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -38,7 +40,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         if (admit.test(channel)) {
-                            channel.pipeline().addLast(new HttpServerHandler(limits, times, route));
+                            channel.pipeline().addLast(new HttpServerHandler(limits, times, route,
+                                    refused));
                         } else {
                             channel.close();
                         }
--- a/wire/src/main/java/spanrill/wire/http/HttpServerHandler.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpServerHandler.java
@@ -29,6 +29,7 @@
     public record Times(long messageMs, long idleMs, int waitingBytes) { }
 
     private final Consumer<Exchange> route;
+    private final Consumer<HttpFault> refused;
     private final Times times;
     private final HttpParser parser;
     private ByteBuf waiting = Unpooled.EMPTY_BUFFER;
@@ -42,9 +43,11 @@
     private boolean working;
     private boolean inputClosed;
 
-    /** Hands each request to {@code route}. */
-    public HttpServerHandler(HttpLimits limits, Times times, Consumer<Exchange> route) {
+    /** Hands each request to {@code route}; {@code refused} is told of bytes that are none. */
+    public HttpServerHandler(HttpLimits limits, Times times, Consumer<Exchange> route,
+            Consumer<HttpFault> refused) {
         this.route = route;
+        this.refused = refused;
         this.times = times;
         parser = new HttpParser(HttpParser.Role.REQUEST, limits, this);
     }
@@ -81,6 +84,7 @@
             }
         } catch (HttpFault fault) {
             refuse(fault.status(), fault.getMessage());
+            refused.accept(fault);
         } finally {
             working = false;
         }
--- a/wire/src/test/java/spanrill/wire/http/HttpServerHandlerTest.java
+++ b/wire/src/test/java/spanrill/wire/http/HttpServerHandlerTest.java
@@ -18,8 +18,9 @@
 
 class HttpServerHandlerTest {
     private final List<Exchange> came = new ArrayList<>();
+    private final List<HttpFault> refused = new ArrayList<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerHandler(HttpLimits.SERVER,
-            new HttpServerHandler.Times(1000, 5000, 200), came::add));
+            new HttpServerHandler.Times(1000, 5000, 200), came::add, refused::add));
 
     private void send(String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
@@ -51,6 +52,31 @@
         assertTrue(channel.isActive());
     }
 
+    @Test
+    void bytesThatCannotBeginARequestAreAnsweredAtOnce() {
+        channel.writeInbound(Unpooled.wrappedBuffer(new byte[] {0x16}));
+        assertTrue(sent().startsWith("HTTP/1.1 400 "), "no line end is waited for");
+        assertFalse(channel.isActive());
+        assertTrue(refused.get(0).tlsHello());
+    }
+
+    @Test
+    void aLongWordWithoutALineEndIsNoMethod() {
+        send("A".repeat(20));
+        assertTrue(channel.isActive());
+        send("A".repeat(492));
+        assertTrue(sent().startsWith("HTTP/1.1 501 "));
+        assertFalse(channel.isActive());
+        assertFalse(refused.get(0).tlsHello());
+    }
+
+    @Test
+    void aByteThatNoMethodHasIsAnsweredAtOnce() {
+        send("GE\u0001");
+        assertTrue(sent().startsWith("HTTP/1.1 400 "));
+        assertFalse(channel.isActive());
+    }
+
     @Test
     void anExchangeIsAnsweredOnce() {
         send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
