Boxes' set-ups in the model, edges of the front in decisions: what was decided in passing

The emulator needs the box without sockets. A box that took the notes stream and closed it at once was asked again without any wait.

What: model.box.BoxProcess is one life of a box (places, link, cold pace, keys called off); StandinBox keeps sockets and troubles, BoxShaper moves bytes, BoxTeller tells. LostSetUp, SegmentRetry, BoxWatch and ConnectionBudget are decisions; BoxWatch waits longer each time for a stream that tells nothing. A key that is sent twice never runs twice at a box.

Module and adapter untouched.

--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.BoxBook;
+import spanrill.decisions.ConnectionBudget;
 import spanrill.front.box.HttpBoxSide;
 import spanrill.front.dash.DashViewerSide;
 import spanrill.front.list.KeptList;
@@ -48,11 +49,12 @@
     private final TokenGate gate;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private final Channel server;
-    private int connections;
+    private final ConnectionBudget connections;
 
     private FrontDaemon(FrontSettings settings, Path base) throws IOException {
         this.settings = settings;
         EventLoop loop = group.next();
+        connections = new ConnectionBudget(settings.limits().connections());
         keys = new TokenKeys(base.resolve(settings.keys()), settings.classes().keySet());
         keys.reload();
         Clock clock = new Clock();
@@ -116,12 +118,15 @@
     }
 
     private boolean admit(Channel channel) {
-        if (connections >= settings.limits().connections()) {
-            return false;
+        boolean stays = connections.opened();
+        if (stays) {
+            channel.closeFuture().addListener(f -> connections.closed());
         }
-        connections++;
-        channel.closeFuture().addListener(f -> connections--);
-        return true;
+        if (connections.becameFull()) {
+            EventLog.warn("limit.connections", "open", connections.open(), "turnedAway",
+                    connections.turnedAway());
+        }
+        return stays;
     }
 
     private void reloadKeys() {
--- a/front/src/main/java/spanrill/front/box/NotesStream.java
+++ b/front/src/main/java/spanrill/front/box/NotesStream.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import spanrill.SessionControl.NoteKind;
-import spanrill.decisions.Backoff;
+import spanrill.decisions.BoxWatch;
 import spanrill.decisions.SessionEnd;
 import spanrill.front.EventLog;
 import spanrill.session.SessionCore;
@@ -18,22 +18,24 @@
 import spanrill.wire.http.ResponseHead;
 
 /**
- * The notes of one box. It also shows whether the box's process lives: when the stream breaks it is opened
- * anew at once, and sessions count as lost when the box refuses that or another process answers.
+ * The notes of one box. It also shows whether the box's process lives; what a broken or refused stream says
+ * of
+ * that, and when it is opened anew, is decided by {@link BoxWatch}.
  */
 final class NotesStream implements HttpClientConnection.Listener {
     private static final int MOST_LINE = 256;
     private static final int CONNECT_MS = 1000;
+    private static final double LEAST_MS = 50;
+    private static final double MOST_MS = 2000;
 
     private final HttpBoxSide side;
     private final SessionCore core;
     private final EventLoop loop;
     private final String box;
     private final InetSocketAddress address;
-    private final Backoff backoff;
+    private final BoxWatch watch;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
     private HttpClientConnection connection;
-    private double process = Double.NaN;
     private boolean closed;
 
     NotesStream(HttpBoxSide side, SessionCore core, EventLoop loop, String box, InetSocketAddress address) {
@@ -42,7 +44,7 @@
         this.loop = loop;
         this.box = box;
         this.address = address;
-        backoff = new Backoff(50, 2000, box.hashCode());
+        watch = new BoxWatch(LEAST_MS, MOST_MS, box.hashCode());
     }
 
     void open() {
@@ -52,9 +54,8 @@
                 opened.abandon();
             }
         }, cause -> {
-            // Nothing listens there: the process that played the sessions is gone.
             core.boxLost(box, SessionEnd.BOX_GONE);
-            again();
+            follow(watch.unreachable(core.anyAt(box)));
         });
     }
 
@@ -65,19 +66,21 @@
         }
     }
 
-    private void again() {
+    private void follow(BoxWatch.Next next) {
         if (closed) {
             return;
         }
-        if (!core.anyAt(box)) {
+        if (next.openAfterMs() < 0) {
             side.forgetNotes(box, this);
-            return;
+        } else if (next.openAfterMs() == 0) {
+            open();
+        } else {
+            loop.schedule(() -> {
+                if (!closed) {
+                    open();
+                }
+            }, (long) next.openAfterMs(), TimeUnit.MILLISECONDS);
         }
-        loop.schedule(() -> {
-            if (!closed) {
-                open();
-            }
-        }, (long) backoff.failed(), TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -89,7 +92,7 @@
 
     @Override
     public void data(ByteBuf part) {
-        backoff.succeeded();
+        watch.told();
         while (part.isReadable()) {
             byte next = part.readByte();
             if (next == '\n') {
@@ -114,10 +117,10 @@
         }
         switch (note.kind()) {
             case HELLO -> {
-                if (!Double.isNaN(process) && process != note.value()) {
-                    core.boxLost(box, SessionEnd.BOX_RESTARTED);
+                SessionEnd lost = watch.hello(note.value());
+                if (lost != null) {
+                    core.boxLost(box, lost);
                 }
-                process = note.value();
             }
             case OVER -> core.lost(note.attempt(), SessionEnd.BOX_ENDED);
             case DELIVERED -> core.note(box, note.attempt(), NoteKind.DELIVERED, note.value());
@@ -134,9 +137,6 @@
     @Override
     public void lost(HttpClientConnection.Loss loss, String reason) {
         line.reset();
-        if (!closed) {
-            // At once: whether somebody still listens there decides if sessions are lost.
-            open();
-        }
+        follow(watch.broken(core.anyAt(box)));
     }
 }
--- a/front/src/main/java/spanrill/front/box/SetUpAttempt.java
+++ b/front/src/main/java/spanrill/front/box/SetUpAttempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.Outcome;
+import spanrill.decisions.LostSetUp;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
@@ -101,18 +102,18 @@
             return;
         }
         Outcome outcome = OutcomeTable.read(stage, event);
-        boolean unknown = stage != Stage.CONNECTING && stage != Stage.CONNECTED && !outcome.neverRan();
-        if (unknown && order.spends() && stage == Stage.WRITTEN) {
-            // What spends must not be tried again on a guess: the box is asked before the loss is told.
-            settling = true;
-            side.settle(order.box(), order.key(), sentAt, neverRan -> ended(neverRan
-                    ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome));
-            return;
-        }
-        if (unknown) {
-            side.callOff(order.box(), order.key());
+        switch (LostSetUp.of(stage, outcome, order.spends())) {
+            case ASK_BOX -> {
+                settling = true;
+                side.settle(order.box(), order.key(), sentAt, neverRan -> ended(neverRan
+                        ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome));
+            }
+            case CALL_OFF -> {
+                side.callOff(order.box(), order.key());
+                ended(outcome);
+            }
+            default -> ended(outcome);
         }
-        ended(outcome);
     }
 
     private void ended(Outcome outcome) {
--- a/front/src/main/java/spanrill/front/dash/Relay.java
+++ b/front/src/main/java/spanrill/front/dash/Relay.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.RungGate;
+import spanrill.decisions.SegmentRetry;
 import spanrill.decisions.SessionEnd;
 import spanrill.decisions.SessionState.Phase;
 import spanrill.front.box.SegmentSource;
@@ -18,10 +19,6 @@
  * lost before the first byte went out, and holds the box back while the viewer reads slowly.
  */
 final class Relay implements SegmentSource.SegmentSink {
-    /** A box that lost a segment may be about to be given up: the session's fate shows within this time. */
-    private static final long FATE_MS = 150;
-    private static final int MOST_TRIES = 3;
-
     private final SessionCore core;
     private final SegmentSource boxes;
     private final Exchange exchange;
@@ -147,21 +144,18 @@
         if (exchange.over()) {
             return;
         }
-        if (exchange.started()) {
-            exchange.abort();
-            return;
-        }
-        if (status == 404) {
+        SegmentRetry.Choice choice = SegmentRetry.of(exchange.started(), status, tries);
+        if (choice.sessionLost()) {
             core.lost(key, SessionEnd.BOX_FORGOT);
-        } else if (status == 416) {
-            exchange.respond(416, new Headers(), new byte[0]);
-            return;
         }
-        if (tries >= MOST_TRIES) {
-            Problem.answer(exchange, 502, "segment-lost", "none", "The segment could not be had.", 0);
-            return;
+        switch (choice.act()) {
+            case CUT -> exchange.abort();
+            case NO_SUCH_RANGE -> exchange.respond(416, new Headers(), new byte[0]);
+            case GIVE_UP -> Problem.answer(exchange, 502, "segment-lost", "none",
+                    "The segment could not be had.", 0);
+            default -> exchange.channel().eventLoop().schedule(this::run, (long) choice.afterMs(),
+                    TimeUnit.MILLISECONDS);
         }
-        exchange.channel().eventLoop().schedule(this::run, FATE_MS, TimeUnit.MILLISECONDS);
     }
 
     private void viewerGone() {
--- /dev/null
+++ b/model/src/test/java/spanrill/model/box/BoxProcessTest.java
@@ -0,0 +1,93 @@
+package spanrill.model.box;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import spanrill.model.Draws;
+import spanrill.model.box.BoxProcess.Reply;
+
+class BoxProcessTest {
+    private static final BoxRules RULES = new BoxRules(3, 40, 6000, 0.5, 2, 1500, 1.2);
+    private final BoxProcess warm = new BoxProcess(RULES, Double.NEGATIVE_INFINITY, Draws.of(1));
+
+    @Test
+    void itTurnsAwayWhatItHasNoPlaceOrLinkFor() {
+        assertEquals(new Reply.TurnedAway("link"), warm.setUp(0, "a", 1.3, 1));
+        for (String key : List.of("a", "b", "c")) {
+            double ms = assertInstanceOf(Reply.Works.class, warm.setUp(0, key, 1.1, 2)).ms();
+            assertTrue(ms >= 40 && ms <= 120, "half to one and a half of twice the work: " + ms);
+        }
+        assertEquals(new Reply.TurnedAway("places"), warm.setUp(0, "d", 0, 1));
+        assertTrue(warm.begins("a"));
+        assertTrue(warm.callOff("a"), "it ran");
+        assertInstanceOf(Reply.Works.class, warm.setUp(0, "d", 0, 1));
+        warm.drain();
+        assertEquals(new Reply.TurnedAway("draining"), warm.setUp(0, "e", 0, 1));
+    }
+
+    @Test
+    void whatWasCalledOffNeverBegins() {
+        assertFalse(warm.callOff("early"));
+        assertEquals(new Reply.Known(), warm.setUp(0, "early", 0, 1));
+        warm.setUp(0, "a", 0, 1);
+        assertEquals(new Reply.Known(), warm.setUp(0, "a", 0, 1), "sent twice");
+        warm.connectionLost("a");
+        assertFalse(warm.begins("a"));
+        assertFalse(warm.callOff("a"), "it did not run");
+        assertEquals(0, warm.inflight());
+    }
+
+    @Test
+    void aColdBoxIsPushedOverAndAWarmOneIsNot() {
+        BoxProcess cold = new BoxProcess(RULES, 0, Draws.of(1));
+        int sends = 0;
+        while (!(cold.setUp(sends, "k" + sends, 0, 1) instanceof Reply.PushedOver)) {
+            sends++;
+        }
+        // Half of 3 places in 6 s, twice that over 1.5 s is 0.75; two more are borne.
+        assertEquals(2, sends);
+        BoxProcess later = new BoxProcess(RULES, 0, Draws.of(1));
+        for (int i = 0; i < 50; i++) {
+            assertFalse(later.setUp(6000 + i, "k" + i, 0, 1) instanceof Reply.PushedOver);
+        }
+    }
+
+    /** In any order: never more than its places, and what is told as never run never ran, before or after. */
+    @Property(tries = 2000)
+    void itsWordHolds(@ForAll @Size(max = 60) List<@IntRange(min = 0, max = 49) Integer> steps) {
+        BoxProcess box = new BoxProcess(RULES, Double.NEGATIVE_INFINITY, Draws.of(2));
+        Set<String> ran = new HashSet<>();
+        Set<String> neverRan = new HashSet<>();
+        for (int step : steps) {
+            String key = "k" + step % 10;
+            switch (step / 10) {
+                case 0 -> box.setUp(0, key, 0, 1);
+                case 1 -> {
+                    if (box.begins(key)) {
+                        ran.add(key);
+                    }
+                }
+                case 2 -> box.connectionLost(key);
+                case 3 -> box.ended(key);
+                default -> {
+                    if (!box.callOff(key)) {
+                        neverRan.add(key);
+                    }
+                }
+            }
+            assertTrue(box.inflight() <= 3);
+        }
+        neverRan.retainAll(ran);
+        assertEquals(Set.of(), neverRan);
+    }
+}
--- a/standin/src/main/java/spanrill/standin/box/BoxSession.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxSession.java
@@ -1,5 +1,6 @@
 package spanrill.standin.box;
 
+import spanrill.model.box.BoxProcess;
 import spanrill.model.link.FlowBucket;
 import spanrill.model.link.LinkNetwork.Flow;
 
@@ -17,6 +18,8 @@
     final double scale;
     final FlowBucket bucket = new FlowBucket(CATCH_UP_MS);
     Flow flow;
+    /** The process that it plays at. */
+    BoxProcess process;
     int rung;
     double seenAt;
     int segments;
--- /dev/null
+++ b/standin/src/main/java/spanrill/standin/box/BoxShaper.java
@@ -0,0 +1,123 @@
+package spanrill.standin.box;
+
+import java.util.ArrayList;
+import java.util.List;
+import spanrill.model.link.LinkNetwork;
+import spanrill.standin.day.Day;
+import spanrill.wire.http.ByteRange;
+import spanrill.wire.http.Exchange;
+import spanrill.wire.http.Headers;
+
+/** Moves a box's media: each session gets what the model's links grant it, and no byte more. */
+final class BoxShaper {
+    private static final double START_BOOST = 4;
+    private static final double STEADY_BOOST = 1.3;
+    private static final int START_SEGMENTS = 2;
+
+    private final Day day;
+    private final LinkNetwork network;
+    private final int cell;
+    private final Condition condition;
+    private final List<Transfer> transfers = new ArrayList<>();
+
+    BoxShaper(Day day, LinkNetwork network, int cell, Condition condition) {
+        this.day = day;
+        this.network = network;
+        this.cell = cell;
+        this.condition = condition;
+    }
+
+    private double bytesPerMs(BoxSession session, int rung) {
+        return day.ladder().kb().get(rung) * session.scale * day.byteScale();
+    }
+
+    private long rate(BoxSession session) {
+        return Math.max(1, Math.round(bytesPerMs(session, session.rung) * 1000));
+    }
+
+    void join(double now, BoxSession session) {
+        session.flow = network.join(now, cell, rate(session));
+    }
+
+    void leave(double now, BoxSession session) {
+        network.leave(now, session.flow);
+    }
+
+    void rung(double now, BoxSession session, int rung) {
+        session.rung = rung;
+        network.rate(now, session.flow, rate(session));
+    }
+
+    void clear() {
+        transfers.clear();
+    }
+
+    /** Begins to send a segment of a session by its name, or answers that there is none. */
+    void segment(Exchange exchange, BoxSession session, String name) {
+        long whole = length(session, name);
+        if (whole < 0) {
+            exchange.respond(404, new Headers(), new byte[0]);
+            return;
+        }
+        String range = exchange.head().headers().get("range");
+        boolean partial = ByteRange.understood(range);
+        ByteRange part = partial ? ByteRange.of(range, whole) : new ByteRange(0, whole - 1);
+        if (part == null) {
+            exchange.respond(416, Headers.of("content-range", "bytes */" + whole), new byte[0]);
+            return;
+        }
+        Headers headers = Headers.of("content-type", "video/mp4");
+        if (partial) {
+            headers.add("content-range", "bytes " + part.first() + "-" + part.last() + "/" + whole);
+        }
+        exchange.start(partial ? 206 : 200, headers, part.length());
+        session.transfers++;
+        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(),
+                part.length()));
+    }
+
+    /** Length of a segment in bytes on the wire, -1 when there is none of that name. */
+    private long length(BoxSession session, String name) {
+        if (name.equals("init.mp4")) {
+            return Media.INIT_BYTES;
+        }
+        if (!name.matches("\\d{1,3}/[1-9]\\d{0,8}\\.m4s")) {
+            return -1;
+        }
+        int rung = Integer.parseInt(name.substring(0, name.indexOf('/')));
+        int number = Integer.parseInt(name.substring(name.indexOf('/') + 1, name.length() - 4));
+        if (rung >= day.ladder().kb().size()
+                || (number - 1) * day.titles().segmentMs() >= day.titles().durationMs()) {
+            return -1;
+        }
+        session.segments++;
+        return Math.max(1, Math.round(bytesPerMs(session, rung) * day.titles().segmentMs()));
+    }
+
+    /** Moves transfers on: each session by what the model granted it since the last time. */
+    void advance(double now, double ms, Iterable<BoxSession> sessions) {
+        double share = network.share(cell);
+        for (BoxSession session : sessions) {
+            double perMs = session.flow.rate() * share / 1000;
+            session.bucket.granted(network.granted(now, session.flow), perMs);
+            session.hadRoom |= share >= 1;
+            if (session.transfers == 0) {
+                session.idleMs += ms;
+            } else if (share >= 1) {
+                // Where the link has room a player may fill its buffer.
+                double boost = session.segments <= START_SEGMENTS ? START_BOOST : STEADY_BOOST;
+                session.bucket.extra(perMs * ms * (boost - 1));
+            }
+        }
+        transfers.removeIf(transfer -> {
+            boolean silent = condition.silentTo(transfer.session.zone);
+            boolean done = !silent && transfer.advance();
+            if (silent || transfer.held()) {
+                // Not the link holds it back but its reader, or a cut.
+                transfer.session.idleMs += ms;
+            }
+            transfer.session.transfers -= done ? 1 : 0;
+            return done;
+        });
+    }
+}
--- a/standin/src/main/java/spanrill/standin/box/StandinBox.java
+++ b/standin/src/main/java/spanrill/standin/box/StandinBox.java
@@ -17,12 +17,12 @@
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
 import spanrill.model.Draws;
+import spanrill.model.box.BoxProcess;
+import spanrill.model.box.BoxRules;
 import spanrill.model.link.LinkNetwork;
 import spanrill.standin.Net;
 import spanrill.standin.day.Day;
 import spanrill.wire.box.BoxLink;
-import spanrill.wire.box.Note;
-import spanrill.wire.http.ByteRange;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -30,10 +30,6 @@
 public final class StandinBox {
     private static final double TURNED_AWAY_AT = 1.2;
     private static final double IDLE_MS = 12_000;
-    private static final double MOST_USE = 99;
-    private static final int MOST_TOMBSTONES = 20_000;
-    private static final double START_BOOST = 4;
-    private static final double STEADY_BOOST = 1.3;
 
     private final String id;
     private final String zone;
@@ -47,27 +43,17 @@
     private final UniformRandomProvider random;
     private final Condition condition = new Condition();
     private final Map<String, BoxSession> sessions = new LinkedHashMap<>();
-    private final Map<String, Boolean> tombstones = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MOST_TOMBSTONES;
-        }
-    };
-    private final List<Transfer> transfers = new ArrayList<>();
+    private final BoxRules rules;
+    private final BoxShaper shaper;
+    private final BoxTeller teller;
     private final BoxNotes notes;
     private final Set<Channel> connections = new LinkedHashSet<>();
-    private final List<Double> coldSends = new ArrayList<>();
     private final List<Runnable> parked = new ArrayList<>();
     private Channel server;
     private int port;
     private long process;
     private double startedAt = Double.NEGATIVE_INFINITY;
-    private boolean draining;
-    private int settingUp;
-    private double shownLink;
-    private double shownUplink;
+    private BoxProcess life;
     private long spends;
 
     StandinBox(String id, String zone, int cell, int rack, double linkKb, LinkNetwork network, Day day,
@@ -85,6 +71,11 @@
         this.tap = tap;
         random = Draws.of(seed, id);
         notes = new BoxNotes(loop);
+        Day.Boxes all = day.boxes();
+        rules = new BoxRules(all.places(), all.setUpMs(), all.coldMs(), all.coldShare(),
+                day.rules().fallMultiple(), day.rules().fallMs(), TURNED_AWAY_AT);
+        shaper = new BoxShaper(day, network, cell, condition);
+        teller = new BoxTeller(day, network, cell, rack, notes, condition);
     }
 
     /** Its name. */
@@ -150,7 +141,7 @@
     public void start(boolean cold) {
         process = System.currentTimeMillis();
         startedAt = cold ? tap.now() : Double.NEGATIVE_INFINITY;
-        draining = false;
+        life = new BoxProcess(rules, startedAt, random);
         condition.mute = false;
         long started = process;
         Net.bind(loop, port, connections::add, this::route).addListener(future -> {
@@ -186,19 +177,16 @@
             connection.close();
         }
         connections.clear();
-        sessions.values().forEach(session -> network.leave(tap.now(), session.flow));
+        sessions.values().forEach(session -> shaper.leave(tap.now(), session));
         sessions.clear();
-        transfers.clear();
+        shaper.clear();
         notes.clear();
         parked.clear();
-        coldSends.clear();
-        tombstones.clear();
-        settingUp = 0;
     }
 
     /** It finishes what it has and takes nothing new. */
     public void drain() {
-        draining = true;
+        life.drain();
     }
 
     /** It goes silent, or comes back to life with what waits in its sockets. */
@@ -275,83 +263,55 @@
         boolean spend = "1".equals(h.get(BoxLink.SPENDS));
         tap.put(new TapEvent.SetUp(now, id, front, h.get(BoxLink.TOKEN), key, h.get(BoxLink.CLASS),
                 h.get(BoxLink.TITLE), rung, spend, h.get(BoxLink.CONTINUES)));
-        if (pushedOver(now)) {
+        BoxProcess.Reply reply = life.setUp(now, key, network.linkUse(cell), condition.slow);
+        if (reply instanceof BoxProcess.Reply.PushedOver) {
             die("pushed over");
-            return;
-        }
-        if (tombstones.containsKey(key)) {
+        } else if (reply instanceof BoxProcess.Reply.Known) {
             answer(exchange, key, 409, null);
-            return;
-        }
-        double warmth = warmth(now);
-        String reason = draining ? "draining"
-                : sessions.size() + settingUp >= day.boxes().places() ? "places"
-                : network.linkUse(cell) > TURNED_AWAY_AT ? "link" : null;
-        if (reason != null) {
-            answer(exchange, key, 503, reason);
-            return;
-        }
-        settingUp++;
-        long own = process;
-        exchange.onClosed(() -> {
-            tap.put(new TapEvent.End(tap.now(), key, "called off"));
-            tombstones.putIfAbsent(key, true);
-        });
-        double work = day.boxes().setUpMs() * (0.5 + random.nextDouble()) * condition.slow / warmth;
-        BoxSession session = new BoxSession(key, h.get(BoxLink.TOKEN), h.get(BoxLink.CLASS), front,
-                String.valueOf(h.get(BoxLink.ZONE)), h.get(BoxLink.TITLE), type.scale(), rung, now);
-        loop.schedule(() -> ready(exchange, session, own, spend), (long) work, TimeUnit.MILLISECONDS);
-    }
-
-    private boolean pushedOver(double now) {
-        if (now - startedAt >= day.boxes().coldMs()) {
-            return false;
+        } else if (reply instanceof BoxProcess.Reply.TurnedAway away) {
+            answer(exchange, key, 503, away.reason());
+        } else if (reply instanceof BoxProcess.Reply.Works works) {
+            BoxProcess own = life;
+            exchange.onClosed(() -> {
+                tap.put(new TapEvent.End(tap.now(), key, "called off"));
+                own.connectionLost(key);
+            });
+            BoxSession session = new BoxSession(key, h.get(BoxLink.TOKEN), h.get(BoxLink.CLASS), front,
+                    String.valueOf(h.get(BoxLink.ZONE)), h.get(BoxLink.TITLE), type.scale(), rung, now);
+            loop.schedule(() -> ready(exchange, session, own, spend), (long) works.ms(),
+                    TimeUnit.MILLISECONDS);
         }
-        double fall = day.rules().fallMs();
-        coldSends.removeIf(t -> t <= now - fall);
-        coldSends.add(now);
-        double budget = day.rules().fallMultiple() * day.boxes().places() / day.boxes()
-                .coldMs() * warmth(now) * fall;
-        return coldSends.size() > budget + 2;
-    }
-
-    private double warmth(double now) {
-        double part = Math.min(1, (now - startedAt) / Math.max(1, day.boxes().coldMs()));
-        return day.boxes().coldShare() + (1 - day.boxes().coldShare()) * part;
     }
 
-    private void ready(Exchange exchange, BoxSession session, long own, boolean spend) {
-        if (own != process || server == null) {
-            return;
-        }
-        settingUp--;
-        if (tombstones.containsKey(session.key)) {
+    private void ready(Exchange exchange, BoxSession session, BoxProcess own, boolean spend) {
+        if (own != life || server == null) {
             return;
         }
         if (condition.silentTo(session.zone)) {
-            settingUp++;
             parked.add(() -> ready(exchange, session, own, spend));
             return;
         }
+        if (!life.begins(session.key)) {
+            return;
+        }
         double now = tap.now();
-        session.flow = network.join(now, cell, rate(session));
+        shaper.join(now, session);
         sessions.put(session.key, session);
+        session.process = life;
         session.seenAt = now;
         spends += spend ? 1 : 0;
         tap.put(new TapEvent.Ran(now, session.key));
+        exchange.onClosed(() -> { });
         if (random.nextDouble() < condition.answerLost) {
-            exchange.onClosed(() -> { });
             exchange.channel().close();
             return;
         }
-        exchange.onClosed(() -> { });
         tap.put(new TapEvent.SetUpAnswer(now, session.key, 200, null));
         Headers headers = Headers.of(BoxLink.LOAD, BoxLink.format(load()), "content-type", "video/mp4");
         exchange.start(200, headers, Media.INIT_BYTES);
         exchange.write(Media.part(session.title, 0, Media.INIT_BYTES));
         exchange.end();
-        notes.tell(session.front, new Note(Note.Kind.LINK, session.key, shown(network.linkUse(cell))));
-        notes.tell(session.front, new Note(Note.Kind.UPLINK, session.key, shown(network.uplinkUse(rack))));
+        teller.began(session);
     }
 
     private void answer(Exchange exchange, String key, int status, String reason) {
@@ -364,7 +324,7 @@
     }
 
     private Load load() {
-        return new Load(sessions.size() + settingUp, shownLink, shownUplink);
+        return teller.load(life.inflight());
     }
 
     private void attempt(Exchange exchange, String method, String rest) {
@@ -372,10 +332,8 @@
         String key = slash < 0 ? rest : rest.substring(0, slash);
         String name = slash < 0 ? "" : rest.substring(slash + 1);
         if (method.equals("DELETE")) {
-            // What ran is remembered as false in the tombstones: only what never began gives a proof.
-            boolean ran = sessions.containsKey(key) || Boolean.FALSE.equals(tombstones.get(key));
+            boolean ran = life.callOff(key);
             end(key, "released");
-            tombstones.put(key, !ran);
             tap.put(new TapEvent.CallOffAnswer(tap.now(), key, ran));
             exchange.respond(204, Headers.of(BoxLink.LOAD, BoxLink.format(load()), BoxLink.RAN, ran ? "1"
                     : "0",
@@ -395,137 +353,41 @@
                 exchange.respond(400, new Headers(), new byte[0]);
                 return;
             }
-            session.rung = Integer.parseInt(to);
-            network.rate(tap.now(), session.flow, rate(session));
+            shaper.rung(tap.now(), session, Integer.parseInt(to));
             tap.put(new TapEvent.Rung(tap.now(), key, session.rung));
             exchange.respond(204, Headers.of(BoxLink.LOAD, BoxLink.format(load())), new byte[0]);
         } else {
-            segment(exchange, session, name);
+            session.seenAt = tap.now();
+            shaper.segment(exchange, session, name);
         }
     }
 
     private void end(String key, String why) {
         BoxSession session = sessions.remove(key);
         if (session != null) {
-            tombstones.put(key, false);
-            network.leave(tap.now(), session.flow);
+            shaper.leave(tap.now(), session);
         }
         tap.put(new TapEvent.End(tap.now(), key, why));
     }
 
-    private void segment(Exchange exchange, BoxSession session, String name) {
-        long whole;
-        if (name.equals("init.mp4")) {
-            whole = Media.INIT_BYTES;
-        } else if (name.matches("\\d{1,3}/[1-9]\\d{0,8}\\.m4s")) {
-            int rung = Integer.parseInt(name.substring(0, name.indexOf('/')));
-            int number = Integer.parseInt(name.substring(name.indexOf('/') + 1, name.length() - 4));
-            if (rung >= day.ladder().kb().size()
-                    || (number - 1) * day.titles().segmentMs() >= day.titles().durationMs()) {
-                exchange.respond(404, new Headers(), new byte[0]);
-                return;
-            }
-            whole = Math.max(1, Math.round(bytesPerMs(session, rung) * day.titles().segmentMs()));
-            session.segments++;
-        } else {
-            exchange.respond(404, new Headers(), new byte[0]);
-            return;
-        }
-        session.seenAt = tap.now();
-        String range = exchange.head().headers().get("range");
-        ByteRange part = ByteRange.understood(range) ? ByteRange.of(range, whole) : new ByteRange(0,
-                whole - 1);
-        if (part == null) {
-            exchange.respond(416, Headers.of("content-range", "bytes */" + whole), new byte[0]);
-            return;
-        }
-        Headers headers = Headers.of("content-type", "video/mp4");
-        boolean partial = ByteRange.understood(range);
-        if (partial) {
-            headers.add("content-range", "bytes " + part.first() + "-" + part.last() + "/" + whole);
-        }
-        exchange.start(partial ? 206 : 200, headers, part.length());
-        session.transfers++;
-        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(),
-                part.length()));
-    }
-
-    private double bytesPerMs(BoxSession session, int rung) {
-        return day.ladder().kb().get(rung) * session.scale * day.byteScale();
-    }
-
-    private long rate(BoxSession session) {
-        return Math.max(1, Math.round(bytesPerMs(session, session.rung) * 1000));
-    }
-
-    /** A use as it can be told: a link that gives nothing is told as very full. */
-    private static double shown(double use) {
-        return Math.min(use, MOST_USE);
-    }
-
-    // ---- notes
-
-    private void tellLate(BoxSession session, Note... told) {
-        long own = process;
-        notes.tellLate(day.notes().lateMs() + condition.lateMs,
-                () -> own == process && !condition.silentTo(session.zone), session.front, told);
-    }
-
-    /** Each second: the share delivered, on one session of each front. */
+    /** Each second: the share delivered. */
     void tellShare() {
-        Set<Integer> told = new LinkedHashSet<>();
-        for (BoxSession session : sessions.values()) {
-            if (!told.add(session.front)) {
-                continue;
-            }
-            double share = network.share(cell);
-            boolean isShort = share < 0.98;
-            if (isShort || session.toldShort) {
-                tellLate(session, new Note(Note.Kind.DELIVERED, session.key, share));
-            }
-            session.toldShort = isShort;
-        }
+        teller.share(sessions.values(), this::plays);
     }
 
-    /** At the stated interval: how full link and uplink are, on one session of each front. */
+    /** At the stated interval: how full link and uplink are. */
     void tellUse() {
-        shownLink = shown(network.linkUse(cell));
-        shownUplink = shown(network.uplinkUse(rack));
-        Set<Integer> told = new LinkedHashSet<>();
-        for (BoxSession session : sessions.values()) {
-            if (told.add(session.front)) {
-                tellLate(session, new Note(Note.Kind.LINK, session.key, shownLink),
-                        new Note(Note.Kind.UPLINK, session.key, shownUplink));
-            }
-        }
+        teller.use(sessions.values(), this::plays);
     }
 
-    // ---- bytes
+    /** True while the process that a session was set up at runs, whether or not the session plays on. */
+    private boolean plays(BoxSession session) {
+        return session.process == life && server != null;
+    }
 
-    /** Moves its transfers on: each session by what the model granted it since the last time. */
+    /** Moves its bytes on. */
     void advance(double now, double ms) {
-        double share = network.share(cell);
-        for (BoxSession session : sessions.values()) {
-            double perMs = session.flow.rate() * share / 1000;
-            session.bucket.granted(network.granted(now, session.flow), perMs);
-            session.hadRoom |= share >= 1;
-            if (session.transfers == 0) {
-                session.idleMs += ms;
-            } else if (share >= 1) {
-                // Where the link has room a player may fill its buffer.
-                session.bucket.extra(perMs * ms * ((session.segments <= 2 ? START_BOOST : STEADY_BOOST) - 1));
-            }
-        }
-        transfers.removeIf(transfer -> {
-            boolean silent = condition.silentTo(transfer.session.zone);
-            boolean done = !silent && transfer.advance();
-            if (silent || transfer.held()) {
-                // Not the link holds it back but its reader, or a cut.
-                transfer.session.idleMs += ms;
-            }
-            transfer.session.transfers -= done ? 1 : 0;
-            return done;
-        });
+        shaper.advance(now, ms, sessions.values());
     }
 
     /** Ends sessions that nobody asks for any more. */
@@ -537,8 +399,9 @@
             }
         }
         for (BoxSession session : due) {
+            life.ended(session.key);
             end(session.key, "idle");
-            notes.tell(session.front, new Note(Note.Kind.OVER, session.key, 0));
+            teller.ended(session);
         }
         connections.removeIf(channel -> !channel.isActive());
         notes.sweep();
