How far from the best: a proven bound, textbook rules and hindrances in the emulator

What: BestPossible works out the most worth that any policy could have playing at a moment (polymatroid greedy over flows from titles through holders to uplinks; proof in its page). Textbook rules (random, fewest, two drawn, bounded-load hash; three rung rules) stand behind the module's interface, in the emulator only. Rule 6 counts a moved session as a request of its own, and its second set-up as a further one.

Module and adapter untouched.

--- a/check/src/test/java/spanrill/check/CheckerTest.java
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -279,6 +279,24 @@
                 .runs(11_210, "t.2").brokenIs(1, 6);
     }
 
+    /**
+     * A move asks anew: its first set-up is none beyond the first, the second is, and it counts as a request.
+     */
+    @Test
+    void aMoveIsARequestOfItsOwn() {
+        events.set(0, facts(0.85));
+        ask(10, 1, "t", "free").setUp(20, "a", "t", 1, "free").runs(40, "t.1").answer(45, 1, "plays")
+                .add(new End(500, "t.1", "released"),
+                        new SetUp(520, "b", 0, "t", "t-1.2", "free", "title", 1, false, "t.1"),
+                        new SetUpAnswer(522, "t-1.2", 503, "places")).brokenIs();
+        events.removeIf(e -> e instanceof BoxDown);
+        add(new SetUp(530, "c", 0, "t", "t-1.3", "free", "title", 1, false, "t.1")).runs(550,
+                "t-1.3").brokenIs();
+        events.set(0, facts(0.75));
+        events.removeIf(e -> e instanceof BoxDown);
+        brokenIs(6);
+    }
+
     @Test
     void ticketsAreCountedAndPlantedFaultsCaught() {
         paidThatPlays().ask(12, 2, "t", "paid").answer(66, 2, "plays").ask(300, 3, "u", "paid")
--- a/cli/src/main/java/spanrill/cli/EmulateCommand.java
+++ b/cli/src/main/java/spanrill/cli/EmulateCommand.java
@@ -16,6 +16,8 @@
 import spanrill.day.Day;
 import spanrill.emulator.Emulator;
 import spanrill.emulator.Figures;
+import spanrill.emulator.Policies;
+import spanrill.emulator.Worth;
 import spanrill.settings.Settings;
 
 /** Plays a day in virtual time and judges it. */
@@ -39,9 +41,27 @@
     @Option(names = "--taps", paramLabel = "DIR", description = "keep the records there")
     private Path taps;
 
+    @Option(names = "--policy", defaultValue = "module", description = {
+        "what decides in the fronts (default: ${DEFAULT-VALUE}); or a textbook rule: random, fewest,",
+        "two-drawn or hash, with :top, :lowest or :throughput for the rungs"})
+    private String policy;
+
+    @Option(names = "--bound", description = "also work out the most that any policy could earn")
+    private boolean bound;
+
+    @Option(names = "--hindrances", description = {
+        "also play the day without late reports, late lists, many fronts, ..., one at a time; needs --bound"})
+    private boolean hindrances;
+
+    @Option(names = "--look", paramLabel = "S", defaultValue = "1",
+            description = "seconds between two looks at the worth earned (default: ${DEFAULT-VALUE})")
+    private double lookS;
+
     @Spec
     private CommandSpec spec;
 
+    private Hindrances found;
+
     @Override
     public Integer call() throws Exception {
         Day day = Settings.read(file, Day.class);
@@ -56,9 +76,12 @@
             Files.createDirectories(taps);
         }
         long begin = System.nanoTime();
-        Emulator.Run run = Emulator.play(day, by, taps == null ? null : taps.resolve("tap.jsonl"));
+        Emulator.Run run = Emulator.play(day, by, options(taps == null ? null : taps.resolve("tap.jsonl")));
         double seconds = (System.nanoTime() - begin) / 1e9;
         Judgement judged = Judgement.of(run.records());
+        if (hindrances) {
+            found = Hindrances.of(day, by, options(null), run.worth());
+        }
         PrintWriter out = spec.commandLine().getOut();
         print(out, by, day, run, judged, seconds);
         if (report != null) {
@@ -67,6 +90,17 @@
         return judged.held() ? Exit.HELD : Exit.RULE_BROKEN;
     }
 
+    private Emulator.Options options(Path file) throws BadInput {
+        if (!(lookS > 0) || lookS > 3600 || (hindrances && !bound)) {
+            throw new BadInput("--look must be above 0 and at most 3600; --hindrances needs --bound");
+        }
+        try {
+            return new Emulator.Options(file, Policies.of(policy), lookS * 1000, bound);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("--policy: " + e.getMessage());
+        }
+    }
+
     private void print(PrintWriter out, long by, Day day, Emulator.Run run, Judgement judged,
             double seconds) {
         Figures figures = run.figures();
@@ -79,6 +113,13 @@
         out.printf(Locale.ROOT, "  set-up p50 %.0f ms, p99 %.0f ms; %.1f s for %.0f s of day, %.0f events a "
                 + "second%n", figures.setUpMs(0.5), figures.setUpMs(0.99), seconds,
                 (day.lengthMs() + day.tailMs()) / 1000, run.events() / seconds);
+        Worth worth = run.worth();
+        out.printf(Locale.ROOT, "  service %.3f of what is asked (%d looks)%s%n", worth.service(),
+                worth.looks(),
+                bound ? String.format(Locale.ROOT, "; no policy could be above %.3f", worth.bound()) : "");
+        if (found != null) {
+            found.print(out);
+        }
         Report.rulesTable(out, judged.verdicts());
         judged.whyNotHeld().forEach(reason -> out.println("  NOT HELD: " + reason));
         out.flush();
@@ -95,6 +136,14 @@
                 .put("bytes", figures.bytes()).put("meanRung", figures.meanRung())
                 .put("spends", figures.spends()).put("stalls", figures.stalls())
                 .put("returns", figures.returns()).put("seconds", seconds).put("events", run.events());
+        root.put("policy", policy).put("service", run.worth().service());
+        if (bound) {
+            root.putObject("bound").put("asked", run.worth().asked()).put("most", run.worth().most())
+                    .put("ours", run.worth().earned());
+        }
+        if (found != null) {
+            found.putInto(root);
+        }
         return root;
     }
 
--- a/day/src/main/java/spanrill/day/Day.java
+++ b/day/src/main/java/spanrill/day/Day.java
@@ -219,6 +219,34 @@
                 rules, arrivals, flashes, distances, viewers, registry, troubles);
     }
 
+    /** The same day with other boxes. */
+    public Day withBoxes(Boxes other) {
+        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, other, titles, classes, ladder,
+                notes,
+                rules, arrivals, flashes, distances, viewers, registry, troubles);
+    }
+
+    /** The same day with other notes. */
+    public Day withNotes(Notes other) {
+        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
+                other,
+                rules, arrivals, flashes, distances, viewers, registry, troubles);
+    }
+
+    /** The same day with other rules. */
+    public Day withRules(Rules other) {
+        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
+                notes,
+                other, arrivals, flashes, distances, viewers, registry, troubles);
+    }
+
+    /** The same day with another registry. */
+    public Day withRegistry(Registry other) {
+        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
+                notes,
+                rules, arrivals, flashes, distances, viewers, other, troubles);
+    }
+
     /** Checks what fields must be to each other. */
     public Day {
         if (ladder.kb().size() != ladder.worth().size()) {
--- a/emulator/src/main/java/spanrill/emulator/Box.java
+++ b/emulator/src/main/java/spanrill/emulator/Box.java
@@ -63,6 +63,8 @@
     /** A session that it plays. */
     static final class Playing {
         final String key;
+        final String token;
+        final double worth;
         final Front front;
         final int frontLife;
         final BoxProcess process;
@@ -73,15 +75,17 @@
         double seenAt;
         private boolean toldShort;
 
-        private Playing(String key, Front front, BoxProcess process, double scale, LinkNetwork.Flow flow,
-                int rung, double now) {
-            this.key = key;
+        private Playing(BoxSide.Order order, Front front, BoxProcess process, Day.DayClass type,
+                LinkNetwork.Flow flow, double now) {
+            key = order.key();
+            token = order.request().tokenId();
+            worth = type.worth();
             this.front = front;
             frontLife = front.life();
             this.process = process;
-            this.scale = scale;
+            scale = type.scale();
             this.flow = flow;
-            this.rung = rung;
+            rung = order.rung();
             seenAt = now;
         }
     }
@@ -293,9 +297,9 @@
         double now = world.now();
         wire.onClosed = null;
         wires.remove(wire);
-        double scale = world.day().classes().get(order.request().className()).scale();
-        Playing session = new Playing(order.key(), front, life, scale,
-                network.join(now, plan.cell(), rate(order.rung(), scale)), order.rung(), now);
+        Day.DayClass type = world.day().classes().get(order.request().className());
+        Playing session = new Playing(order, front, life, type,
+                network.join(now, plan.cell(), rate(order.rung(), type.scale())), now);
         sessions.put(order.key(), session);
         spends += order.spends() ? 1 : 0;
         world.tap().put(new TapEvent.Ran(now, order.key()));
--- a/emulator/src/main/java/spanrill/emulator/Emulator.java
+++ b/emulator/src/main/java/spanrill/emulator/Emulator.java
@@ -21,27 +21,35 @@
      * @param beganAt start of the day on the records' clock, ms
      * @param events events of the agenda
      */
-    public record Run(List<TapEvent> records, Figures figures, double beganAt, long events) { }
-
-    private Emulator() { }
-
-    /** Plays a day with the module. */
-    public static Run play(Day day, long seed, Path taps) throws IOException {
-        return play(day, seed, taps, Control::new);
-    }
+    public record Run(List<TapEvent> records, Figures figures, Worth worth, double beganAt, long events) { }
 
     /**
-     * Plays a day.
+     * How a day is played.
      *
      * @param taps file that the records are written to as well, or null
      * @param policy makes what decides in each front
+     * @param lookMs worth is looked at so often
+     * @param bound also work out the most that could be earned then
      */
-    public static Run play(Day day, long seed, Path taps, SessionCore.Policy policy) throws IOException {
-        try (Tap tap = new Tap(taps)) {
+    public record Options(Path taps, SessionCore.Policy policy, double lookMs, boolean bound) { }
+
+    private static final double LOOK_MS = 1000;
+
+    private Emulator() { }
+
+    /** Plays a day with the module. */
+    public static Run play(Day day, long seed) throws IOException {
+        return play(day, seed, new Options(null, Control::new, LOOK_MS, false));
+    }
+
+    /** Plays a day. */
+    public static Run play(Day day, long seed, Options options) throws IOException {
+        try (Tap tap = new Tap(options.taps())) {
             tap.put(facts(day));
-            World world = new World(day, seed, tap, Costs.usual(), policy);
-            world.play(new Plan(day, seed));
-            return new Run(tap.events(), world.figures(), World.BEGIN_MS, world.events());
+            World world = new World(day, seed, tap, Costs.usual(), options.policy());
+            world.play(new Plan(day, seed), options.lookMs(), options.bound());
+            return new Run(tap.events(), world.figures(), world.worth().worth(), World.BEGIN_MS,
+                    world.events());
         }
     }
 
--- a/emulator/src/main/java/spanrill/emulator/Viewer.java
+++ b/emulator/src/main/java/spanrill/emulator/Viewer.java
@@ -67,6 +67,7 @@
 
     void come() {
         world.tap().put(new TapEvent.Came(now(), name, traits.cls()));
+        world.worth().came(name, this);
         player = new Player(traits, now(), day.viewers().returnMs());
         newToken();
         if (!waitsForHall()) {
@@ -74,6 +75,11 @@
         }
     }
 
+    /** True when a token is that of the session which it watches or asks for, and it still wants to watch. */
+    boolean holds(String token) {
+        return token.equals(tokenId) && now() < World.BEGIN_MS + arrival.atMs() + traits.watchMs();
+    }
+
     private boolean waitsForHall() {
         return waits && world.watch().whenHealed(traits.hall(), () -> world.after(0, this::ask));
     }
@@ -108,6 +114,7 @@
 
     private void over(String why) {
         world.tap().put(new TapEvent.Went(now(), name, why));
+        world.worth().went(name);
         world.figures().playedMs += player.playedMs();
         world.figures().stalledMs += player.stalledMs();
         world.figures().stalls += player.stalls();
--- a/emulator/src/main/java/spanrill/emulator/World.java
+++ b/emulator/src/main/java/spanrill/emulator/World.java
@@ -37,6 +37,7 @@
     private final long[] linkBytes;
     private final long[] uplinkBytes;
     private final Figures figures = new Figures();
+    private WorthMeter worth;
 
     World(Day day, long seed, Tap tap, Costs costs, SessionCore.Policy policy) {
         this.day = day;
@@ -114,6 +115,10 @@
         return byId.get(id);
     }
 
+    WorthMeter worth() {
+        return worth;
+    }
+
     Figures figures() {
         return figures;
     }
@@ -140,7 +145,8 @@
     // ---- the run
 
     /** Plays the day to its end. */
-    void play(Plan plan) {
+    void play(Plan plan, double lookMs, boolean bound) {
+        worth = new WorthMeter(this, plan, network, bound);
         boxes.forEach(box -> {
             box.start(false);
             registry.begin(box);
@@ -154,6 +160,7 @@
         plan.arrivals().forEach(arrival -> after(BEGIN_MS + arrival.atMs(),
                 () -> new Viewer(this, arrival).come()));
         plan.effects().forEach(effect -> after(BEGIN_MS + effect.atMs(), () -> act(effect)));
+        after(BEGIN_MS, () -> every(lookMs, worth::look));
         agenda.runUntil(BEGIN_MS + day.lengthMs() + day.tailMs());
         fronts.forEach(Front::dayOver);
         figures.spends = boxes.stream().mapToLong(Box::spends).sum();
