--- a/check/src/main/java/spanrill/check/Attempts.java
+++ b/check/src/main/java/spanrill/check/Attempts.java
@@ -115,6 +115,11 @@
         return overlaps(mute.getOrDefault(box, List.of()), from, to) > 0;
     }
 
+    /** How long the box neither read nor wrote, to all or to a hall, from one time to another. */
+    double muteMs(String box, double from, double to) {
+        return overlaps(mute.getOrDefault(box, List.of()), from, to);
+    }
+
     /** True when the box could not be reached from some hall at any time from one time to another. */
     boolean cut(String box, double from, double to) {
         return overlaps(cut.getOrDefault(box, List.of()), from, to) > 0;
--- a/check/src/test/java/spanrill/check/CheckerTest.java
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -251,6 +251,15 @@
         add(new End(150, "t0.1", "released")).brokenIs();
     }
 
+    @Test
+    void aSetUpThatWaitedAtASilentBoxIsNotNewWhenItIsRead() {
+        ask(10, 1, "t", "free").add(new Told(100, 0, "a", "draining", 0), new BoxMute(50, "a", true, "east"),
+                new BoxMute(600, "a", false, "east")).setUp(601, "a", "t", 1, "free").turnedAway(602, "t.1")
+                .answer(610, 1, "refused").brokenIs();
+        events.removeIf(e -> e instanceof BoxDown);
+        setUp(900, "a", "t", 2, "free").turnedAway(902, "t.2").brokenIs(4);
+    }
+
     @Test
     void moreAttemptsThanTheBudgetAreCaught() {
         events.set(0, facts(1.0));
--- a/cli/src/main/java/spanrill/cli/EmulateCommand.java
+++ b/cli/src/main/java/spanrill/cli/EmulateCommand.java
@@ -46,6 +46,10 @@
         "two-drawn or hash, with :top, :lowest or :throughput for the rungs"})
     private String policy;
 
+    @Option(names = "--module", paramLabel = "Control.java",
+            description = "another text of the module, compiled and played in place of the one built in")
+    private Path module;
+
     @Option(names = "--bound", description = "also work out the most that any policy could earn")
     private boolean bound;
 
@@ -95,7 +99,9 @@
             throw new BadInput("--look must be above 0 and at most 3600; --hindrances needs --bound");
         }
         try {
-            return new Emulator.Options(file, Policies.of(policy), lookS * 1000, bound);
+            return new Emulator.Options(file, module == null ? Policies.of(policy)
+                    : ModuleSource.compile(module),
+                    lookS * 1000, bound);
         } catch (IllegalArgumentException e) {
             throw new BadInput("--policy: " + e.getMessage());
         }
--- a/cli/src/test/java/spanrill/cli/RehearseTest.java
+++ b/cli/src/test/java/spanrill/cli/RehearseTest.java
@@ -123,6 +123,19 @@
         assertTrue(new ObjectMapper().readTree(folder.resolve("emulated.json").toFile()).path("addsUp")
                 .asBoolean());
         assertEquals(Exit.HELD, run("check", folder.resolve("emulated").toString()).code());
+        // The module's own text, compiled anew, plays the very same day; one that is broken is told.
+        Path text = Path.of("..", "core", "src", "main", "java", "spanrill", "Control.java");
+        String first = days.resolve("first-bad-day.jsonnet").toString();
+        assertEquals(Exit.HELD, run("emulate", first, "--module", text.toString(), "--taps",
+                folder.resolve("again").toString()).code());
+        assertEquals(-1, Files.mismatch(folder.resolve("emulated").resolve("tap.jsonl"),
+                folder.resolve("again").resolve("tap.jsonl")));
+        Path broken = folder.resolve("Control.java");
+        Files.writeString(broken, Files.readString(text).replace("double MARK = 0.88;", "double MARK = ;"));
+        CommandLineOutput told = run("emulate", first, "--module", broken.toString());
+        assertEquals(Exit.BAD_INPUT, told.code());
+        assertTrue(told.text().contains("Control.java:") && told.text().contains("illegal start"),
+                told.text());
     }
 
     @Test
