--- a/check/src/main/java/spanrill/check/BudgetRule.java
+++ b/check/src/main/java/spanrill/check/BudgetRule.java
@@ -10,16 +10,13 @@
 /**
  * Rule 6: a front's attempts beyond each request's first stay within a stated few, plus a share of the
  * requests that it took, over any window; and where no budget is stated, within the attempts allowed. A
- * session that
- * is moved counts as a request taken when it is asked for anew, as on the users' bench.
+ * session that is moved counts as a request taken when it is asked for anew, as on the users' bench.
  */
 final class BudgetRule implements Rule {
     /**
      * A front counts from when it took a request and decided on an attempt; the records have when the viewer
-     * wrote
-     * the one and the box read the other. What lies between (ways, a signature, a connection of its own)
-     * moves
-     * either over an edge of the window; in the front's favour it is taken to be this much.
+     * wrote the one and the box read the other. What lies between (ways, a signature, a connection of its
+     * own) moves either over an edge of the window; in the front's favour it is taken to be this much.
      */
     private static final double READ_MS = 50;
 
--- a/cli/src/main/java/spanrill/cli/HealedHall.java
+++ b/cli/src/main/java/spanrill/cli/HealedHall.java
@@ -12,8 +12,7 @@
 
 /**
  * What became of the viewers of a hall that was cut off, after it healed: those who had asked before and
- * asked
- * again at a front of the hall within {@value #WITHIN_MS} ms.
+ * asked again at a front of the hall within {@value #WITHIN_MS} ms.
  *
  * @param hall its name
  * @param returned how many they are
--- a/cli/src/main/java/spanrill/cli/Hindrances.java
+++ b/cli/src/main/java/spanrill/cli/Hindrances.java
@@ -16,9 +16,8 @@
 import spanrill.emulator.Worth;
 
 /**
- * What stands between a day's service and the best possible: the day is played again without one hindrance
- * at a time,
- * and without all.
+ * What stands between a day's service and the best possible: the day is played again without one hindrance at
+ * a time, and without all.
  *
  * @param gains service gained without each alone
  * @param together service gained without all of them
--- a/cli/src/main/java/spanrill/cli/Main.java
+++ b/cli/src/main/java/spanrill/cli/Main.java
@@ -18,7 +18,7 @@
             "  spanrill config check front.jsonnet             is this file usable?",
             "  spanrill serve front.jsonnet                    run a front"},
         subcommands = {ServeCommand.class, StandinCommand.class, RehearseCommand.class, EmulateCommand.class,
-                AgreeCommand.class,
+                AgreeCommand.class, VersionsCommand.class,
         CheckCommand.class,
         MeasureCommand.class, SharesCommand.class, TicketsCommand.class, PlotCommand.class,
             TokenCommand.class, ConfigCommand.class, ModelCommand.class, ReportCommand.class,
--- a/cli/src/main/java/spanrill/cli/MeasureBench.java
+++ b/cli/src/main/java/spanrill/cli/MeasureBench.java
@@ -29,7 +29,7 @@
     static final long SEGMENT = 4L << 20;
     static final double PATIENCE_MS = 3000;
 
-    final MultiThreadIoEventLoopGroup viewers = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    final MultiThreadIoEventLoopGroup viewers = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
     final List<Entry> entries = new ArrayList<>();
     final Issuer issuer;
     final FrontProcesses fronts;
--- a/cli/src/main/java/spanrill/cli/ModuleSource.java
+++ b/cli/src/main/java/spanrill/cli/ModuleSource.java
@@ -26,8 +26,7 @@
 
 /**
  * Another text of the module: a file with a {@code spanrill.Control} of its own, compiled in memory and
- * loaded beside
- * the one that is built in. For trying changes, and for playing past versions.
+ * loaded beside the one that is built in. For trying changes, and for playing past versions.
  */
 final class ModuleSource {
     private static final String NAME = "spanrill.Control";
--- a/cli/src/main/java/spanrill/cli/OverloadCommand.java
+++ b/cli/src/main/java/spanrill/cli/OverloadCommand.java
@@ -39,6 +39,11 @@
             "first rate that is tried, new sessions a second (default: ${DEFAULT-VALUE})")
     private double from;
 
+    @Option(names = "--token-threads", paramLabel = "N", defaultValue = "1", description = {
+        "threads of the front that verify tokens (default: ${DEFAULT-VALUE}): with more it holds more, and",
+        "16 times as much is soon beyond what this machine can offer"})
+    private int tokenThreads;
+
     @Spec
     private CommandSpec spec;
 
@@ -67,13 +72,16 @@
 
     @Override
     public Integer call() throws Exception {
+        if (tokenThreads < 1 || tokenThreads > 64) {
+            throw new BadInput("--token-threads must be from 1 to 64");
+        }
         if (seconds < 1 || seconds > 600 || !(from >= 1) || from > MOST_PER_S) {
             throw new BadInput("--seconds must be from 1 to 600, --from from 1 to " + (int) MOST_PER_S);
         }
         PrintWriter out = spec.commandLine().getOut();
         out.printf(Locale.ROOT, "%9s %9s %9s %7s %8s %6s %14s %14s %14s%n", "offered/s", "plays/s", "to wait",
                 "other", "no conn.", "none", "plays p50/p99", "all p50/p99", "load late p99");
-        try (MeasureBench bench = new MeasureBench(Map.of("idleMs", 1000))) {
+        try (MeasureBench bench = new MeasureBench(Map.of("idleMs", 1000, "tokenThreads", tokenThreads))) {
             // The first thousands pay for class loading and compilation.
             step(bench, from);
             step(bench, from * 2);
--- a/cli/src/test/java/spanrill/cli/RehearseTest.java
+++ b/cli/src/test/java/spanrill/cli/RehearseTest.java
@@ -148,6 +148,9 @@
         assertEquals(Exit.BAD_INPUT, run("tickets", file.toString()).code());
         assertEquals(Exit.BAD_INPUT, run("plot", folder.toString()).code());
         assertEquals(Exit.BAD_INPUT, run("report", folder.toString()).code());
+        assertEquals(Exit.BAD_INPUT, run("versions", Path.of("..", "days",
+                "first-bad-day.jsonnet").toString(),
+                "--journal", folder.toString()).code());
         Path day = Path.of("..", "days", "first-bad-day.jsonnet");
         assertEquals(Exit.BAD_INPUT, run("model", "show", day.toString(), "--step", "0").code());
         CommandLineOutput shown = run("model", "show", day.toString());
--- a/day/src/main/java/spanrill/day/FleetPlan.java
+++ b/day/src/main/java/spanrill/day/FleetPlan.java
@@ -6,9 +6,8 @@
 import spanrill.model.Draws;
 
 /**
- * The fleet that a day's seed draws. The rack of a box is its cell mod the number of racks, and a rack
- * stands in
- * one hall.
+ * The fleet that a day's seed draws. The rack of a box is its cell mod the number of racks, and a rack stands
+ * in one hall.
  *
  * @param boxes by cell
  * @param uplinksKb uplink of each rack, kB a second, without troubles
--- a/day/src/main/java/spanrill/day/Forecast.java
+++ b/day/src/main/java/spanrill/day/Forecast.java
@@ -9,8 +9,7 @@
 
 /**
  * What a day would ask of its fleet, were nobody refused and did everybody stay as long as wanted, beside
- * what the
- * fleet gives with the day's troubles on it: known before a second of it is played.
+ * what the fleet gives with the day's troubles on it: known before a second of it is played.
  *
  * @param steps one for each {@code stepMs} of the day
  * @param hottest the title that is asked for most
@@ -18,8 +17,7 @@
 public record Forecast(double stepMs, List<Step> steps, Hot hottest) {
     /**
      * One step of the day: the mean over it for arrivals, the state at its end for what is wanted, and the
-     * least
-     * over it for what is given.
+     * least over it for what is given.
      *
      * @param fromMs when it begins
      * @param perS viewers who come, a second
--- a/decisions/src/main/java/spanrill/decisions/BoxWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/BoxWatch.java
@@ -2,12 +2,9 @@
 
 /**
  * What the stream of notes of a box says of the box's process: whether the sessions set up there still live,
- * and
- * when the stream is opened anew. A stream that broke after it had told something is opened again at once,
- * since
- * whether somebody still answers there decides if sessions are lost; one that tells nothing, or can't be
- * had, is
- * tried with growing waits, so that a sick box costs little.
+ * and when the stream is opened anew. A stream that broke after it had told something is opened again at
+ * once, since whether somebody still answers there decides if sessions are lost; one that tells nothing, or
+ * can't be had, is tried with growing waits, so that a sick box costs little.
  */
 public final class BoxWatch {
     /**
--- a/decisions/src/main/java/spanrill/decisions/SegmentRetry.java
+++ b/decisions/src/main/java/spanrill/decisions/SegmentRetry.java
@@ -2,8 +2,7 @@
 
 /**
  * What becomes of a viewer's segment whose box lost it. Before the first byte went out another try is
- * harmless;
- * it waits a moment, since the session's own fate (moved, lost with its box) shows in that time.
+ * harmless; it waits a moment, since the session's own fate (moved, lost with its box) shows in that time.
  */
 public final class SegmentRetry {
     private static final double FATE_MS = 150;
--- a/decisions/src/main/java/spanrill/decisions/TrackRates.java
+++ b/decisions/src/main/java/spanrill/decisions/TrackRates.java
@@ -2,12 +2,9 @@
 
 /**
  * How the rate of a session is parted among what it plays. The module sets the rate of the whole session, by
- * its
- * rung; audio is the same at all rungs and comes out of it, the rest is video's. Where audio would leave
- * less than
- * half of the lowest rung to video, the session has none of its own: a player is better served by pictures
- * with a
- * rate than by two tracks that starve each other.
+ * its rung; audio is the same at all rungs and comes out of it, the rest is video's. Where audio would leave
+ * less than half of the lowest rung to video, the session has none of its own: a player is better served by
+ * pictures with a rate than by two tracks that starve each other.
  */
 public final class TrackRates {
     private static final double MOST_AUDIO = 0.5;
--- a/emulator/src/main/java/spanrill/emulator/Agenda.java
+++ b/emulator/src/main/java/spanrill/emulator/Agenda.java
@@ -4,8 +4,7 @@
 
 /**
  * Events of a run in virtual time: the earliest first, of equal times the one set first. A binary heap on
- * arrays,
- * so that millions of events cost no object of their own beside the action.
+ * arrays, so that millions of events cost no object of their own beside the action.
  *
  * <p>A cancelled event stays until its time and is passed over then.
  */
--- a/emulator/src/main/java/spanrill/emulator/Box.java
+++ b/emulator/src/main/java/spanrill/emulator/Box.java
@@ -344,6 +344,9 @@
         heard(front.hall(), wire, () -> {
             Playing session = sessions.get(key);
             if (session != null) {
+                if (rung != session.rung) {
+                    world.worth().changed(session, rung);
+                }
                 session.rung = rung;
                 network.rate(world.now(), session.flow, rate(rung, session.scale));
                 world.tap().put(new TapEvent.Rung(world.now(), key, rung));
--- a/emulator/src/main/java/spanrill/emulator/BoxLinks.java
+++ b/emulator/src/main/java/spanrill/emulator/BoxLinks.java
@@ -16,10 +16,8 @@
 
 /**
  * How one life of a front reaches boxes: each message takes its way, a connection is refused where nothing
- * listens,
- * and what is written where nobody reads waits there. What a loss amounts to is decided by the same classes
- * as on
- * sockets.
+ * listens, and what is written where nobody reads waits there. What a loss amounts to is decided by the same
+ * classes as on sockets.
  */
 final class BoxLinks implements BoxSide {
     private final World world;
--- a/emulator/src/main/java/spanrill/emulator/Front.java
+++ b/emulator/src/main/java/spanrill/emulator/Front.java
@@ -17,9 +17,8 @@
 import spanrill.session.TokenMemory;
 
 /**
- * One front: the core that serves viewers, on the agenda's clock. It may die, which ends its timers and
- * loses what
- * is on its way to it, and it may stand still, which keeps both until it goes on.
+ * One front: the core that serves viewers, on the agenda's clock. It may die, which ends its timers and loses
+ * what is on its way to it, and it may stand still, which keeps both until it goes on.
  */
 final class Front {
     /** A token as the disk has it. */
--- a/emulator/src/main/java/spanrill/emulator/Registry.java
+++ b/emulator/src/main/java/spanrill/emulator/Registry.java
@@ -14,8 +14,7 @@
 
 /**
  * The registry: each front has a view of its own, which a change reaches at a time of its own. Fronts poll:
- * what
- * changed while one was not waiting is told at its next poll.
+ * what changed while one was not waiting is told at its next poll.
  */
 final class Registry {
     private static final double WAY_MS = 0.2;
--- a/emulator/src/main/java/spanrill/emulator/Relay.java
+++ b/emulator/src/main/java/spanrill/emulator/Relay.java
@@ -10,8 +10,8 @@
 
 /**
  * One segment through a front: the emulated twin of the relay on sockets. It moves as its session is granted
- * bytes
- * by the model of links; when that changes on the way is looked at often enough that the error stays small.
+ * bytes by the model of links; when that changes on the way is looked at often enough that the error stays
+ * small.
  */
 final class Relay {
     private static final double START_BOOST = 4;
--- a/emulator/src/main/java/spanrill/emulator/World.java
+++ b/emulator/src/main/java/spanrill/emulator/World.java
@@ -146,7 +146,7 @@
 
     /** Plays the day to its end. */
     void play(Plan plan, double lookMs, boolean bound) {
-        worth = new WorthMeter(this, plan, network, bound);
+        worth = new WorthMeter(this, plan, network, lookMs, bound);
         boxes.forEach(box -> {
             box.start(false);
             registry.begin(box);
--- a/emulator/src/main/java/spanrill/emulator/WorthMeter.java
+++ b/emulator/src/main/java/spanrill/emulator/WorthMeter.java
@@ -14,9 +14,8 @@
 
 /**
  * Looks from time to time at what those who watch would earn at their highest rungs, what they earn, and the
- * most that
- * could be earned at that moment. Only the session that a viewer holds now counts: what plays for nobody
- * earns nothing.
+ * most that could be earned at that moment. Only the session that a viewer holds now counts: what plays for
+ * nobody earns nothing.
  */
 final class WorthMeter {
     /** A session that gets this share of its rate misses nothing. */
@@ -30,15 +29,18 @@
     private final int[] rackOf;
     private final boolean bound;
     private final Map<String, Viewer> viewers = new HashMap<>();
+    private final double lookMs;
+    private double changes;
     private double asked;
     private double earned;
     private double most;
     private int looks;
 
-    WorthMeter(World world, Plan plan, LinkNetwork network, boolean bound) {
+    WorthMeter(World world, Plan plan, LinkNetwork network, double lookMs, boolean bound) {
         this.world = world;
         this.network = network;
         this.bound = bound;
+        this.lookMs = lookMs;
         day = world.day();
         arrivals = plan.arrivals();
         for (int[] placed : plan.placement()) {
@@ -59,6 +61,19 @@
         viewers.remove(name);
     }
 
+    /** True when a viewer watches this very session. */
+    private boolean held(Box.Playing session) {
+        Viewer viewer = viewers.get(session.token.substring(0, session.token.lastIndexOf('.')));
+        return viewer != null && viewer.holds(session.token);
+    }
+
+    /** A session goes to another rung: that costs so much time of the worth that it goes to. */
+    void changed(Box.Playing session, int rung) {
+        if (held(session)) {
+            changes += session.worth * day.ladder().worth().get(rung) * day.notes().changeCostMs() / lookMs;
+        }
+    }
+
     void look() {
         looks++;
         double t = world.now() - World.BEGIN_MS;
@@ -74,10 +89,9 @@
         for (Box box : world.boxes()) {
             double part = part(box.share());
             for (Box.Playing session : box.sessions()) {
-                String name = session.token.substring(0, session.token.lastIndexOf('.'));
-                Viewer viewer = viewers.get(name);
-                if (viewer != null && viewer.holds(session.token)) {
-                    earned += part * session.worth * day.ladder().worth().get(session.rung);
+                if (held(session)) {
+                    double price = session.front.hall() == box.hall() ? 0 : day.rules().crossZonePrice();
+                    earned += (1 - price) * part * session.worth * day.ladder().worth().get(session.rung);
                 }
             }
         }
@@ -96,10 +110,8 @@
 
     /**
      * Part of a rung's worth that a session earns at a share of its rate: all of it from 98% on, and below
-     * that so many
-     * points less for each point that is missing as the day states; never more than in proportion to what it
-     * gets, so
-     * that it stays on or under the wishes' hulls.
+     * that so many points less for each point that is missing as the day states; never more than in
+     * proportion to what it gets, so that it stays on or under the wishes' hulls.
      */
     private double part(double share) {
         double missing = Math.max(0, ENOUGH - share);
@@ -122,6 +134,6 @@
     }
 
     Worth worth() {
-        return new Worth(looks, asked, earned, bound ? most : Double.NaN);
+        return new Worth(looks, asked, earned - changes, bound ? most : Double.NaN);
     }
 }
--- a/emulator/src/main/java/spanrill/emulator/baseline/Chooser.java
+++ b/emulator/src/main/java/spanrill/emulator/baseline/Chooser.java
@@ -24,8 +24,7 @@
     },
     /**
      * The less loaded of two drawn, by what is known of their links and this front's sessions there
-     * (Mitzenmacher, The
-     * Power of Two Choices in Randomized Load Balancing, IEEE TPDS 12(10), 2001).
+     * (Mitzenmacher, The Power of Two Choices in Randomized Load Balancing, IEEE TPDS 12(10), 2001).
      */
     TWO_DRAWN {
         @Override
@@ -37,9 +36,8 @@
     },
     /**
      * The first in the title's own order that has no more than 1.25 times the mean of sessions (Mirrokni,
-     * Thorup and
-     * Zadimoghaddam, Consistent Hashing with Bounded Loads, SODA 2018; the order is by rendezvous, Thaler and
-     * Ravishankar, IEEE/ACM ToN 6(1), 1998).
+     * Thorup and Zadimoghaddam, Consistent Hashing with Bounded Loads, SODA 2018; the order is by rendezvous,
+     * Thaler and Ravishankar, IEEE/ACM ToN 6(1), 1998).
      */
     HASH {
         @Override
--- a/emulator/src/main/java/spanrill/emulator/baseline/Textbook.java
+++ b/emulator/src/main/java/spanrill/emulator/baseline/Textbook.java
@@ -12,11 +12,9 @@
 import spanrill.SessionControl;
 
 /**
- * A textbook rule: a {@link Chooser} for the holder, a {@link RungRule} for the rung, another holder after
- * an attempt
- * that may be made again. It keeps paid sessions, drains, floors, seats and the budget of attempts; it knows
- * nothing
- * of cold servers, health, moves or worth.
+ * A textbook rule: a {@link Chooser} for the holder, a {@link RungRule} for the rung, another holder after an
+ * attempt that may be made again. It keeps paid sessions, drains, floors, seats and the budget of attempts;
+ * it knows nothing of cold servers, health, moves or worth.
  */
 public final class Textbook implements SessionControl {
     private static final double MARGIN_MS = 20;
--- a/emulator/src/main/java/spanrill/emulator/bound/BestPossible.java
+++ b/emulator/src/main/java/spanrill/emulator/bound/BestPossible.java
@@ -8,20 +8,17 @@
 
 /**
  * The most that all who watch at one moment can earn together, with all knowledge, free moves and no set-up
- * time, while
- * links and uplinks stand as they do and titles are held where they are.
+ * time, while links and uplinks stand as they do and titles are held where they are.
  *
  * <p>It is an upper bound. Each session at a box gets at most its share of its rate, shares fit the links
- * and uplinks,
- * and a session's worth is on or under its {@link Wish}; so what any policy has playing is one point of this
- * relaxation, in which rates may be any, sessions may be split over holders, and places, seats and floors
- * don't count.
+ * and uplinks, and a session's worth is on or under its {@link Wish}; so what any policy has playing is one
+ * point of this relaxation, in which rates may be any, sessions may be split over holders, and places, seats
+ * and floors don't count.
  *
  * <p>It is the relaxation's optimum. The amounts of titles that {@link HolderFlow} can carry at once are a
- * polymatroid
- * (Megiddo, 1974: multi-source flows), hull steps are parallel elements of it, and the greedy order by worth
- * for each
- * byte is best over a polymatroid (Edmonds, 1970); concave hulls make the order within a wish come by itself.
+ * polymatroid (Megiddo, 1974: multi-source flows), hull steps are parallel elements of it, and the greedy
+ * order by worth for each byte is best over a polymatroid (Edmonds, 1970); concave hulls make the order
+ * within a wish come by itself.
  */
 public final class BestPossible {
     private record Group(int title, double density, long rate) { }
--- a/emulator/src/main/java/spanrill/emulator/bound/HolderFlow.java
+++ b/emulator/src/main/java/spanrill/emulator/bound/HolderFlow.java
@@ -7,10 +7,9 @@
 
 /**
  * How much of each title can be carried at once: a flow from titles to the boxes that hold them, each within
- * its
- * link, and on to their racks, each within its uplink. More of one title may send others over other holders,
- * but
- * never takes from what they have: augmenting paths (Ford and Fulkerson, 1956), the shortest first.
+ * its link, and on to their racks, each within its uplink. More of one title may send others over other
+ * holders, but never takes from what they have: augmenting paths (Ford and Fulkerson, 1956), the shortest
+ * first.
  */
 public final class HolderFlow {
     private final int titles;
--- a/emulator/src/main/java/spanrill/emulator/bound/Wish.java
+++ b/emulator/src/main/java/spanrill/emulator/bound/Wish.java
@@ -5,8 +5,7 @@
 
 /**
  * What one who watches could earn: the concave hull of rates and worths from nothing up. A session at a rung
- * that gets
- * a share of its rate earns that share of the rung's worth, which is on or under the hull.
+ * that gets a share of its rate earns that share of the rung's worth, which is on or under the hull.
  *
  * @param title number of the title
  * @param steps of falling worth for each byte a second
--- a/front/src/main/java/spanrill/front/box/NotesStream.java
+++ b/front/src/main/java/spanrill/front/box/NotesStream.java
@@ -19,8 +19,7 @@
 
 /**
  * The notes of one box. It also shows whether the box's process lives; what a broken or refused stream says
- * of
- * that, and when it is opened anew, is decided by {@link BoxWatch}.
+ * of that, and when it is opened anew, is decided by {@link BoxWatch}.
  */
 final class NotesStream implements HttpClientConnection.Listener {
     private static final int MOST_LINE = 256;
--- a/front/src/main/java/spanrill/front/list/ListDocument.java
+++ b/front/src/main/java/spanrill/front/list/ListDocument.java
@@ -18,8 +18,8 @@
 import spanrill.session.Title;
 
 /**
- * A list as the registry sends it:
- * {@code {"kind":"whole|changes","epoch":1,"base":3,"version":4,"boxes":[{"id","host","port","zone","kind",
+ * A list as the registry sends it: {@code
+ * {"kind":"whole|changes","epoch":1,"base":3,"version":4,"boxes":[{"id","host","port","zone","kind",
  * "cell","state":"ready|draining|gone","weight","startedAt"}],"titles":[{"name","home","copies","durationMs",
  * "segmentMs":2000|[2000,1900,...],"audioKb","lang"}]}}; a title's last two may be missing.
  *
--- a/front/src/main/java/spanrill/front/store/TokenStore.java
+++ b/front/src/main/java/spanrill/front/store/TokenStore.java
@@ -20,10 +20,8 @@
 
 /**
  * Tokens in an MVStore file. One thread writes: it takes all that waits, commits and syncs once (group
- * commit),
- * then lets those go on who waited for it. After a kill the file opens at its last commit; what was
- * acknowledged
- * is in it.
+ * commit), then lets those go on who waited for it. After a kill the file opens at its last commit; what was
+ * acknowledged is in it.
  */
 public final class TokenStore implements TokenMemory, AutoCloseable {
     private static final int WAITING = 50_000;
--- a/model/src/main/java/spanrill/model/box/BoxProcess.java
+++ b/model/src/main/java/spanrill/model/box/BoxProcess.java
@@ -9,11 +9,9 @@
 
 /**
  * One life of a box's process: which set-ups it takes, which keys it knows, and when it is pushed over while
- * it
- * is cold. Whoever moves its bytes asks it; it moves none. A key that was called off before its work was done
- * keeps a tombstone, so that it never begins; one that ran is remembered as such, so that only what never
- * began
- * is told as "did not run".
+ * it is cold. Whoever moves its bytes asks it; it moves none. A key that was called off before its work was
+ * done keeps a tombstone, so that it never begins; one that ran is remembered as such, so that only what
+ * never began is told as "did not run".
  */
 public final class BoxProcess {
     /** Sends that a cold box bears on top of its pace. */
--- a/model/src/test/java/spanrill/model/DistributionsTest.java
+++ b/model/src/test/java/spanrill/model/DistributionsTest.java
@@ -13,8 +13,7 @@
 
 /**
  * Draws against the distributions that they are stated to have, by Kolmogorov and Smirnov at a level of 1%,
- * with
- * fixed seeds; each test is also shown to reject a distribution that is off.
+ * with fixed seeds; each test is also shown to reject a distribution that is off.
  */
 class DistributionsTest {
     private static final double LEVEL_1_PERCENT = 1.628;
--- a/results/src/test/java/spanrill/results/ResultsTest.java
+++ b/results/src/test/java/spanrill/results/ResultsTest.java
@@ -91,4 +91,19 @@
         assertTrue(assertThrows(IOException.class, () -> Rows.read(file, SecondRow.class)).getMessage()
                 .contains("is no Parquet file"));
     }
+
+    @Test
+    void ranksThatAgreeDifferAndTie() {
+        double[] up = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+        double[] down = {10, 9, 8, 7, 6, 5, 4, 3, 2, 1};
+        assertEquals(1, Kendall.of(up, up, 1).tau(), 1e-12);
+        assertEquals(-1, Kendall.of(up, down, 1).tau(), 1e-12);
+        // Five things with a tie, worked by hand: 8 pairs agree, 1 doesn't, 1 is tied in the second list.
+        Kendall tied = Kendall.of(new double[] {1, 2, 3, 4, 5}, new double[] {2, 1, 3, 3, 5}, 1);
+        assertEquals(7 / Math.sqrt(10 * 9), tied.tau(), 1e-12);
+        assertTrue(tied.low() <= tied.tau() && tied.tau() <= tied.high());
+        assertEquals(0, Kendall.of(new double[] {1, 1, 1}, new double[] {1, 2, 3}, 1).tau());
+        assertThrows(IllegalArgumentException.class, () -> Kendall.of(new double[] {1, 2}, new double[] {1,
+                2}, 1));
+    }
 }
--- a/session/src/main/java/spanrill/session/SessionCore.java
+++ b/session/src/main/java/spanrill/session/SessionCore.java
@@ -16,8 +16,7 @@
 /**
  * Hosts one module: protocol events become the module's events, its actions become calls of the box side and
  * answers to viewers. It decides nothing about placement; what a token stands for and which step a session
- * may
- * take are decided in {@code spanrill.decisions}.
+ * may take are decided in {@code spanrill.decisions}.
  *
  * <p>The module is never entered from within one of its own calls: whatever happens meanwhile waits its turn.
  */
--- a/session/src/test/java/spanrill/session/SessionCoreTest.java
+++ b/session/src/test/java/spanrill/session/SessionCoreTest.java
@@ -23,8 +23,7 @@
 
 /**
  * The core on a clock that the test moves, with a box side that does what the test says: the orders that
- * wires seldom
- * show.
+ * wires seldom show.
  */
 class SessionCoreTest {
     private final HandClock clock = new HandClock();
--- a/wire/src/main/java/spanrill/wire/dash/MpdValidator.java
+++ b/wire/src/main/java/spanrill/wire/dash/MpdValidator.java
@@ -15,12 +15,9 @@
 
 /**
  * Checks an MPD against the schema and the rules of ISO/IEC 23009-1 that bear on recorded titles with
- * segments by
- * template (profile isoff-live, 8.4): which elements stand in which and in what order, which attributes must
- * be
- * there and what they look like, and what must fit together. Unlike {@link MpdParser} it goes on after a
- * finding,
- * and it looks at what this program doesn't read.
+ * segments by template (profile isoff-live, 8.4): which elements stand in which and in what order, which
+ * attributes must be there and what they look like, and what must fit together. Unlike {@link MpdParser} it
+ * goes on after a finding, and it looks at what this program doesn't read.
  */
 public final class MpdValidator {
     private static final int MOST_FINDINGS = 50;
--- a/wire/src/main/java/spanrill/wire/http/HttpParser.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpParser.java
@@ -185,8 +185,7 @@
 
     /**
      * Refuses bytes that can't begin a request as soon as they come: whoever speaks another protocol here
-     * must
-     * not wait in silence for a line end that it never sends.
+     * must not wait in silence for a line end that it never sends.
      */
     private void checkMethodByte(int at) throws HttpFault {
         if (at == 0 && line[0] == TLS_HANDSHAKE) {
