Counters that nobody reads any more out; a plain flag in the emulator's one thread

Why: since the records judge what became of requests, four of the crowd's counters were written and never read; the emulator's viewer held its flag in an atomic, in one thread.

What: both are gone. Nothing else changes.

--- a/emulator/src/main/java/spanrill/emulator/Viewer.java
+++ b/emulator/src/main/java/spanrill/emulator/Viewer.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.commons.rng.UniformRandomProvider;
 import spanrill.check.TapEvent;
 import spanrill.day.Arrival;
@@ -374,7 +373,7 @@
     private final class Download {
         private final Next.Fetch fetch;
         private final Relay relay;
-        private final AtomicBoolean over = new AtomicBoolean();
+        private boolean over;
         private final Runnable frontLost = this::frontLost;
 
         Download(Next.Fetch fetch) {
@@ -402,13 +401,14 @@
         }
 
         void cancel() {
-            over.set(true);
+            over = true;
             front.closed(frontLost);
             relay.cancel();
         }
 
         private void frontLost() {
-            if (over.compareAndSet(false, true)) {
+            if (!over) {
+                over = true;
                 relay.cancel();
                 broken(0, null);
             }
@@ -416,9 +416,10 @@
 
         private void came(Relay.Result result) {
             world.after(way(), () -> {
-                if (!over.compareAndSet(false, true)) {
+                if (over) {
                     return;
                 }
+                over = true;
                 front.closed(frontLost);
                 download = null;
                 if (result.status() != 200) {
--- a/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
+++ b/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
@@ -14,16 +14,8 @@
     public final LongAdder refused = new LongAdder();
     /** Answered: failed. */
     public final LongAdder failed = new LongAdder();
-    /** Answered otherwise: never taken. */
-    public final LongAdder notTaken = new LongAdder();
-    /** Patience ended without an answer. */
-    public final LongAdder unanswered = new LongAdder();
-    /** Left by themselves before the answer. */
-    public final LongAdder left = new LongAdder();
     /** Connections that could not be had, or were lost. */
     public final LongAdder lost = new LongAdder();
-    /** Sessions that ended before their viewer's time. */
-    public final LongAdder broken = new LongAdder();
     /** Sessions played to their end. */
     public final LongAdder finished = new LongAdder();
     /** Left for want of rate. */
@@ -53,7 +45,8 @@
             case "plays" -> plays.increment();
             case "refused" -> refused.increment();
             case "failed" -> failed.increment();
-            default -> notTaken.increment();
+            // Never taken: the records tell.
+            default -> { }
         }
     }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -216,7 +216,6 @@
     private void noAnswer() {
         if (waiting) {
             waiting = false;
-            stats.unanswered.increment();
             stage.tap().put(new TapEvent.NoAnswer(now(), ask));
             connection.abandon();
             over("no answer");
@@ -227,7 +226,6 @@
         if (waiting) {
             waiting = false;
             patience.cancel(false);
-            stats.left.increment();
             stage.tap().put(new TapEvent.AskLost(now(), ask, true));
             connection.abandon();
             over("left");
@@ -397,7 +395,6 @@
 
     /** The session ended before its time; the head tells it, or is null when the connection was lost. */
     private void broken(ResponseHead head) {
-        stats.broken.increment();
         stage.tap().put(new TapEvent.Broke(now(), tokenId, front, head == null ? 0 : head.status(),
                 head == null ? null : head.headers().get("spanrill-over")));
         connection.abandon();
