--- a/cli/src/test/java/spanrill/layout/LayoutTest.java
+++ b/cli/src/test/java/spanrill/layout/LayoutTest.java
@@ -18,7 +18,7 @@
     @Test
     void arrowsPointDown() {
         layeredArchitecture().consideringOnlyDependenciesInLayers()
-                .layer("core").definedBy("spanrill")
+                .layer("core").definedBy("spanrill", "spanrill.setup..")
                 .layer("decisions").definedBy("spanrill.decisions..")
                 .layer("session").definedBy("spanrill.session..")
                 .layer("model").definedBy("spanrill.model..")
@@ -28,6 +28,8 @@
                 .layer("settings").definedBy("spanrill.settings..")
                 .layer("wire").definedBy("spanrill.wire..")
                 .layer("front").definedBy("spanrill.front..")
+                .layer("loop").definedBy("spanrill.loop..")
+                .layer("node").definedBy("spanrill.node..")
                 .layer("check").definedBy("spanrill.check..")
                 .layer("standin").definedBy("spanrill.standin..")
                 .layer("cli").definedBy("spanrill.cli..")
@@ -39,26 +41,27 @@
                 .whereLayer("results").mayOnlyBeAccessedByLayers("standin", "cli")
                 .whereLayer("check").mayOnlyBeAccessedByLayers("emulator", "standin", "cli")
                 .whereLayer("front").mayOnlyBeAccessedByLayers("cli")
-                .whereLayer("wire").mayOnlyBeAccessedByLayers("front", "standin", "cli")
-                .whereLayer("session").mayOnlyBeAccessedByLayers("emulator", "front", "cli")
-                .whereLayer("decisions").mayOnlyBeAccessedByLayers("session", "wire", "front", "model",
-                        "emulator", "standin", "cli")
+                .whereLayer("node").mayNotBeAccessedByAnyLayer()
+                .whereLayer("loop").mayOnlyBeAccessedByLayers("front", "node", "cli")
+                .whereLayer("wire").mayOnlyBeAccessedByLayers("front", "node", "standin", "cli")
+                .whereLayer("session").mayOnlyBeAccessedByLayers("emulator", "loop", "front", "node", "cli")
+                .whereLayer("decisions").mayOnlyBeAccessedByLayers("session", "wire", "front", "node",
+                        "model", "emulator", "standin", "cli")
                 .whereLayer("settings").mayOnlyBeAccessedByLayers("front", "day", "standin", "cli")
                 .whereLayer("core").mayOnlyBeAccessedByLayers("decisions", "session", "wire", "front",
-                        "emulator",
-                        "standin", "cli")
+                        "node", "emulator", "standin", "cli")
                 .check(ALL);
     }
 
     @Test
     void decisionsAreFreeOfInputOutputThreadsAndClocks() {
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.session..",
-                "spanrill.model..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.setup..", "spanrill.decisions..",
+                "spanrill.session..", "spanrill.model..", "spanrill.node.session..").should()
                 .dependOnClassesThat()
                 .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
                         "java.util.concurrent..", "io.netty..", "org.slf4j..", "com.fasterxml..").check(ALL);
-        noClasses().that().resideInAnyPackage("spanrill", "spanrill.decisions..", "spanrill.session..",
-                "spanrill.model..").should()
+        noClasses().that().resideInAnyPackage("spanrill", "spanrill.setup..", "spanrill.decisions..",
+                "spanrill.session..", "spanrill.model..", "spanrill.node.session..").should()
                 .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
                 .orShould().dependOnClassesThat().areAssignableTo(Thread.class)
                 .orShould().callMethod(Math.class, "random").check(ALL);
--- /dev/null
+++ b/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
@@ -0,0 +1,51 @@
+package spanrill.decisions;
+
+/**
+ * When the bulletin is asked again: soon after a break, and when it has been silent for longer than its comments
+ * (one a second) allow. What it would have told counts as told 2 s after a break and 4 s after a stop, so the
+ * waits stay well within those.
+ */
+public final class BulletinWatch {
+    private static final double LEAST_MS = 60;
+    private static final double MOST_MS = 600;
+    private static final double SILENT_MS = 2200;
+    private static final double ANSWER_MS = 1500;
+
+    private final Backoff backoff;
+    private double askedAt = Double.NaN;
+    private double heardAt = Double.NaN;
+    private double againAt = Double.NaN;
+
+    /** Waits are drawn from the seed. */
+    public BulletinWatch(long seed) {
+        backoff = new Backoff(LEAST_MS, MOST_MS, seed);
+    }
+
+    /** It is being asked. */
+    public void asked(double now) {
+        askedAt = now;
+        heardAt = Double.NaN;
+        againAt = Double.NaN;
+    }
+
+    /** Something came: an event, a part of one, or a comment. */
+    public void heard(double now) {
+        heardAt = now;
+        backoff.succeeded();
+    }
+
+    /** It can't be had, has ended, or told what can't be read. */
+    public void broken(double now) {
+        if (Double.isNaN(againAt)) {
+            againAt = now + backoff.failed();
+        }
+    }
+
+    /** True when it is to be asked again now. */
+    public boolean due(double now) {
+        if (!Double.isNaN(againAt)) {
+            return now >= againAt;
+        }
+        return Double.isNaN(heardAt) ? now - askedAt >= ANSWER_MS : now - heardAt >= SILENT_MS;
+    }
+}
--- a/decisions/src/main/java/spanrill/decisions/ConnectionBudget.java
+++ b/decisions/src/main/java/spanrill/decisions/ConnectionBudget.java
@@ -43,6 +43,11 @@
         return full && !before;
     }
 
+    /** At most so many. */
+    public int most() {
+        return most;
+    }
+
     /** Open now. */
     public int open() {
         return open;
--- /dev/null
+++ b/decisions/src/main/java/spanrill/decisions/LinkChoice.java
@@ -0,0 +1,61 @@
+package spanrill.decisions;
+
+import java.util.List;
+
+/**
+ * Which connection to a server takes a set-up. Each set-up gets one of its own while there is room: an answer
+ * that can't be read spoils whatever else is open on its connection. Past the most for one server they share
+ * the least loaded one.
+ */
+public final class LinkChoice {
+    /** Open a new connection. */
+    public static final int NEW = -1;
+    /** None may be opened and none can be shared. */
+    public static final int NONE = -2;
+
+    private final double idleMostMs;
+    private final int mostOnOne;
+
+    /**
+     * A choice.
+     *
+     * @param idleMostMs one idle for longer takes nothing: the server may be closing it
+     * @param mostOnOne set-ups open on one connection at most
+     */
+    public LinkChoice(double idleMostMs, int mostOnOne) {
+        this.idleMostMs = idleMostMs;
+        this.mostOnOne = mostOnOne;
+    }
+
+    /**
+     * A connection as it stands.
+     *
+     * @param open set-ups open on it
+     * @param idleMs time since its last set-up or answer
+     * @param usable connected or connecting, and nothing spoilt or overdue was seen on it
+     */
+    public record Link(int open, double idleMs, boolean usable) { }
+
+    /** Index of the connection to use, {@link #NEW} or {@link #NONE}. */
+    public int choose(List<Link> links, boolean mayOpen) {
+        int free = NONE;
+        int shared = NONE;
+        for (int i = 0; i < links.size(); i++) {
+            Link link = links.get(i);
+            if (!link.usable() || link.idleMs() > idleMostMs) {
+                continue;
+            }
+            // The one used last is the least likely to have been closed unseen.
+            if (link.open() == 0 && (free < 0 || link.idleMs() < links.get(free).idleMs())) {
+                free = i;
+            }
+            if (link.open() < mostOnOne && (shared < 0 || link.open() < links.get(shared).open())) {
+                shared = i;
+            }
+        }
+        if (free >= 0) {
+            return free;
+        }
+        return mayOpen ? NEW : shared;
+    }
+}
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -20,6 +20,8 @@
 import spanrill.front.store.TokenStore;
 import spanrill.front.token.TokenGate;
 import spanrill.front.token.TokenKeys;
+import spanrill.loop.Clock;
+import spanrill.loop.LoopScheduler;
 import spanrill.session.SessionCore;
 import spanrill.session.TokenMemory;
 import spanrill.wire.http.HttpFault;
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -4,7 +4,7 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import spanrill.front.box.SegmentSource;
-import spanrill.front.Clock;
+import spanrill.loop.Clock;
 import spanrill.front.EventLog;
 import spanrill.session.Session;
 import spanrill.front.FrontSettings;
--- a/front/src/main/java/spanrill/front/Clock.java
+++ b/loop/src/main/java/spanrill/loop/Clock.java
@@ -1,7 +1,7 @@
-package spanrill.front;
+package spanrill.loop;
 
 /**
- * The front's clock: milliseconds since 1970 as read once at the start, from then on monotonic, so that it
+ * A front's clock: milliseconds since 1970 as read once at the start, from then on monotonic, so that it
  * only advances and the starts of boxes (told in wall-clock time) can be compared with it.
  */
 public final class Clock {
--- a/front/src/main/java/spanrill/front/LoopScheduler.java
+++ b/loop/src/main/java/spanrill/loop/LoopScheduler.java
@@ -1,4 +1,4 @@
-package spanrill.front;
+package spanrill.loop;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
--- /dev/null
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -0,0 +1,52 @@
+package spanrill.node;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import spanrill.node.config.NodeConfig;
+import spanrill.setup.SetupFault;
+
+/** Entry point of the front node; its configuration is the file that {@code EDGE_CONFIG} names. */
+public final class Main {
+    private static final int WRONG_SETUP = 2;
+
+    private Main() { }
+
+    /** Runs a front node until it is told to stop. */
+    public static void main(String[] args) throws InterruptedException {
+        String file = System.getenv("EDGE_CONFIG");
+        if (file == null || file.isEmpty()) {
+            System.err.println("spanrill node: EDGE_CONFIG is not set: it names the configuration file");
+            System.exit(WRONG_SETUP);
+        }
+        LineLog log = new LineLog(System.out);
+        FrontNode node = null;
+        try {
+            // Before all else, and in place of the runtime's own: SIGHUP would end the program.
+            Signals.on("HUP", () -> { });
+            node = FrontNode.start(NodeConfig.read(Path.of(file)), log);
+        } catch (SetupFault fault) {
+            System.err.println("spanrill node: " + file + ": " + fault.getMessage());
+            System.exit(WRONG_SETUP);
+        } catch (IOException e) {
+            System.err.println("spanrill node: " + file + ": " + e.getMessage());
+            System.exit(WRONG_SETUP);
+        }
+        FrontNode running = node;
+        Signals.on("HUP", () -> reload(running, file, log));
+        Signals.on("TERM", () -> {
+            log.info("node.stopping");
+            running.stop(() -> Runtime.getRuntime().halt(0));
+        });
+        log.info("node.serving", "listen", running.address());
+        running.join();
+    }
+
+    private static void reload(FrontNode node, String file, LineLog log) {
+        try {
+            node.reconfigure(NodeConfig.read(Path.of(file)));
+            log.info("config.loaded", "file", file);
+        } catch (SetupFault | IOException e) {
+            log.error("config.unusable", null, "file", file, "reason", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
@@ -0,0 +1,184 @@
+package spanrill.node.bulletin;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import spanrill.decisions.BulletinWatch;
+import spanrill.node.config.JsonPairs;
+import spanrill.node.config.Roster;
+import spanrill.session.EventSink;
+import spanrill.setup.SetupFault;
+import spanrill.wire.http.EventStream;
+import spanrill.wire.http.Headers;
+import spanrill.wire.http.HttpClientConnection;
+import spanrill.wire.http.HttpFault;
+import spanrill.wire.http.HttpLimits;
+import spanrill.wire.http.ResponseHead;
+
+/**
+ * Follows the bulletin: one connection at a time, resumed after the last event that was applied. When it is asked
+ * again is decided by {@link BulletinWatch}.
+ */
+public final class BulletinClient {
+    private static final String PATH = "/bulletins";
+    private static final int CONNECT_MS = 500;
+    private static final int MOST_EVENT = 1 << 20;
+    private static final long LOOK_MS = 100;
+
+    private final EventLoop loop;
+    private final EventSink log;
+    private final Consumer<Roster> told;
+    private final BulletinWatch watch;
+    private InetSocketAddress address;
+    private long last;
+    private Stream stream;
+
+    /**
+     * A client that is not begun.
+     *
+     * @param last number of the last event that is known
+     * @param told takes each new event, in order
+     */
+    public BulletinClient(EventLoop loop, EventSink log, InetSocketAddress address, long last, long seed,
+            Consumer<Roster> told) {
+        this.loop = loop;
+        this.log = log;
+        this.address = address;
+        this.last = last;
+        this.told = told;
+        watch = new BulletinWatch(seed);
+    }
+
+    /** Begins to ask. */
+    public void start() {
+        ask();
+        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** From now on it is asked elsewhere, at once. */
+    public void moved(InetSocketAddress to) {
+        address = to;
+        drop();
+        ask();
+    }
+
+    private static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    private void look() {
+        if (watch.due(now())) {
+            drop();
+            ask();
+        }
+    }
+
+    private void drop() {
+        if (stream != null) {
+            stream.abandon();
+            stream = null;
+        }
+    }
+
+    private void ask() {
+        watch.asked(now());
+        Stream next = new Stream();
+        stream = next;
+        HttpClientConnection.open(loop, address, CONNECT_MS, HttpLimits.CLIENT, next::opened, cause -> {
+            if (stream == next) {
+                watch.broken(now());
+            }
+        });
+    }
+
+    /** One answer of the bulletin. */
+    private final class Stream implements HttpClientConnection.Listener {
+        private final EventStream events = new EventStream(MOST_EVENT, this::event);
+        private HttpClientConnection connection;
+
+        void opened(HttpClientConnection opened) {
+            connection = opened;
+            Headers headers = new Headers().add("host", address.getHostString() + ":" + address.getPort())
+                    .add("accept", "text/event-stream").add("last-event-id", Long.toString(last));
+            if (stream != this || !opened.send("GET", PATH, headers, new byte[0], this)) {
+                opened.abandon();
+                broken();
+            }
+        }
+
+        void abandon() {
+            if (connection != null) {
+                connection.abandon();
+            }
+        }
+
+        private void broken() {
+            if (stream == this) {
+                watch.broken(now());
+            }
+        }
+
+        @Override
+        public void head(ResponseHead head) {
+            if (head.status() != 200) {
+                log.info("bulletin.refused", "status", head.status());
+                broken();
+            }
+        }
+
+        @Override
+        public void data(ByteBuf part) {
+            if (stream != this) {
+                return;
+            }
+            watch.heard(now());
+            try {
+                events.feed(part);
+            } catch (HttpFault fault) {
+                log.info("bulletin.malformed", "reason", fault.getMessage());
+                abandon();
+                broken();
+            }
+        }
+
+        private void event(String id, String data) {
+            if (stream != this) {
+                return;
+            }
+            Roster roster;
+            try {
+                roster = Roster.of(JsonPairs.read(data.getBytes(StandardCharsets.UTF_8)));
+            } catch (SetupFault fault) {
+                // The list in force stays whole; the same event is asked for again.
+                log.info("bulletin.malformed", "id", id, "reason", fault.getMessage());
+                abandon();
+                broken();
+                return;
+            }
+            if (roster.no() <= last) {
+                return;
+            }
+            if (roster.no() > last + 1 && !roster.whole()) {
+                log.info("bulletin.gap", "after", last, "came", roster.no());
+                abandon();
+                broken();
+                return;
+            }
+            last = roster.no();
+            told.accept(roster);
+        }
+
+        @Override
+        public void end() {
+            broken();
+        }
+
+        @Override
+        public void lost(HttpClientConnection.Loss loss, String reason) {
+            broken();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/bulletin/package-info.java
@@ -0,0 +1,2 @@
+/** The bulletin: server-sent events with the list of servers. On the event loop only. */
+package spanrill.node.bulletin;
--- /dev/null
+++ b/node/src/main/java/spanrill/node/config/NodeConfig.java
@@ -0,0 +1,79 @@
+package spanrill.node.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import spanrill.SessionControl.Settings;
+import spanrill.setup.Pairs;
+import spanrill.setup.SetupFault;
+import spanrill.setup.SetupReader;
+
+/**
+ * What a front node is told at its start.
+ *
+ * @param name its name
+ * @param listen where viewers connect
+ * @param seed for random numbers
+ * @param sockets file descriptors that the process may hold
+ * @param bulletin where the bulletin is asked
+ * @param knownNo number of the last event that is known
+ * @param known the events so far
+ * @param settings the module's settings
+ * @param connectMs a connection to a server has failed when it is not up by then, ms
+ * @param idleMs servers close idle connections after so long, ms
+ * @param deadlineMs the longest deadline of a class, ms
+ * @param retryAfter true when viewers may be told when to come again
+ */
+public record NodeConfig(String name, InetSocketAddress listen, long seed, int sockets,
+        InetSocketAddress bulletin, long knownNo, List<Roster> known, Settings settings, double connectMs,
+        double idleMs, double deadlineMs, boolean retryAfter) {
+    private static final long MOST_BYTES = 16L << 20;
+
+    /**
+     * Reads a configuration file.
+     *
+     * @throws IOException when it can't be read
+     * @throws SetupFault naming the first field that is missing or wrong
+     */
+    public static NodeConfig read(Path file) throws IOException {
+        if (Files.size(file) > MOST_BYTES) {
+            throw new SetupFault("(whole)", "has more than " + MOST_BYTES + " bytes");
+        }
+        return of(JsonPairs.read(Files.readAllBytes(file)));
+    }
+
+    static NodeConfig of(Pairs pairs) {
+        List<Roster> known = new ArrayList<>();
+        for (int i = 0; i < pairs.count("known.items"); i++) {
+            known.add(Roster.of(pairs.at("known.items." + i + ".")));
+        }
+        long last = known.isEmpty() ? 0 : known.get(known.size() - 1).no();
+        Pairs settings = pairs.at("settings.");
+        double deadline = 0;
+        for (int i = 0; i < settings.count("classes"); i++) {
+            deadline = Math.max(deadline, settings.number("classes." + i + ".hard_limit"));
+        }
+        int sockets = pairs.integer("limits.sockets");
+        if (sockets < 64) {
+            throw pairs.fault("limits.sockets", "leaves no room: at least 64 are needed");
+        }
+        boolean retryAfter = !settings.has("limits.retry_after")
+                || settings.text("limits.retry_after").equals("true");
+        return new NodeConfig(pairs.text("name"), Roster.address(pairs, "listen"), seed(pairs), sockets,
+                Roster.address(pairs, "bulletin"), pairs.has("known.no") ? (long) pairs.number("known.no") : last,
+                known, new SetupReader(settings).settings(), settings.number("limits.connect_timeout"),
+                settings.number("limits.conn_idle"), deadline, retryAfter);
+    }
+
+    private static long seed(Pairs pairs) {
+        String text = pairs.text("seed");
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw pairs.fault("seed", "is no hex number of 64 bits: '" + text + "'");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/config/Roster.java
@@ -0,0 +1,90 @@
+package spanrill.node.config;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import spanrill.SessionControl.Server;
+import spanrill.SessionControl.ServerState;
+import spanrill.setup.Pairs;
+import spanrill.setup.SetupFault;
+
+/**
+ * One event of the bulletin.
+ *
+ * @param no its number, from 1
+ * @param whole true for the whole list, false for what has changed
+ * @param members the servers
+ */
+public record Roster(long no, boolean whole, List<Member> members) {
+    /**
+     * A server as listed.
+     *
+     * @param server what the module is told
+     * @param address where it listens
+     */
+    public record Member(Server server, InetSocketAddress address) { }
+
+    private static final int MOST_MEMBERS = 100_000;
+
+    /**
+     * Reads an event.
+     *
+     * @throws SetupFault naming the first field that is missing or wrong; nothing of the event may be used then
+     */
+    public static Roster of(Pairs event) {
+        Pairs roster = event.at("roster.");
+        long no = (long) event.number("no");
+        if (no < 1) {
+            throw event.fault("no", "is not above 0");
+        }
+        int count = roster.count("members");
+        if (!roster.has("members.count") || count > MOST_MEMBERS) {
+            throw roster.fault("members", "is no list of servers");
+        }
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(member(roster.at("members." + i + ".")));
+        }
+        return new Roster(no, bool(roster, "complete"), members);
+    }
+
+    private static boolean bool(Pairs pairs, String key) {
+        String text = pairs.text(key);
+        if (!text.equals("true") && !text.equals("false")) {
+            throw pairs.fault(key, "is neither true nor false: '" + text + "'");
+        }
+        return text.equals("true");
+    }
+
+    private static Member member(Pairs one) {
+        String phase = one.text("phase");
+        ServerState state = switch (phase) {
+            case "SERVING" -> ServerState.READY;
+            case "DRAINING" -> ServerState.DRAINING;
+            case "DELETED" -> ServerState.GONE;
+            default -> throw one.fault("phase", "is no known state: '" + phase + "'");
+        };
+        double started = one.optional("up_since_ms");
+        Server server = new Server(one.text("id"), one.has("locality") ? one.text("locality") : null,
+                one.has("flavor") ? one.text("flavor") : null, one.integer("cell"), state,
+                one.optional("size"), started == 0 ? Double.NaN : started);
+        return new Member(server, address(one, "host_port"));
+    }
+
+    /** Reads {@code host:port}, an address in figures: there is no DNS. */
+    public static InetSocketAddress address(Pairs pairs, String key) {
+        String text = pairs.text(key);
+        int colon = text.lastIndexOf(':');
+        if (colon > 0 && text.substring(0, colon).matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+]")) {
+            try {
+                int port = Integer.parseInt(text.substring(colon + 1));
+                if (port > 0 && port < 65_536) {
+                    return new InetSocketAddress(text.substring(0, colon), port);
+                }
+            } catch (NumberFormatException e) {
+                // said below
+            }
+        }
+        throw pairs.fault(key, "is no address and port: '" + text + "'");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -0,0 +1,268 @@
+package spanrill.node.server;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.ConnectionBudget;
+import spanrill.decisions.LinkChoice;
+import spanrill.decisions.SilenceWatch;
+import spanrill.node.session.Attempt;
+import spanrill.node.session.SessionHost;
+import spanrill.session.EventSink;
+import spanrill.wire.platform.Cause;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageType;
+import spanrill.wire.platform.Parameter;
+
+/** One server id: its connections and what is owed to it. Connections are the id's, never the address's. */
+final class Server {
+    // Idle connections take nothing past this share of the server's idle time, and are closed a little later.
+    private static final double IDLE_SHARE = 0.5;
+    private static final int MOST_ON_ONE = 32;
+    private static final int MOST_OWED = 4096;
+
+    private final String id;
+    private final EventLoop loop;
+    private final ServerTimes times;
+    private final ConnectionBudget budget;
+    private final SessionHost host;
+    private final EventSink log;
+    private final LinkChoice choice;
+    private final SilenceWatch silence;
+    private final List<ServerLink> links = new ArrayList<>();
+    private final Set<Long> owedReleases = new LinkedHashSet<>();
+    private InetSocketAddress address;
+    private int most = 2;
+    private int standing;
+    private boolean gone;
+    private boolean replaced;
+    private double openAfter;
+
+    Server(String id, InetSocketAddress address, EventLoop loop, ServerTimes times, ConnectionBudget budget,
+            SessionHost host, EventSink log) {
+        this.id = id;
+        this.address = address;
+        this.loop = loop;
+        this.times = times;
+        this.budget = budget;
+        this.host = host;
+        this.log = log;
+        choice = new LinkChoice(IDLE_SHARE * times.idleMs(), MOST_ON_ONE);
+        silence = new SilenceWatch(times.silentMs(), times.connectMs());
+    }
+
+    String id() {
+        return id;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    void listed(InetSocketAddress at) {
+        if (!at.equals(address)) {
+            address = at;
+            links.forEach(ServerLink::retire);
+        }
+        gone = false;
+        replaced = false;
+    }
+
+    void gone() {
+        gone = true;
+    }
+
+    /** Another server has its address now: nothing new may be opened. */
+    void replaced() {
+        replaced = true;
+        lostIfDead();
+    }
+
+    /** True when nothing of it is left. */
+    boolean finished() {
+        return gone && standing == 0 && links.isEmpty();
+    }
+
+    // ---- what sessions ask
+
+    void setUp(Attempt attempt) {
+        List<LinkChoice.Link> seen = new ArrayList<>();
+        double now = now();
+        for (ServerLink link : links) {
+            seen.add(new LinkChoice.Link(link.open(), now - link.usedAt(), link.usable()));
+        }
+        int chosen = choice.choose(seen, !replaced && links.size() < most && budget.open() < budget.most());
+        if (chosen == LinkChoice.NONE) {
+            host.ended(attempt, Outcome.CONNECT_FAILED, null);
+            return;
+        }
+        ServerLink link = chosen == LinkChoice.NEW ? open() : links.get(chosen);
+        link.setUp(attempt);
+    }
+
+    void giveUp(Attempt attempt) {
+        for (ServerLink link : List.copyOf(links)) {
+            if (link.giveUp(attempt)) {
+                return;
+            }
+        }
+    }
+
+    void release(long session) {
+        ServerLink link = live();
+        if (link != null) {
+            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+        } else if (!gone && !replaced) {
+            if (owedReleases.size() < MOST_OWED) {
+                owedReleases.add(session);
+            }
+            reach();
+        }
+    }
+
+    void rung(long session, int rung) {
+        ServerLink link = holding(session);
+        link = link == null ? live() : link;
+        if (link != null) {
+            link.send(new Message(MessageType.RUNG, session).with(Parameter.RUNG, Integer.toString(rung)));
+        }
+    }
+
+    void standing(int sessions) {
+        if (standing == 0 && sessions > 0) {
+            silence.heard(now());
+        }
+        standing = sessions;
+        if (sessions > 0 && links.isEmpty()) {
+            reach();
+        }
+    }
+
+    private ServerLink holding(long session) {
+        for (ServerLink link : links) {
+            if (link.holds(session)) {
+                return link;
+            }
+        }
+        return null;
+    }
+
+    /** A connection that stands, the one heard from last. */
+    private ServerLink live() {
+        ServerLink best = null;
+        for (ServerLink link : links) {
+            if (link.connected() && (best == null || link.usable() && !best.usable()
+                    || link.usable() == best.usable() && link.heardAt() > best.heardAt())) {
+                best = link;
+            }
+        }
+        return best;
+    }
+
+    // ---- connections
+
+    private ServerLink open() {
+        budget.opened();
+        ServerLink link = new ServerLink(this, host);
+        links.add(link);
+        link.connect(loop, address, times.connectMs());
+        return link;
+    }
+
+    /** Opens a connection where there is none, so that news of sessions there can come. */
+    private void reach() {
+        double now = now();
+        if (links.isEmpty() && !replaced && now >= openAfter && budget.open() < budget.most()) {
+            openAfter = now + times.connectMs();
+            open();
+        }
+    }
+
+    void opened(ServerLink link) {
+        silence.heard(now());
+        for (Long session : owedReleases) {
+            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+        }
+        owedReleases.clear();
+    }
+
+    void heard() {
+        silence.heard(now());
+    }
+
+    /** A connection has ended, or never came up. */
+    void ended(ServerLink link, boolean refused, boolean timedOut) {
+        if (!links.remove(link)) {
+            return;
+        }
+        budget.closed();
+        if (refused && links.stream().noneMatch(ServerLink::connected)) {
+            // A refused connection: no process listens there, and those that did have cut their sessions.
+            dead("refused");
+        } else if (timedOut && silence.unreachable(now())) {
+            dead("silent");
+        } else {
+            lostIfDead();
+            if (standing > 0 && links.isEmpty()) {
+                reach();
+            }
+        }
+    }
+
+    private void lostIfDead() {
+        if (replaced && links.stream().noneMatch(ServerLink::connected)) {
+            dead("replaced");
+        }
+    }
+
+    private void dead(String why) {
+        if (standing > 0) {
+            log.info("server.lost", "server", id, "why", why, "sessions", standing);
+            host.lost(id);
+        }
+    }
+
+    /** A look now and then; {@code each}: connections that one server may have. */
+    void look(int each) {
+        most = each;
+        double now = now();
+        for (ServerLink link : List.copyOf(links)) {
+            boolean idle = link.connected() && link.open() == 0;
+            boolean needed = standing > 0 && links.size() == 1 && link.usable();
+            if (idle && (!link.usable() || now - link.usedAt() > IDLE_SHARE * times.idleMs() && !needed
+                    || gone && standing == 0)) {
+                link.retire();
+            }
+        }
+        if (standing == 0) {
+            return;
+        }
+        if (links.isEmpty()) {
+            lostIfDead();
+            reach();
+            return;
+        }
+        switch (silence.look(now)) {
+            case TEST -> {
+                ServerLink link = live();
+                if (link != null) {
+                    link.send(new Message(MessageType.TEST, 0).withCause(0));
+                }
+            }
+            case CONNECT -> {
+                if (!replaced && budget.open() < budget.most()) {
+                    open();
+                }
+            }
+            default -> { }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -0,0 +1,293 @@
+package spanrill.node.server;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import spanrill.SessionControl.Load;
+import spanrill.SessionControl.NoteKind;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.OutcomeTable.Event;
+import spanrill.decisions.OutcomeTable.Stage;
+import spanrill.decisions.ReleaseMeaning;
+import spanrill.node.session.Attempt;
+import spanrill.node.session.SessionHost;
+import spanrill.setup.SetupReader;
+import spanrill.wire.platform.Cause;
+import spanrill.wire.platform.FrameFault;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageDecoder;
+import spanrill.wire.platform.MessageType;
+import spanrill.wire.platform.Parameter;
+import spanrill.wire.platform.Report;
+import spanrill.wire.platform.SetUp;
+
+/**
+ * One connection to a server. A connection that carried what can't be read is closed, and one whose answer stayed
+ * out takes nothing new: neither tells what became of the rest.
+ */
+final class ServerLink extends ChannelInboundHandlerAdapter {
+    // More answers than this for set-ups that are not open here: the peer does not end.
+    private static final int MOST_STRAY = 64;
+
+    private final Server server;
+    private final SessionHost host;
+    private final MessageDecoder decoder = new MessageDecoder();
+    private final Map<Long, Attempt> open = new LinkedHashMap<>();
+    private Channel channel;
+    private boolean connected;
+    private boolean suspect;
+    private boolean over;
+    private int stray;
+    private double usedAt = Server.now();
+    private double heardAt = usedAt;
+
+    ServerLink(Server server, SessionHost host) {
+        this.server = server;
+        this.host = host;
+    }
+
+    void connect(EventLoop loop, InetSocketAddress address, int connectMs) {
+        ChannelFuture future = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
+                .option(ChannelOption.TCP_NODELAY, true).handler(this).connect(address);
+        channel = future.channel();
+        future.addListener(f -> {
+            if (f.isSuccess()) {
+                opened();
+            } else {
+                boolean timedOut = f.cause() instanceof ConnectTimeoutException;
+                finish(timedOut ? Event.CONNECT_TIMED_OUT : Event.CONNECT_REFUSED, !timedOut, timedOut);
+            }
+        });
+    }
+
+    private void opened() {
+        connected = true;
+        heardAt = Server.now();
+        List<Attempt> waiting = new ArrayList<>(open.values());
+        server.opened(this);
+        for (Attempt attempt : waiting) {
+            if (open.get(attempt.session()) == attempt) {
+                write(attempt);
+            }
+        }
+    }
+
+    // ---- how it stands
+
+    int open() {
+        return open.size();
+    }
+
+    boolean holds(long session) {
+        return open.containsKey(session);
+    }
+
+    boolean connected() {
+        return connected && !over;
+    }
+
+    boolean usable() {
+        return !suspect && !over;
+    }
+
+    double usedAt() {
+        return usedAt;
+    }
+
+    double heardAt() {
+        return heardAt;
+    }
+
+    // ---- what goes out
+
+    void setUp(Attempt attempt) {
+        usedAt = Server.now();
+        open.put(attempt.session(), attempt);
+        if (connected) {
+            write(attempt);
+        }
+    }
+
+    private void write(Attempt attempt) {
+        SetUp asked = attempt.setUp();
+        Message message = new Message(MessageType.SET_UP, attempt.session())
+                .with(Parameter.CLASS, asked.className())
+                .with(Parameter.WAIT, Long.toString(host.leftMs(attempt)))
+                .with(Parameter.TITLE, asked.title())
+                .with(Parameter.DESCRIPTION, asked.description());
+        if (attempt.rung() >= 0) {
+            message.with(Parameter.RUNG, Integer.toString(attempt.rung()));
+        }
+        boolean nothingWaits = channel.isWritable() && channel.unsafe().outboundBuffer() != null
+                && channel.unsafe().outboundBuffer().isEmpty();
+        ChannelFuture written = send(message);
+        if (written.isDone() && !written.isSuccess() && nothingWaits) {
+            // The operating system took no byte of it: proof that it never ran.
+            open.remove(attempt.session());
+            host.ended(attempt, OutcomeTable.read(Stage.CONNECTED, Event.RESET), null);
+        }
+    }
+
+    ChannelFuture send(Message message) {
+        ByteBuf out = channel.alloc().heapBuffer(message.size());
+        message.write(out);
+        return channel.writeAndFlush(out);
+    }
+
+    /** True when the attempt was open here. */
+    boolean giveUp(Attempt attempt) {
+        if (open.get(attempt.session()) != attempt) {
+            return false;
+        }
+        open.remove(attempt.session());
+        if (connected) {
+            send(new Message(MessageType.RELEASE, attempt.session()).withCause(Cause.NORMAL_CLEARING));
+            suspect |= host.leftMs(attempt) <= 1;
+        }
+        return true;
+    }
+
+    /** Takes nothing new and closes once nothing is open on it. */
+    void retire() {
+        suspect = true;
+        if (open.isEmpty()) {
+            close();
+        }
+    }
+
+    private void close() {
+        if (channel != null) {
+            channel.writeAndFlush(channel.alloc().heapBuffer(0)).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    // ---- what comes in
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object part) {
+        ByteBuf in = (ByteBuf) part;
+        try {
+            if (!over) {
+                heardAt = Server.now();
+                server.heard();
+                decoder.feed(in, this::message);
+            }
+        } catch (FrameFault fault) {
+            finish(Event.RESET, false, false);
+            ctx.close();
+        } finally {
+            in.release();
+        }
+        if (suspect && open.isEmpty()) {
+            close();
+        }
+    }
+
+    private boolean message(Message message) {
+        switch (message.type()) {
+            case ANSWER -> answer(message);
+            case RELEASE -> release(message);
+            case NOTE -> note(message);
+            default -> { }
+        }
+        return !over;
+    }
+
+    private void answer(Message message) {
+        Attempt attempt = open.remove(message.session());
+        if (attempt == null) {
+            stray();
+            return;
+        }
+        usedAt = heardAt;
+        byte[] description = message.get(Parameter.DESCRIPTION);
+        if (description == null || message.repeated()) {
+            // Framed well, yet no answer: what else comes here can't be trusted either.
+            suspect = true;
+            host.ended(attempt, Outcome.RESET, null);
+            return;
+        }
+        host.answered(attempt, description, load(message));
+    }
+
+    private void release(Message message) {
+        Attempt attempt = open.remove(message.session());
+        if (attempt != null) {
+            usedAt = heardAt;
+            host.ended(attempt, ReleaseMeaning.beforeAnswer(message.cause()), load(message));
+        } else {
+            host.over(server.id(), message.session(), ReleaseMeaning.afterAnswer(message.cause()),
+                    load(message));
+        }
+    }
+
+    private void stray() {
+        if (++stray > MOST_STRAY) {
+            finish(Event.RESET, false, false);
+            channel.close();
+        }
+    }
+
+    private void note(Message message) {
+        String kind = message.text(Parameter.NOTE_KIND);
+        double value = Report.number(message.text(Parameter.FIGURE));
+        NoteKind told = kind == null ? null : switch (kind) {
+            case "quality" -> NoteKind.DELIVERED;
+            case "profile" -> NoteKind.RUNG;
+            case "nic" -> NoteKind.LINK_USE;
+            case "tor" -> NoteKind.UPLINK_USE;
+            default -> null;
+        };
+        if (told != null && !Double.isNaN(value)) {
+            host.note(server.id(), message.session(), told, value);
+        }
+    }
+
+    private static Load load(Message message) {
+        Map<String, Double> report = Report.parse(message.text(Parameter.REPORT));
+        return report == null ? null : SetupReader.load(report);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (connected) {
+            finish(Event.CLOSED, false, false);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        finish(Event.RESET, false, false);
+        ctx.close();
+    }
+
+    private void finish(Event event, boolean refused, boolean timedOut) {
+        if (over) {
+            return;
+        }
+        over = true;
+        decoder.drop();
+        List<Attempt> lost = new ArrayList<>(open.values());
+        open.clear();
+        Outcome outcome = OutcomeTable.read(connected ? Stage.WRITTEN : Stage.CONNECTING, event);
+        server.ended(this, refused, timedOut);
+        for (Attempt attempt : lost) {
+            host.ended(attempt, outcome, null);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/server/ServerTable.java
@@ -0,0 +1,123 @@
+package spanrill.node.server;
+
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.ConnectionBudget;
+import spanrill.node.session.Attempt;
+import spanrill.node.session.ServerSide;
+import spanrill.node.session.SessionHost;
+import spanrill.session.EventSink;
+
+/** All servers that were ever told of and still matter, by id. */
+public final class ServerTable implements ServerSide {
+    private static final long LOOK_MS = 200;
+
+    private final EventLoop loop;
+    private final ServerTimes times;
+    private final ConnectionBudget budget;
+    private final EventSink log;
+    private final Map<String, Server> servers = new HashMap<>();
+    private SessionHost host;
+
+    /** Connections are opened on the loop, within the budget. */
+    public ServerTable(EventLoop loop, ServerTimes times, ConnectionBudget budget, EventSink log) {
+        this.loop = loop;
+        this.times = times;
+        this.budget = budget;
+        this.log = log;
+    }
+
+    /** Begins; what comes of attempts is told to the host. */
+    public void begin(SessionHost told) {
+        host = told;
+        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** A server is listed at an address. */
+    public void listed(String id, InetSocketAddress address) {
+        servers.computeIfAbsent(id, i -> new Server(i, address, loop, times, budget, host, log)).listed(address);
+        for (Server other : servers.values()) {
+            if (!other.id().equals(id) && other.address().equals(address)) {
+                // A new server has taken the address: nothing that is opened there reaches the old one.
+                other.replaced();
+            }
+        }
+    }
+
+    /** The list says that a server is gone. */
+    public void gone(String id) {
+        Server server = servers.get(id);
+        if (server != null) {
+            server.gone();
+        }
+    }
+
+    /** The whole list came: a server that is not on it is gone. */
+    public void only(List<spanrill.SessionControl.Server> list) {
+        Set<String> named = new HashSet<>();
+        list.forEach(server -> named.add(server.id()));
+        servers.values().stream().filter(server -> !named.contains(server.id())).forEach(Server::gone);
+    }
+
+    private void look() {
+        List<Server> done = new ArrayList<>();
+        int each = Math.max(2, budget.most() / Math.max(1, servers.size()));
+        for (Server server : new ArrayList<>(servers.values())) {
+            server.look(each);
+            if (server.finished()) {
+                done.add(server);
+            }
+        }
+        done.forEach(server -> servers.remove(server.id()));
+    }
+
+    @Override
+    public void setUp(Attempt attempt) {
+        Server server = servers.get(attempt.server());
+        if (server == null) {
+            host.ended(attempt, Outcome.CONNECT_FAILED, null);
+        } else {
+            server.setUp(attempt);
+        }
+    }
+
+    @Override
+    public void giveUp(Attempt attempt) {
+        Server server = servers.get(attempt.server());
+        if (server != null) {
+            server.giveUp(attempt);
+        }
+    }
+
+    @Override
+    public void release(String id, long session) {
+        Server server = servers.get(id);
+        if (server != null) {
+            server.release(session);
+        }
+    }
+
+    @Override
+    public void rung(String id, long session, int rung) {
+        Server server = servers.get(id);
+        if (server != null) {
+            server.rung(session, rung);
+        }
+    }
+
+    @Override
+    public void standing(String id, int sessions) {
+        Server server = servers.get(id);
+        if (server != null) {
+            server.standing(sessions);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/session/ViewerLink.java
@@ -0,0 +1,16 @@
+package spanrill.node.session;
+
+/** A viewers' connection as sessions see it. What is sent on one that has ended is dropped. */
+public interface ViewerLink {
+    /** True while what is sent may arrive. */
+    boolean open();
+
+    /** The session stands; the server's description. */
+    void answer(long session, byte[] description);
+
+    /** Final answer or end; {@code stayAwayMs} above 0 tells when to come again. */
+    void release(long session, End end, double stayAwayMs);
+
+    /** The session ends here, its viewer comes again. */
+    void move(long session);
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -0,0 +1,216 @@
+package spanrill.node.viewer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import spanrill.decisions.ViewerPatience;
+import spanrill.node.session.End;
+import spanrill.node.session.SessionHost;
+import spanrill.node.session.ViewerLink;
+import spanrill.wire.platform.Cause;
+import spanrill.wire.platform.FieldFault;
+import spanrill.wire.platform.FrameFault;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageDecoder;
+import spanrill.wire.platform.MessageType;
+import spanrill.wire.platform.Parameter;
+import spanrill.wire.platform.SetUp;
+
+/** One connection of viewers: many sessions, each message checked before the sessions see it. */
+final class ViewerConnection extends ChannelInboundHandlerAdapter implements ViewerLink {
+    private final ViewerListener listener;
+    private final SessionHost host;
+    private final boolean retryAfter;
+    private final MessageDecoder decoder = new MessageDecoder();
+    private final Set<Long> waiting = new LinkedHashSet<>();
+    private final double acceptedAt = ViewerListener.now();
+    private double messageAt = acceptedAt;
+    private boolean proven;
+    private boolean over;
+    private Channel channel;
+
+    ViewerConnection(ViewerListener listener, SessionHost host, boolean retryAfter) {
+        this.listener = listener;
+        this.host = host;
+        this.retryAfter = retryAfter;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+    }
+
+    // ---- what comes in
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object part) {
+        ByteBuf in = (ByteBuf) part;
+        try {
+            if (!over) {
+                decoder.feed(in, this::message);
+            }
+        } catch (FrameFault fault) {
+            close();
+        } finally {
+            in.release();
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        ctx.flush();
+    }
+
+    private boolean message(Message message) {
+        messageAt = ViewerListener.now();
+        switch (message.type()) {
+            case SET_UP -> setUp(message);
+            case RELEASE -> {
+                waiting.remove(message.session());
+                host.released(message.session());
+            }
+            case TEST -> {
+                proven = true;
+                send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
+            }
+            default -> { }
+        }
+        return !over;
+    }
+
+    private void setUp(Message message) {
+        SetUp setUp;
+        try {
+            setUp = SetUp.of(message);
+        } catch (FieldFault fault) {
+            release(message.session(), fault.releaseCause(), 0);
+            return;
+        }
+        if (host.knows(setUp.session())) {
+            again(setUp);
+        } else if (!host.possible(setUp)) {
+            release(setUp.session(), Cause.INVALID_CONTENTS, 0);
+        } else if (setUp.figures().at() != null) {
+            proven = true;
+            host.standsAt(setUp, this);
+            listener.good(this);
+        } else if (setUp.waitMs() < 1) {
+            release(setUp.session(), Cause.TEMPORARY_FAILURE, 0);
+        } else {
+            waiting.add(setUp.session());
+            host.setUp(setUp, this, setUp.waitMs());
+        }
+    }
+
+    /** A set-up under a number that is in use. What the first one gets must not be spoilt by it. */
+    private void again(SetUp setUp) {
+        if (setUp.figures().at() != null) {
+            return;
+        }
+        if (waiting.contains(setUp.session())) {
+            close();
+        } else {
+            release(setUp.session(), Cause.INVALID_REFERENCE, 0);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        ended();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+
+    private void ended() {
+        if (!over) {
+            over = true;
+            decoder.drop();
+            host.linkEnded(new ArrayList<>(waiting));
+            waiting.clear();
+        }
+    }
+
+    // ---- what goes out
+
+    @Override
+    public boolean open() {
+        return !over && channel.isActive() && channel.isWritable();
+    }
+
+    @Override
+    public void answer(long session, byte[] description) {
+        waiting.remove(session);
+        proven = true;
+        send(new Message(MessageType.ANSWER, session).with(Parameter.DESCRIPTION, description));
+        listener.good(this);
+    }
+
+    @Override
+    public void release(long session, End end, double stayAwayMs) {
+        waiting.remove(session);
+        release(session, switch (end) {
+            case REFUSED -> Cause.CONGESTION;
+            case FAILED, CUT -> Cause.TEMPORARY_FAILURE;
+            case OVER -> Cause.NORMAL_CLEARING;
+        }, end == End.REFUSED ? stayAwayMs : 0);
+    }
+
+    @Override
+    public void move(long session) {
+        send(new Message(MessageType.MOVE, session));
+    }
+
+    private void release(long session, int cause, double stayAwayMs) {
+        Message message = new Message(MessageType.RELEASE, session).withCause(cause);
+        if (retryAfter && stayAwayMs >= 1) {
+            message.with(Parameter.STAY_AWAY, Long.toString(Math.round(stayAwayMs)));
+        }
+        send(message);
+    }
+
+    private void send(Message message) {
+        if (over || !channel.isActive()) {
+            return;
+        }
+        if (!channel.isWritable()) {
+            // It reads nothing: what it is owed would pile up here.
+            close();
+            return;
+        }
+        ByteBuf out = channel.alloc().heapBuffer(message.size());
+        message.write(out);
+        channel.writeAndFlush(out);
+    }
+
+    // ---- its end
+
+    boolean proven() {
+        return proven;
+    }
+
+    /** True when nobody waits for an answer on it. */
+    boolean spare() {
+        return !over && waiting.isEmpty();
+    }
+
+    void look(double now, ViewerPatience patience) {
+        if (!over && patience.over(new ViewerPatience.View(now - acceptedAt, now - messageAt, waiting.size(), proven,
+                decoder.within()))) {
+            close();
+        }
+    }
+
+    /** Closes it once what was written has gone out; set-ups open on it are given up. */
+    void close() {
+        ended();
+        channel.writeAndFlush(channel.alloc().heapBuffer(0)).addListener(ChannelFutureListener.CLOSE);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -0,0 +1,125 @@
+package spanrill.node.viewer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import spanrill.decisions.ConnectionBudget;
+import spanrill.decisions.ViewerPatience;
+import spanrill.node.session.SessionHost;
+import spanrill.node.session.ViewerLink;
+import spanrill.session.EventSink;
+
+/** Listens for viewers and for the platform's tests. */
+public final class ViewerListener {
+    private static final int BACKLOG = 1024;
+    private static final long LOOK_MS = 100;
+    private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(64 * 1024, 128 * 1024);
+
+    private final EventLoop loop;
+    private final ConnectionBudget budget;
+    private final ViewerPatience patience;
+    private final EventSink log;
+    private final boolean retryAfter;
+    private final Set<ViewerConnection> connections = new LinkedHashSet<>();
+    private SessionHost host;
+    private ViewerConnection lastGood;
+
+    /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
+    public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log) {
+        this.loop = loop;
+        this.budget = budget;
+        this.retryAfter = retryAfter;
+        this.log = log;
+        patience = new ViewerPatience();
+    }
+
+    /** Listens; the future tells when, or why not. */
+    public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
+        host = told;
+        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                }).bind(address);
+    }
+
+    private void accept(SocketChannel channel) {
+        if (!budget.opened() && !(makeRoom() && budget.opened())) {
+            channel.close();
+            if (budget.becameFull()) {
+                log.info("limit.viewers", "open", budget.open());
+            }
+            return;
+        }
+        ViewerConnection connection = new ViewerConnection(this, host, retryAfter);
+        connections.add(connection);
+        channel.closeFuture().addListener(f -> {
+            budget.closed();
+            connections.remove(connection);
+            lastGood = lastGood == connection ? null : lastGood;
+        });
+        channel.pipeline().addLast(connection);
+    }
+
+    /** Closes the oldest connection on which nobody waits for anything, to let a new one in. */
+    private boolean makeRoom() {
+        ViewerConnection chosen = null;
+        for (ViewerConnection connection : connections) {
+            if (connection.spare() && (chosen == null || !connection.proven() && chosen.proven())) {
+                chosen = connection;
+            }
+        }
+        if (chosen == null) {
+            return false;
+        }
+        chosen.close();
+        return budget.open() < budget.most();
+    }
+
+    private void look() {
+        double now = now();
+        for (ViewerConnection connection : Set.copyOf(connections)) {
+            connection.look(now, patience);
+        }
+    }
+
+    static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    /** A connection on which a usual viewer was served: it can take what is owed. */
+    void good(ViewerConnection connection) {
+        lastGood = connection;
+        host.linkReady(connection);
+    }
+
+    /** A connection that can take a release whose own is gone, or null. */
+    public ViewerLink any() {
+        if (lastGood != null && lastGood.open()) {
+            return lastGood;
+        }
+        ViewerConnection best = null;
+        for (ViewerConnection connection : connections) {
+            if (connection.proven() && connection.open()) {
+                best = connection;
+            }
+        }
+        return best;
+    }
+}
--- a/session/src/main/java/spanrill/session/Turns.java
+++ b/session/src/main/java/spanrill/session/Turns.java
@@ -8,23 +8,25 @@
  * side that answers at once) waits until that event is over: the module is never entered from
  * within its own calls.
  */
-final class Turns {
+public final class Turns {
     private final Scheduler scheduler;
     private final EventSink log;
     private final ArrayDeque<DoubleConsumer> waiting = new ArrayDeque<>();
     private boolean inside;
 
-    Turns(Scheduler scheduler, EventSink log) {
+    /** Events are given their time by the scheduler; faults within them go to the log. */
+    public Turns(Scheduler scheduler, EventSink log) {
         this.scheduler = scheduler;
         this.log = log;
     }
 
-    double now() {
+    /** Now, milliseconds. */
+    public double now() {
         return scheduler.now();
     }
 
     /** Tells an event, now or when the one at hand is over. */
-    void tell(DoubleConsumer event) {
+    public void tell(DoubleConsumer event) {
         waiting.add(event);
         if (inside) {
             return;
@@ -45,12 +47,12 @@
     }
 
     /** Tells an event after a time. */
-    Scheduler.Timer after(double ms, DoubleConsumer event) {
+    public Scheduler.Timer after(double ms, DoubleConsumer event) {
         return scheduler.after(ms, () -> tell(event));
     }
 
     /** Tells an event again and again. */
-    void every(double ms, DoubleConsumer event) {
+    public void every(double ms, DoubleConsumer event) {
         scheduler.after(ms, () -> {
             tell(event);
             every(ms, event);
--- a/simhost/src/main/java/spanrill/simhost/Simhost.java
+++ b/simhost/src/main/java/spanrill/simhost/Simhost.java
@@ -16,6 +16,10 @@
 import spanrill.SessionControl.Request;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
+import spanrill.SessionControl.Settings;
+import spanrill.setup.Pairs;
+import spanrill.setup.SetupFault;
+import spanrill.setup.SetupReader;
 
 /**
  * Speaks the users' bench: parses batches of events, hands each to the module of its instance, and writes the
@@ -117,12 +121,31 @@
 
     private void init(Line line, int who) {
         long seed = line.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE);
-        SetupReader reader = SetupReader.open(line);
-        Control control = new Control(reader.settings(), seed, new WireActions(who));
+        SetupReader reader = new SetupReader(new Pairs(pairs(line)));
+        Settings settings;
+        try {
+            settings = reader.settings();
+        } catch (SetupFault fault) {
+            throw line.fault(fault.path(), fault.what());
+        }
+        Control control = new Control(settings, seed, new WireActions(who));
         fronts.put(who, new Front(control, reader.reportNames()));
         guarded(who, () -> control.start(now));
     }
 
+    private static Map<String, String> pairs(Line line) {
+        Map<String, String> pairs = new HashMap<>();
+        while (line.more()) {
+            String pair = line.text("setup");
+            int eq = pair.indexOf('=');
+            if (eq <= 0) {
+                throw line.fault("setup", "has a part that is not path=value: '" + pair + "'");
+            }
+            pairs.put(pair.substring(0, eq), pair.substring(eq + 1));
+        }
+        return pairs;
+    }
+
     private Runnable parse(Line line, Front front) {
         SessionControl control = front.control();
         switch (line.word()) {
@@ -235,18 +258,15 @@
         if (row == null) {
             return null;
         }
-        Map<String, Double> values = new HashMap<>();
-        String[] items = row.split(",", -1);
-        for (int i = 0; i < items.length && i < names.size(); i++) {
+        List<Double> values = new ArrayList<>();
+        for (String item : row.split(",", -1)) {
             try {
-                values.put(names.get(i), Double.parseDouble(items[i]));
+                values.add(Double.parseDouble(item));
             } catch (NumberFormatException e) {
-                throw line.fault("usage", "has a value that is not a number: '" + items[i] + "'");
+                throw line.fault("usage", "has a value that is not a number: '" + item + "'");
             }
         }
-        double link = values.getOrDefault("x0", values.getOrDefault("util", Double.NaN));
-        return new Load(values.getOrDefault("inflight", Double.NaN), link,
-                values.getOrDefault("x1", Double.NaN));
+        return SetupReader.load(names, values);
     }
 
     private <T> T pick(Line line, String field, Map<String, T> words) {
