Node: sessions that play at the start are taken over, not refused; a move is followed by a release

Change: with at the wait is not read; a move without the server's word is followed by a release; what the list calls gone has ended. Six connections to a server at most; a due attempt waits for one more round of the loop; a warm-up before viewers are taken.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -42,15 +42,15 @@
     private final BulletinClient bulletin;
     private final Channel listening;
 
-    private FrontNode(NodeConfig config, EventSink log) throws IOException {
+    private FrontNode(NodeConfig config, EventSink log, EventSink trace) throws IOException {
         this.config = config;
         scheduler = new LoopScheduler(loop, new Clock());
         DescriptorShares shares = new DescriptorShares(config.sockets());
         ViewerListener viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()),
-                config.retryAfter(), log);
+                config.retryAfter(), log, trace);
         servers = new ServerTable(loop, new ServerTimes((int) Math.ceil(config.connectMs()), config.idleMs(),
-                silentMs(config)), new ConnectionBudget(shares.servers()), log);
-        host = new SessionHost(config.settings(), scheduler, log, servers, viewers::any,
+                silentMs(config)), new ConnectionBudget(shares.servers()), log, trace);
+        host = new SessionHost(config.settings(), scheduler, log, trace, servers, viewers::any,
                 actions -> new Control(config.settings(), config.seed(), actions));
         bulletin = new BulletinClient(loop, log, config.bulletin(), config.knownNo(), config.seed(),
                 event -> listed(event, event.whole() ? ListKind.WHOLE : ListKind.CHANGES));
@@ -73,8 +73,8 @@
      *
      * @throws IOException when the address can't be had
      */
-    public static FrontNode start(NodeConfig config, EventSink log) throws IOException {
-        return new FrontNode(config, log);
+    public static FrontNode start(NodeConfig config, EventSink log, EventSink trace) throws IOException {
+        return new FrontNode(config, log, trace);
     }
 
     // Notes of use come each tell, told late; a server that misses two of them is asked.
--- a/node/src/main/java/spanrill/node/Main.java
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -8,6 +8,8 @@
 /** Entry point of the front node; its configuration is the file that {@code EDGE_CONFIG} names. */
 public final class Main {
     private static final int WRONG_SETUP = 2;
+    private static final int WARM_SESSIONS = 3000;
+    private static final double WARM_MS = 800;
 
     private Main() { }
 
@@ -23,7 +25,11 @@
         try {
             // Before all else, and in place of the runtime's own: SIGHUP would end the program.
             Signals.on("HUP", () -> { });
-            node = FrontNode.start(NodeConfig.read(Path.of(file)), log);
+            NodeConfig config = NodeConfig.read(Path.of(file));
+            long began = System.nanoTime();
+            int played = WarmUp.run(config, WARM_SESSIONS, WARM_MS);
+            log.info("node.warm", "sessions", played, "ms", (System.nanoTime() - began) / 1_000_000);
+            node = FrontNode.start(config, log, Trace.open(config.name()));
         } catch (SetupFault fault) {
             System.err.println("spanrill node: " + file + ": " + fault.getMessage());
             System.exit(WRONG_SETUP);
--- /dev/null
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -0,0 +1,204 @@
+package spanrill.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.PriorityQueue;
+import spanrill.Control;
+import spanrill.SessionControl.ListKind;
+import spanrill.SessionControl.NoteKind;
+import spanrill.SessionControl.Outcome;
+import spanrill.SessionControl.Server;
+import spanrill.node.config.NodeConfig;
+import spanrill.node.config.Roster;
+import spanrill.node.session.Attempt;
+import spanrill.node.session.End;
+import spanrill.node.session.ServerSide;
+import spanrill.node.session.SessionHost;
+import spanrill.node.session.ViewerLink;
+import spanrill.session.EventSink;
+import spanrill.session.Scheduler;
+import spanrill.wire.platform.FieldFault;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageDecoder;
+import spanrill.wire.platform.MessageType;
+import spanrill.wire.platform.Parameter;
+import spanrill.wire.platform.SetUp;
+
+/**
+ * Plays some hundred sessions through the codec, the host and a module of its own before the node takes viewers,
+ * in virtual time and without a socket. A cold runtime needs tens of milliseconds for a set-up, and at a start all
+ * viewers come at once: what would be lost then is many times what the start is longer.
+ */
+final class WarmUp {
+    private static final double GAP_MS = 4;
+    private static final double ANSWER_MS = 60;
+    private static final double LASTS_MS = 1500;
+
+    private final PriorityQueue<Due> agenda = new PriorityQueue<>();
+    private final List<String> servers = new ArrayList<>();
+    private final NodeConfig config;
+    private final SessionHost host;
+    private final Time time = new Time();
+    private final Sink viewer = new Sink();
+    private long order;
+
+    private WarmUp(NodeConfig config) {
+        this.config = config;
+        host = new SessionHost(config.settings(), time, EventSink.none(), EventSink.none(), new Far(),
+                () -> viewer, actions -> new Control(config.settings(), config.seed(), actions));
+    }
+
+    /** Plays so many sessions, for so long at most; returns how many it came to. */
+    static int run(NodeConfig config, int sessions, double mostMs) {
+        WarmUp warmUp = new WarmUp(config);
+        return config.settings().classes().isEmpty() ? 0 : warmUp.play(sessions, mostMs);
+    }
+
+    private int play(int sessions, double mostMs) {
+        long until = System.nanoTime() + (long) (mostMs * 1e6);
+        host.start();
+        for (Roster event : config.known()) {
+            List<Server> list = new ArrayList<>();
+            event.members().forEach(member -> list.add(member.server()));
+            list.forEach(server -> servers.add(server.id()));
+            host.servers(event.whole() ? ListKind.KEPT : ListKind.CHANGES, list);
+        }
+        for (int i = 0; i < sessions; i++) {
+            int number = i;
+            time.after(i * GAP_MS, () -> ask(number));
+        }
+        while (!agenda.isEmpty() && System.nanoTime() < until && host.counts().taken < sessions) {
+            Due next = agenda.poll();
+            time.now = Math.max(time.now, next.at);
+            if (!next.off) {
+                next.action.run();
+            }
+        }
+        return (int) host.counts().taken;
+    }
+
+    private void ask(int number) {
+        String text = "home:" + number % config.settings().cells() + ";copies:" + Math.min(3,
+                config.settings().cells()) + ";top:" + (config.settings().rungKb().size() - 1) + ";viewer:"
+                + HexFormat.of().toHexDigits((long) number);
+        Message message = through(new Message(MessageType.SET_UP, number + 1L)
+                .with(Parameter.CLASS, config.settings().classes().get(number % config.settings().classes().size())
+                        .name())
+                .with(Parameter.WAIT, "1000").with(Parameter.TITLE, HexFormat.of().toHexDigits(number % 50L))
+                .with(Parameter.FIGURES, text)
+                .with(Parameter.DESCRIPTION, "warm".getBytes(StandardCharsets.US_ASCII)));
+        try {
+            SetUp setUp = SetUp.of(message);
+            if (host.possible(setUp)) {
+                host.setUp(setUp, viewer, setUp.waitMs());
+            }
+        } catch (FieldFault fault) {
+            throw new IllegalStateException("the warm-up's own set-up", fault);
+        }
+    }
+
+    /** A message as the other side of a connection reads it. */
+    private static Message through(Message message) {
+        ByteBuf wire = Unpooled.buffer(message.size());
+        message.write(wire);
+        ArrayDeque<Message> read = new ArrayDeque<>();
+        new MessageDecoder().feed(wire, read::add);
+        wire.release();
+        return read.poll();
+    }
+
+    private final class Due implements Scheduler.Timer, Comparable<Due> {
+        private final double at;
+        private final long place = order++;
+        private final Runnable action;
+        private boolean off;
+
+        Due(double at, Runnable action) {
+            this.at = at;
+            this.action = action;
+        }
+
+        @Override
+        public void cancel() {
+            off = true;
+        }
+
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Double.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(place, other.place);
+        }
+    }
+
+    private final class Time implements Scheduler {
+        private double now = 1;
+
+        @Override
+        public double now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(double ms, Runnable action) {
+            Due due = new Due(now + Math.max(0, ms), action);
+            agenda.add(due);
+            return due;
+        }
+    }
+
+    /** Servers that answer all but a few, tell of themselves, and end sessions after a while. */
+    private final class Far implements ServerSide {
+        @Override
+        public void setUp(Attempt attempt) {
+            Message message = through(new Message(MessageType.SET_UP, attempt.session())
+                    .with(Parameter.DESCRIPTION, attempt.setUp().description()));
+            time.after(ANSWER_MS, () -> {
+                if (attempt.session() % 40 == 0) {
+                    host.ended(attempt, Outcome.FULL, null);
+                    return;
+                }
+                host.answered(attempt, message.get(Parameter.DESCRIPTION), null);
+                host.note(attempt.server(), attempt.session(), NoteKind.LINK_USE, 0.5);
+                host.note(attempt.server(), attempt.session(), NoteKind.UPLINK_USE, 0.6);
+                time.after(LASTS_MS, () -> host.over(attempt.server(), attempt.session(), Outcome.OK, null));
+            });
+        }
+
+        @Override
+        public void giveUp(Attempt attempt) { }
+
+        @Override
+        public void release(String server, long session) { }
+
+        @Override
+        public void rung(String server, long session, int rung) { }
+
+        @Override
+        public void standing(String server, int sessions) { }
+    }
+
+    private static final class Sink implements ViewerLink {
+        @Override
+        public boolean open() {
+            return true;
+        }
+
+        @Override
+        public void answer(long session, byte[] description) {
+            through(new Message(MessageType.ANSWER, session).with(Parameter.DESCRIPTION, description));
+        }
+
+        @Override
+        public void release(long session, End end, double stayAwayMs) {
+            through(new Message(MessageType.RELEASE, session).withCause(16));
+        }
+
+        @Override
+        public void move(long session) { }
+    }
+}
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -24,6 +24,9 @@
     private static final double IDLE_SHARE = 0.5;
     private static final int MOST_ON_ONE = 32;
     private static final int MOST_OWED = 4096;
+    // One for each set-up up to so many: beyond, the cost of new connections in a rush outweighs what an answer
+    // that can't be read would spoil.
+    private static final int MOST_LINKS = 6;
 
     private final String id;
     private final EventLoop loop;
@@ -31,6 +34,7 @@
     private final ConnectionBudget budget;
     private final SessionHost host;
     private final EventSink log;
+    private final EventSink trace;
     private final LinkChoice choice;
     private final SilenceWatch silence;
     private final List<ServerLink> links = new ArrayList<>();
@@ -43,7 +47,7 @@
     private double openAfter;
 
     Server(String id, InetSocketAddress address, EventLoop loop, ServerTimes times, ConnectionBudget budget,
-            SessionHost host, EventSink log) {
+            SessionHost host, EventSink log, EventSink trace) {
         this.id = id;
         this.address = address;
         this.loop = loop;
@@ -51,6 +55,7 @@
         this.budget = budget;
         this.host = host;
         this.log = log;
+        this.trace = trace;
         choice = new LinkChoice(IDLE_SHARE * times.idleMs(), MOST_ON_ONE);
         silence = new SilenceWatch(times.silentMs(), times.connectMs());
     }
@@ -68,6 +73,7 @@
     }
 
     void listed(InetSocketAddress at) {
+        trace.info("listed", "server", id, "address", at);
         if (!at.equals(address)) {
             address = at;
             links.forEach(ServerLink::retire);
@@ -76,8 +82,14 @@
         replaced = false;
     }
 
+    /** The list tells late: a server that it calls gone ended before, and with it all that stood there. */
     void gone() {
+        if (!gone) {
+            links.forEach(ServerLink::retire);
+        }
+        trace.info("gone", "server", id, "standing", standing, "links", links.size());
         gone = true;
+        dead("gone");
     }
 
     /** Another server has its address now: nothing new may be opened. */
@@ -203,6 +215,8 @@
         if (!links.remove(link)) {
             return;
         }
+        trace.info("linkEnded", "server", id, "refused", refused, "timedOut", timedOut, "left", links.size(),
+                "open", link.open(), "standing", standing);
         budget.closed();
         if (refused && links.stream().noneMatch(ServerLink::connected)) {
             // A refused connection: no process listens there, and those that did have cut their sessions.
@@ -232,7 +246,7 @@
 
     /** A look now and then; {@code each}: connections that one server may have. */
     void look(int each) {
-        most = each;
+        most = Math.min(each, MOST_LINKS);
         double now = now();
         for (ServerLink link : List.copyOf(links)) {
             boolean idle = link.connected() && link.open() == 0;
--- a/node/src/main/java/spanrill/node/server/ServerTable.java
+++ b/node/src/main/java/spanrill/node/server/ServerTable.java
@@ -24,15 +24,18 @@
     private final ServerTimes times;
     private final ConnectionBudget budget;
     private final EventSink log;
+    private final EventSink trace;
     private final Map<String, Server> servers = new HashMap<>();
     private SessionHost host;
 
     /** Connections are opened on the loop, within the budget. */
-    public ServerTable(EventLoop loop, ServerTimes times, ConnectionBudget budget, EventSink log) {
+    public ServerTable(EventLoop loop, ServerTimes times, ConnectionBudget budget, EventSink log,
+            EventSink trace) {
         this.loop = loop;
         this.times = times;
         this.budget = budget;
         this.log = log;
+        this.trace = trace;
     }
 
     /** Begins; what comes of attempts is told to the host. */
@@ -43,7 +46,7 @@
 
     /** A server is listed at an address. */
     public void listed(String id, InetSocketAddress address) {
-        servers.computeIfAbsent(id, i -> new Server(i, address, loop, times, budget, host, log)).listed(address);
+        servers.computeIfAbsent(id, i -> new Server(i, address, loop, times, budget, host, log, trace)).listed(address);
         for (Server other : servers.values()) {
             if (!other.id().equals(id) && other.address().equals(address)) {
                 // A new server has taken the address: nothing that is opened there reaches the old one.
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -34,6 +35,8 @@
     private static final double NET_MS = 3;
     // A moved session is ended by the platform at its server; if the server has not said so, it is released.
     private static final double MOVED_MS = 500;
+    // Once due, an attempt is given up after one more round of the loop, which takes about so long.
+    private static final double UNREAD_MS = 1;
     // A viewer that was moved counts as coming back from a move for this long.
     private static final double RETURN_MS = 30_000;
     // The rules give 8 s from the end of a session to its release.
@@ -46,6 +49,7 @@
     private final Scheduler scheduler;
     private final Turns turns;
     private final EventSink log;
+    private final EventSink trace;
     private final ServerSide servers;
     private final Supplier<ViewerLink> anyLink;
     private final SessionControl control;
@@ -53,6 +57,7 @@
     private final Map<String, NodeSession> byName = new HashMap<>();
     private final Map<String, Set<NodeSession>> standing = new HashMap<>();
     private final OwedReleases owed = new OwedReleases(OWED_MS, MOST_OWED);
+    private final Map<Long, NodeSession> moving = new HashMap<>();
     private final LinkedHashMap<String, Double> moved = new LinkedHashMap<>();
     private final Counts counts = new Counts();
 
@@ -65,13 +70,15 @@
     /**
      * A host; {@code module} makes the module for its actions.
      *
+     * @param trace takes what the module is told and asks for
      * @param anyLink a viewers' connection that can take a release, or null where there is none
      */
-    public SessionHost(SessionControl.Settings settings, Scheduler scheduler, EventSink log, ServerSide servers,
-            Supplier<ViewerLink> anyLink, Function<SessionControl.Actions, SessionControl> module) {
+    public SessionHost(SessionControl.Settings settings, Scheduler scheduler, EventSink log, EventSink trace,
+            ServerSide servers, Supplier<ViewerLink> anyLink, Function<SessionControl.Actions, SessionControl> module) {
         this.settings = settings;
         this.scheduler = scheduler;
         this.log = log;
+        this.trace = trace;
         this.servers = servers;
         this.anyLink = anyLink;
         turns = new Turns(scheduler, log);
@@ -119,6 +126,7 @@
         sessions.put(session.id(), session);
         byName.put(session.name(), session);
         counts.taken++;
+        trace.info("request", "id", session.name(), "class", setUp.className(), "left", leftMs);
         session.deadline = turns.after(leftMs + NET_MS, now -> overdue(now, session));
         turns.tell(now -> {
             if (session.state().answerOwed()) {
@@ -131,6 +139,7 @@
     public void standsAt(SetUp setUp, ViewerLink link) {
         NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
         session.server = setUp.figures().at();
+        trace.info("takenOver", "id", session.name(), "server", session.server);
         session.state().on(Event.SEND);
         session.state().on(Event.PLAYS);
         sessions.put(session.id(), session);
@@ -153,6 +162,7 @@
     /** A viewer gives a set-up up or ends its session; true when there was one. */
     public boolean released(long id) {
         NodeSession session = sessions.get(id);
+        trace.info("viewerReleases", "id", HexFormat.of().toHexDigits(id), "known", session != null);
         if (session == null) {
             return false;
         }
@@ -209,6 +219,7 @@
         session.server = attempt.server();
         counts.played++;
         double took = scheduler.now() - session.sentAt;
+        trace.info("plays", "id", session.name(), "server", session.server, "took", took);
         // The answer goes out before anything else is done: the viewer's time runs.
         session.link.answer(session.id(), description);
         session.settled();
@@ -224,6 +235,8 @@
         }
         session.attemptOver();
         session.state().attemptEnded(outcome);
+        trace.info("attemptEnded", "id", session.name(), "server", attempt.server(), "outcome", outcome,
+                "load", load);
         turns.tell(now -> control.ended(now, session.name(), !session.state().answerOwed(), outcome,
                 attempt.server(), load));
     }
@@ -231,6 +244,9 @@
     /** A session that stood has ended at its server. */
     public void over(String server, long id, Outcome outcome, Load load) {
         NodeSession session = sessions.get(id);
+        trace.info("over", "id", HexFormat.of().toHexDigits(id), "server", server, "outcome", outcome, "known",
+                session != null);
+        moving.remove(id);
         if (session == null || !session.state().inPlay() || !server.equals(session.server)) {
             return;
         }
@@ -265,6 +281,7 @@
             if (kind == NoteKind.RUNG && !rungOfLadder(value)) {
                 return;
             }
+            trace.info("note", "server", server, "kind", kind, "value", value);
             turns.tell(now -> control.note(now, session.name(), server, kind, value));
         }
     }
@@ -324,6 +341,7 @@
     /** Tells a viewer, on whatever connection there is, that its session is over. */
     private void tellOver(NodeSession session, End end) {
         ViewerLink link = session.link.open() ? session.link : anyLink.get();
+        trace.info("tellOver", "id", session.name(), "end", end, "own", session.link.open(), "link", link != null);
         if (link == null) {
             owed.add(scheduler.now(), session.id(), end);
         } else {
@@ -347,7 +365,19 @@
         control.gone(now, session.name());
     }
 
+    /**
+     * A moved session of which the server said nothing: it may have ended before the move, with its server. Its
+     * viewer is owed a release then, and the server one if it lives.
+     */
+    private void unmoved(NodeSession session, String server) {
+        if (moving.remove(session.id()) != null) {
+            servers.release(server, session.id());
+            tellOver(session, End.CUT);
+        }
+    }
+
     private void answer(NodeSession session, Event event, End end, double stayAwayMs) {
+        trace.info("answer", "id", session.name(), "end", end, "stayAway", stayAwayMs);
         session.state().on(event);
         forget(session);
         session.link.release(session.id(), end, stayAwayMs);
@@ -364,12 +394,20 @@
             }
             session.state().on(Event.SEND);
             session.sentAt = scheduler.now();
+            trace.info("send", "id", request, "server", server, "rung", session.rung);
             Attempt attempt = new Attempt(session, server, until, session.rung);
             session.attempt = attempt;
-            session.giveUp = turns.after(until - session.sentAt, now -> timeOut(attempt));
+            session.giveUp = turns.after(until - session.sentAt, now -> due(attempt));
             servers.setUp(attempt);
         }
 
+        /** Due, but what came in time may lie unread: one more round of the loop reads it. */
+        private void due(Attempt attempt) {
+            if (attempt.owner().attempt == attempt) {
+                attempt.owner().giveUp = turns.after(UNREAD_MS, now -> timeOut(attempt));
+            }
+        }
+
         private void timeOut(Attempt attempt) {
             if (attempt.owner().attempt == attempt) {
                 // The give-up leaves before any further attempt of the session can.
@@ -399,6 +437,8 @@
             }
             String server = session.server;
             over(session);
+            moving.put(session.id(), session);
+            trace.info("move", "id", request, "server", server);
             while (moved.size() >= MOST_MOVED) {
                 moved.remove(moved.keySet().iterator().next());
             }
@@ -406,11 +446,8 @@
             ViewerLink link = session.link.open() ? session.link : anyLink.get();
             if (link != null) {
                 link.move(session.id());
-                turns.after(MOVED_MS, now -> servers.release(server, session.id()));
-            } else {
-                servers.release(server, session.id());
-                owed.add(scheduler.now(), session.id(), End.CUT);
             }
+            turns.after(link == null ? 0 : MOVED_MS, now -> unmoved(session, server));
             turns.tell(now -> control.ended(now, session.name(), true, Outcome.CANCELLED, server, null));
         }
 
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -88,13 +88,13 @@
         try {
             setUp = SetUp.of(message);
         } catch (FieldFault fault) {
-            release(message.session(), fault.releaseCause(), 0);
+            reject(message.session(), fault.releaseCause(), fault.getMessage());
             return;
         }
         if (host.knows(setUp.session())) {
             again(setUp);
         } else if (!host.possible(setUp)) {
-            release(setUp.session(), Cause.INVALID_CONTENTS, 0);
+            reject(setUp.session(), Cause.INVALID_CONTENTS, "not of these settings");
         } else if (setUp.figures().at() != null) {
             proven = true;
             host.standsAt(setUp, this);
@@ -107,6 +107,12 @@
         }
     }
 
+    /** A set-up that can't be used: failed, and said why to whoever follows the trace. */
+    private void reject(long session, int cause, String why) {
+        listener.rejected(session, why);
+        release(session, cause, 0);
+    }
+
     /** A set-up under a number that is in use. What the first one gets must not be spoilt by it. */
     private void again(SetUp setUp) {
         if (setUp.figures().at() != null) {
@@ -115,7 +121,7 @@
         if (waiting.contains(setUp.session())) {
             close();
         } else {
-            release(setUp.session(), Cause.INVALID_REFERENCE, 0);
+            reject(setUp.session(), Cause.INVALID_REFERENCE, "the session is known");
         }
     }
 
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,17 +30,20 @@
     private final ConnectionBudget budget;
     private final ViewerPatience patience;
     private final EventSink log;
+    private final EventSink trace;
     private final boolean retryAfter;
     private final Set<ViewerConnection> connections = new LinkedHashSet<>();
     private SessionHost host;
     private ViewerConnection lastGood;
 
     /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
-    public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log) {
+    public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log,
+            EventSink trace) {
         this.loop = loop;
         this.budget = budget;
         this.retryAfter = retryAfter;
         this.log = log;
+        this.trace = trace;
         patience = new ViewerPatience();
     }
 
@@ -103,6 +107,10 @@
         return System.nanoTime() / 1e6;
     }
 
+    void rejected(long session, String why) {
+        trace.info("rejected", "id", HexFormat.of().toHexDigits(session), "why", why);
+    }
+
     /** A connection on which a usual viewer was served: it can take what is owed. */
     void good(ViewerConnection connection) {
         lastGood = connection;
--- a/wire/src/main/java/spanrill/wire/platform/SetUp.java
+++ b/wire/src/main/java/spanrill/wire/platform/SetUp.java
@@ -5,7 +5,7 @@
  *
  * @param session the session, never used again
  * @param className its class
- * @param waitMs how long the viewer waits from when it sent this, ms; 0 with {@code at}
+ * @param waitMs how long the viewer waits from when it sent this, ms; 0 with {@code at}: no answer is waited for
  * @param title the title, 16 hex digits
  * @param figures the rest
  * @param description what the viewer describes, as it came
@@ -29,7 +29,7 @@
         if (description == null) {
             throw new FieldFault(Cause.ELEMENT_MISSING, "no description");
         }
-        double wait = figures.at() != null && !message.has(Parameter.WAIT) ? 0 : waitMs(message);
+        double wait = figures.at() != null ? 0 : waitMs(message);
         return new SetUp(message.session(), className, wait, title, figures, description);
     }
 
