--- /dev/null
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -0,0 +1,123 @@
+package spanrill.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import spanrill.SessionControl.Outcome;
+import spanrill.decisions.LinkChoice.Link;
+import spanrill.decisions.SilenceWatch.Step;
+import spanrill.decisions.ViewerPatience.View;
+
+/** The choices that a front node makes itself. */
+class NodeChoicesTest {
+    @Test
+    void aSetUpGetsAConnectionOfItsOwnWhileThereIsRoom() {
+        LinkChoice choice = new LinkChoice(5000, 2);
+        Link busy = new Link(1, 0, true);
+        assertEquals(LinkChoice.NEW, choice.choose(List.of(), true));
+        assertEquals(LinkChoice.NEW, choice.choose(List.of(busy), true));
+        assertEquals(1, choice.choose(List.of(busy, new Link(0, 100, true), new Link(0, 900, true)), true));
+        assertEquals(0, choice.choose(List.of(busy, new Link(2, 0, true)), false));
+        assertEquals(LinkChoice.NONE, choice.choose(List.of(new Link(2, 0, true)), false));
+    }
+
+    /** One idle for long may be closing at the other end; one that was spoilt tells nothing. */
+    @Test
+    void idleAndSpoiltConnectionsTakeNothing() {
+        LinkChoice choice = new LinkChoice(5000, 2);
+        List<Link> links = List.of(new Link(0, 5001, true), new Link(0, 0, false));
+        assertEquals(LinkChoice.NEW, choice.choose(links, true));
+        assertEquals(LinkChoice.NONE, choice.choose(links, false));
+    }
+
+    @Test
+    void aSilentServerIsTestedThenTriedThenGone() {
+        SilenceWatch watch = new SilenceWatch(3000, 250);
+        watch.heard(0);
+        assertEquals(Step.NONE, watch.look(2999));
+        assertEquals(Step.TEST, watch.look(3000));
+        assertEquals(Step.NONE, watch.look(3100));
+        assertEquals(Step.CONNECT, watch.look(3250));
+        assertFalse(watch.unreachable(3500));
+        assertEquals(Step.CONNECT, watch.look(3750));
+        assertTrue(watch.unreachable(4000));
+    }
+
+    @Test
+    void anythingHeardEndsTheSuspicion() {
+        SilenceWatch watch = new SilenceWatch(3000, 250);
+        watch.heard(0);
+        watch.look(3000);
+        watch.look(3300);
+        watch.unreachable(3500);
+        watch.heard(3600);
+        assertEquals(Step.NONE, watch.look(6000));
+        assertFalse(watch.unreachable(6500));
+        assertFalse(watch.unreachable(6550), "heard from within the silence");
+    }
+
+    @Test
+    void theBulletinIsAskedAgainWellWithinWhatCountsAsTold() {
+        BulletinWatch watch = new BulletinWatch(7);
+        watch.asked(0);
+        watch.heard(10);
+        assertFalse(watch.due(2000), "comments come each second");
+        assertTrue(watch.due(2300), "a stop counts as told after 4 s");
+        watch.asked(2300);
+        watch.heard(2310);
+        watch.broken(2400);
+        assertTrue(watch.due(2500), "a break counts as told after 2 s");
+        watch.asked(3000);
+        for (int i = 0; i < 20; i++) {
+            watch.broken(3000);
+            assertTrue(watch.due(3600), "however often it fails");
+            watch.asked(3000);
+        }
+        assertTrue(watch.due(4500), "an answer that stays out");
+    }
+
+    @Test
+    void whoSendsNothingOfUseIsClosedWellWithinThreeSeconds() {
+        ViewerPatience patience = new ViewerPatience();
+        assertTrue(patience.over(new View(1500, 1500, 0, false, false)), "silent since the start");
+        assertTrue(patience.over(new View(9000, 1500, 0, true, true)), "half a message");
+        assertFalse(patience.over(new View(9000, 9000, 1, false, true)), "an answer is owed");
+        assertFalse(patience.over(new View(60_000, 4000, 0, true, false)), "a usual viewer between two set-ups");
+        assertTrue(patience.over(new View(60_000, 10_000, 0, true, false)), "held for good");
+    }
+
+    @Test
+    void aStopEndsWhenNothingIsOwedAndBeforeTheKill() {
+        StopTimes times = new StopTimes(1000);
+        assertFalse(times.over(700, 0), "requests may still come");
+        assertTrue(times.over(900, 0));
+        assertFalse(times.over(3000, 1));
+        assertTrue(times.over(3500, 1), "killed at 3.7 s");
+    }
+
+    @Test
+    void serversKeepDescriptorsOfTheirOwn() {
+        for (int sockets : new int[] {64, 256, 1024}) {
+            DescriptorShares shares = new DescriptorShares(sockets);
+            assertTrue(shares.viewers() + shares.servers() < sockets);
+            assertTrue(shares.servers() * 3 >= shares.viewers());
+        }
+        assertTrue(new DescriptorShares(256).viewers() >= 256 / 3 + 20, "a third, and peers beyond it");
+    }
+
+    @Test
+    void onlyFullAndMootProveThatNothingRan() {
+        for (int cause = 0; cause < 256; cause++) {
+            boolean proof = ReleaseMeaning.beforeAnswer(cause).neverRan();
+            assertEquals(cause == 34 || cause == 102, proof, "cause " + cause);
+        }
+        assertEquals(Outcome.ERROR, ReleaseMeaning.beforeAnswer(47));
+        assertEquals(Outcome.RESET, ReleaseMeaning.beforeAnswer(-1));
+        assertEquals(Outcome.OK, ReleaseMeaning.afterAnswer(16));
+        assertEquals(Outcome.CANCELLED, ReleaseMeaning.afterAnswer(31));
+        assertEquals(Outcome.RESET, ReleaseMeaning.afterAnswer(41));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/spanrill/node/ScriptedBulletin.java
@@ -0,0 +1,72 @@
+package spanrill.node;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A bulletin on loopback: each request is put in a queue, what is told is what the test writes. */
+final class ScriptedBulletin implements AutoCloseable {
+    private final ServerSocket listening;
+    private final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+
+    /** A request: its Last-Event-ID, and the connection to tell on. */
+    record Asked(String path, String lastId, Socket socket) {
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+        }
+
+        void tell(long no, String event) throws IOException {
+            write("id: " + no + "\ndata: " + event + "\n\n");
+        }
+    }
+
+    ScriptedBulletin() throws IOException {
+        listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread accepting = new Thread(this::accept, "bulletin");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listening.accept();
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                        StandardCharsets.UTF_8));
+                String first = in.readLine();
+                String last = null;
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                    if (line.toLowerCase(java.util.Locale.ROOT).startsWith("last-event-id:")) {
+                        last = line.substring(14).trim();
+                    }
+                }
+                Asked next = new Asked(first == null ? "" : first.split(" ")[1], last, socket);
+                next.write("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: hello\n\n");
+                asked.add(next);
+            }
+        } catch (IOException e) {
+            // Closed by the test.
+        }
+    }
+
+    Asked next(long ms) throws InterruptedException {
+        return asked.poll(ms, TimeUnit.MILLISECONDS);
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -0,0 +1,95 @@
+package spanrill.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageType;
+import spanrill.wire.platform.Parameter;
+
+/** A server on loopback that does what the test says; unless told otherwise it answers every set-up. */
+final class ScriptedServer implements AutoCloseable {
+    /** A message and the connection that it came on. */
+    record Got(Wire wire, Message message) { }
+
+    final String id;
+    final BlockingQueue<Got> got = new LinkedBlockingQueue<>();
+    private final ServerSocket listening;
+    private final List<Wire> wires = new CopyOnWriteArrayList<>();
+    private final Judge judge;
+    private volatile BiConsumer<Wire, Message> onSetUp = this::answer;
+
+    ScriptedServer(String id, Judge judge) throws IOException {
+        this.id = id;
+        this.judge = judge;
+        listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        Thread accepting = new Thread(this::accept, "server-" + id);
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listening.accept();
+                socket.setTcpNoDelay(true);
+                wires.add(new Wire(socket, this::heard));
+            }
+        } catch (IOException e) {
+            // Closed by the test.
+        }
+    }
+
+    private void heard(Wire wire, Message message) {
+        judge.atServer(id, message);
+        got.add(new Got(wire, message));
+        if (message.type() == MessageType.SET_UP) {
+            onSetUp.accept(wire, message);
+        }
+    }
+
+    /** The usual answer: a description of this server for this session. */
+    void answer(Wire wire, Message setUp) {
+        byte[] description = (id + "/" + setUp.session()).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        judge.made(setUp.session(), description);
+        wire.send(new Message(MessageType.ANSWER, setUp.session()).with(Parameter.DESCRIPTION, description));
+    }
+
+    void onSetUp(BiConsumer<Wire, Message> action) {
+        onSetUp = action;
+    }
+
+    /** The next message of a type. */
+    Got next(MessageType type, long ms) throws InterruptedException {
+        long until = System.nanoTime() + ms * 1_000_000;
+        for (long left = ms; left > 0; left = (until - System.nanoTime()) / 1_000_000) {
+            Got next = got.poll(left, TimeUnit.MILLISECONDS);
+            if (next != null && next.message().type() == type) {
+                return next;
+            }
+        }
+        return null;
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    String member(String phase) {
+        return TestConfig.member(id, port(), phase);
+    }
+
+    /** Dies: refuses connections and resets those that stand. */
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        wires.forEach(Wire::reset);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/spanrill/node/Wire.java
@@ -0,0 +1,99 @@
+package spanrill.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import spanrill.wire.platform.FrameFault;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageDecoder;
+
+/** One end of a connection that speaks the platform's protocol, for tests: blocking, with a reader of its own. */
+final class Wire implements AutoCloseable {
+    private final Socket socket;
+    private final BlockingQueue<Message> read = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+
+    /** Reads until the end; {@code heard} takes each message first, on the reader's thread. */
+    Wire(Socket socket, BiConsumer<Wire, Message> heard) {
+        this.socket = socket;
+        Thread reader = new Thread(() -> run(heard), "wire");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    static Wire to(int port) throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setTcpNoDelay(true);
+        return new Wire(socket, (wire, message) -> { });
+    }
+
+    private void run(BiConsumer<Wire, Message> heard) {
+        MessageDecoder decoder = new MessageDecoder();
+        byte[] part = new byte[4096];
+        try {
+            for (int n = socket.getInputStream().read(part); n >= 0; n = socket.getInputStream().read(part)) {
+                decoder.feed(Unpooled.wrappedBuffer(part, 0, n), message -> {
+                    heard.accept(this, message);
+                    return read.add(message);
+                });
+            }
+            ended.add("closed");
+        } catch (IOException | FrameFault e) {
+            ended.add("reset");
+        }
+    }
+
+    void send(Message message) {
+        ByteBuf out = Unpooled.buffer();
+        message.write(out);
+        raw(ByteBufUtil.getBytes(out));
+    }
+
+    void raw(byte[] bytes) {
+        try {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+        } catch (IOException e) {
+            // The test sees it by what does not come back.
+        }
+    }
+
+    /** The next message, or null when none came in time. */
+    Message next(long ms) throws InterruptedException {
+        return read.poll(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** True when the other side ended the connection in time. */
+    boolean endsWithin(long ms) throws InterruptedException {
+        String end = ended.poll(ms, TimeUnit.MILLISECONDS);
+        if (end != null) {
+            ended.add(end);
+        }
+        return end != null;
+    }
+
+    /** Ends it with a reset. */
+    void reset() {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It is over either way.
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is over either way.
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -0,0 +1,386 @@
+package spanrill.node.session;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import spanrill.Control;
+import spanrill.SessionControl;
+import spanrill.SessionControl.ListKind;
+import spanrill.SessionControl.NoteKind;
+import spanrill.SessionControl.Outcome;
+import spanrill.SessionControl.Request;
+import spanrill.SessionControl.Server;
+import spanrill.SessionControl.ServerState;
+import spanrill.SessionControl.Settings;
+import spanrill.node.TestConfig;
+import spanrill.node.config.JsonPairs;
+import spanrill.session.EventSink;
+import spanrill.session.HandClock;
+import spanrill.setup.Pairs;
+import spanrill.setup.SetupReader;
+import spanrill.wire.platform.Figures;
+import spanrill.wire.platform.SetUp;
+
+/** The host on a clock that the test moves, with peers that do what the test says. */
+class SessionHostTest {
+    private static final Settings SETTINGS = settings();
+    private final HandClock clock = new HandClock();
+    private final Far far = new Far();
+    private final Near near = new Near();
+    private Near other;
+    private final SessionHost host = new SessionHost(SETTINGS, clock, EventSink.none(), EventSink.none(), far,
+            () -> other, actions -> new Control(SETTINGS, 7, actions));
+    private long ids;
+
+    SessionHostTest() {
+        host.start();
+        List<Server> servers = new ArrayList<>();
+        for (String id : List.of("s-1", "s-2", "s-3")) {
+            servers.add(new Server(id, "a", "std", 0, ServerState.READY, 1, Double.NaN));
+        }
+        host.servers(ListKind.KEPT, servers);
+        clock.run(4000);
+    }
+
+    private static Settings settings() {
+        Pairs pairs = JsonPairs.read(TestConfig.bytes(1, 2, List.of()));
+        return new SetupReader(pairs.at("settings.")).settings();
+    }
+
+    private static final class Far implements ServerSide {
+        private final List<Attempt> out = new ArrayList<>();
+        private final List<String> said = new ArrayList<>();
+
+        @Override
+        public void setUp(Attempt attempt) {
+            out.add(attempt);
+            said.add("setUp " + attempt.server());
+        }
+
+        @Override
+        public void giveUp(Attempt attempt) {
+            out.remove(attempt);
+            said.add("giveUp");
+        }
+
+        @Override
+        public void release(String server, long session) {
+            said.add("release " + session);
+        }
+
+        @Override
+        public void rung(String server, long session, int rung) { }
+
+        @Override
+        public void standing(String server, int sessions) { }
+    }
+
+    private static final class Near implements ViewerLink {
+        private final List<String> heard = new ArrayList<>();
+        private byte[] description;
+        private boolean open = true;
+
+        @Override
+        public boolean open() {
+            return open;
+        }
+
+        @Override
+        public void answer(long session, byte[] told) {
+            heard.add("answer " + session);
+            description = told;
+        }
+
+        @Override
+        public void release(long session, End end, double stayAwayMs) {
+            heard.add(end + " " + session + (stayAwayMs > 0 ? " away" : ""));
+        }
+
+        @Override
+        public void move(long session) {
+            heard.add("move " + session);
+        }
+    }
+
+    private static SetUp asked(long id, String className, String at) {
+        return new SetUp(id, className, 1000, "000000000000000a", new Figures(0, 1, 2,
+                String.format("%016x", id), false, at), new byte[] {1});
+    }
+
+    private long ask(String className) {
+        long id = ++ids;
+        host.setUp(asked(id, className, null), near, 1000);
+        return id;
+    }
+
+    private Attempt out() {
+        return far.out.get(far.out.size() - 1);
+    }
+
+    @Test
+    void aSessionIsSetUpAnsweredAndReleased() {
+        long id = ask("free");
+        host.answered(out(), new byte[] {9}, null);
+        assertArrayEquals(new byte[] {9}, near.description);
+        host.over(out().server(), id, Outcome.OK, null);
+        assertEquals(List.of("answer 1", "OVER 1"), near.heard);
+        assertEquals(0, host.size());
+    }
+
+    @Test
+    void secondAnswersAndSecondEndsAreNothing() {
+        long id = ask("free");
+        Attempt attempt = out();
+        host.answered(attempt, new byte[0], null);
+        host.answered(attempt, new byte[0], null);
+        host.ended(attempt, Outcome.RESET, null);
+        host.over(attempt.server(), id, Outcome.OK, null);
+        host.over(attempt.server(), id, Outcome.OK, null);
+        assertEquals(List.of("answer 1", "OVER 1"), near.heard);
+    }
+
+    /** Two guards: a late give-up leaves before a further attempt, and the answer to it is not passed on. */
+    @Test
+    void aTimeOutIsGivenUpBeforeTheNextAttempt() {
+        ask("free");
+        Attempt first = out();
+        clock.runUntil(() -> far.said.size() >= 3, 1000);
+        assertEquals("giveUp", far.said.get(1));
+        assertTrue(far.said.get(2).startsWith("setUp") && !far.said.get(2).equals(far.said.get(0)));
+        host.answered(first, new byte[0], null);
+        assertTrue(near.heard.isEmpty(), "the first attempt was given up");
+    }
+
+    /** What came in time but lay unread when the timer ran is read first: one more round of the loop. */
+    @Test
+    void anAnswerReadJustAfterTheTimeOutStillCounts() {
+        ask("free");
+        Attempt attempt = out();
+        clock.runUntil(() -> clock.now() >= attempt.until(), 1000);
+        host.answered(attempt, new byte[0], null);
+        clock.run(2000);
+        assertEquals(List.of("answer 1"), near.heard);
+    }
+
+    @Test
+    void aPaidSessionThatMayHaveRunFailsAndIsNotSentAgain() {
+        ask("paid");
+        host.ended(out(), Outcome.RESET, null);
+        assertEquals(List.of("FAILED 1"), near.heard);
+        assertEquals(1, far.said.size());
+        ask("paid");
+        host.ended(out(), Outcome.CONNECT_FAILED, null);
+        assertEquals(3, far.said.size(), "never ran: sent elsewhere");
+    }
+
+    @Test
+    void theDeadlineIsAnsweredOnceWithTheAttemptGivenUp() {
+        ask("paid");
+        clock.run(1100);
+        assertEquals(List.of("FAILED 1"), near.heard);
+        assertTrue(far.said.contains("giveUp"));
+        assertEquals(0, host.size());
+    }
+
+    /** Guards against a module that forgets: the host answers and ends what is out. */
+    @Test
+    void aModuleThatSaysNothingIsAnsweredFor() {
+        SessionHost alone = new SessionHost(SETTINGS, clock, EventSink.none(), EventSink.none(), far, () -> null,
+                actions -> new Silent());
+        alone.setUp(asked(77, "free", null), near, 500);
+        clock.run(600);
+        assertEquals(List.of("FAILED 77"), near.heard);
+    }
+
+    @Test
+    void aViewerThatGivesUpIsOwedNothingAndItsAttemptEnds() {
+        long id = ask("free");
+        assertTrue(host.released(id));
+        assertFalse(host.released(id));
+        assertEquals("giveUp", far.said.get(1));
+        ask("free");
+        host.linkEnded(List.of(2L));
+        clock.run(2000);
+        assertTrue(near.heard.isEmpty());
+        assertEquals(0, host.size());
+    }
+
+    @Test
+    void aViewerEndsItsSessionAtItsServer() {
+        long id = ask("free");
+        host.answered(out(), new byte[0], null);
+        host.released(id);
+        assertTrue(far.said.contains("release 1"));
+        host.over(out().server(), id, Outcome.CANCELLED, null);
+        assertEquals(List.of("answer 1"), near.heard, "who ended it is owed no release");
+    }
+
+    /** A session belongs to no connection: where its own is gone another tells, or the next that serves. */
+    @Test
+    void theEndOfASessionFindsAnotherConnection() {
+        long first = ask("free");
+        host.answered(out(), new byte[0], null);
+        long second = ask("free");
+        host.answered(out(), new byte[0], null);
+        near.open = false;
+        other = new Near();
+        host.over(far.out.get(0).server(), first, Outcome.OK, null);
+        assertEquals(List.of("OVER 1"), other.heard);
+        other = null;
+        host.over(far.out.get(1).server(), second, Outcome.RESET, null);
+        Near next = new Near();
+        host.linkReady(next);
+        host.linkReady(next);
+        assertEquals(List.of("CUT 2"), next.heard);
+    }
+
+    @Test
+    void sessionsOfAStartStandAndEndWithTheirServer() {
+        host.standsAt(asked(50, "free", "s-2"), near);
+        host.standsAt(asked(51, "free", "s-9"), near);
+        host.lost("s-2");
+        host.lost("s-9");
+        assertEquals(List.of("CUT 50", "CUT 51"), near.heard);
+    }
+
+    @Test
+    void aServerThatStartedAnewHasLostWhatStoodThere() {
+        host.standsAt(asked(50, "free", "s-2"), near);
+        host.restarted("s-2", clock.now() - 10);
+        assertTrue(near.heard.isEmpty(), "it stands since after the start");
+        host.restarted("s-2", clock.now() + 10);
+        assertEquals(List.of("CUT 50"), near.heard);
+    }
+
+    /**
+     * Guards against a move off a server that has ended before: its viewer would wait for the server's word for
+     * good. Seen on days whose servers are replaced.
+     */
+    @Test
+    void aMoveThatTheServerDoesNotConfirmIsFollowedByARelease() {
+        SessionHost[] moved = new SessionHost[1];
+        Silent module = new Silent();
+        moved[0] = new SessionHost(SETTINGS, clock, EventSink.none(), EventSink.none(), far, () -> null, actions -> {
+            module.actions = actions;
+            return module;
+        });
+        moved[0].standsAt(asked(60, "free", "s-1"), near);
+        moved[0].standsAt(asked(61, "free", "s-1"), near);
+        module.actions.move(String.format("%016x", 60));
+        module.actions.move(String.format("%016x", 61));
+        moved[0].over("s-1", 60, Outcome.CANCELLED, null);
+        clock.run(1000);
+        assertEquals(List.of("move 60", "move 61", "CUT 61"), near.heard);
+        assertTrue(far.said.contains("release 61") && !far.said.contains("release 60"));
+    }
+
+    @Test
+    void notesForASessionElsewhereOrOffTheLadderAreDropped() {
+        Silent module = new Silent();
+        SessionHost told = new SessionHost(SETTINGS, clock, EventSink.none(), EventSink.none(), far, () -> null,
+                actions -> module);
+        told.standsAt(asked(60, "free", "s-1"), near);
+        told.note("s-2", 60, NoteKind.DELIVERED, 0.5);
+        told.note("s-1", 60, NoteKind.RUNG, 3);
+        told.note("s-1", 60, NoteKind.RUNG, 0.5);
+        assertEquals(0, module.notes);
+        told.note("s-1", 60, NoteKind.RUNG, 2);
+        assertEquals(1, module.notes);
+    }
+
+    /** Any order of events: one answer each, one attempt out, no paid set-up again without proof, nothing left. */
+    @Property(tries = 60)
+    void anyOrderOfEventsKeepsTheRules(@ForAll long seed) {
+        Random random = new Random(seed);
+        Map<Long, Boolean> unproven = new HashMap<>();
+        Map<Long, String> classes = new HashMap<>();
+        for (int step = 0; step < 400; step++) {
+            int seen = far.said.size();
+            int pick = random.nextInt(10);
+            Attempt attempt = far.out.isEmpty() ? null : far.out.get(random.nextInt(far.out.size()));
+            if (pick < 3) {
+                String name = random.nextBoolean() ? "paid" : "free";
+                classes.put(ids + 1, name);
+                ask(name);
+            } else if (pick < 5 && attempt != null) {
+                far.out.remove(attempt);
+                host.answered(attempt, new byte[0], null);
+            } else if (pick < 8 && attempt != null) {
+                far.out.remove(attempt);
+                Outcome outcome = List.of(Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET,
+                        Outcome.MOOT).get(random.nextInt(5));
+                unproven.merge(attempt.session(), !outcome.neverRan(), Boolean::logicalOr);
+                host.ended(attempt, outcome, null);
+            } else if (pick == 8 && ids > 0) {
+                host.released(1 + random.nextInt((int) ids));
+            } else {
+                clock.run(random.nextInt(300));
+            }
+            assertEquals(far.out.size(), far.out.stream().map(Attempt::session).distinct().count(),
+                    "one attempt out");
+            for (Attempt open : far.out.subList(Math.max(0, far.out.size() - (far.said.size() - seen)),
+                    far.out.size())) {
+                assertFalse(classes.get(open.session()).equals("paid")
+                        && unproven.getOrDefault(open.session(), false), "sent again without proof");
+            }
+        }
+        clock.run(5000);
+        for (long id = 1; id <= ids; id++) {
+            String suffix = " " + id;
+            long answers = near.heard.stream().filter(h -> h.equals("answer" + suffix)
+                    || h.startsWith("REFUSED" + suffix + " ") || h.equals("REFUSED" + suffix)
+                    || h.equals("FAILED" + suffix)).count();
+            assertTrue(answers <= 1, "one answer to " + id + ": " + near.heard);
+            if (unproven.getOrDefault(id, false) && classes.get(id).equals("paid")) {
+                assertTrue(near.heard.stream().noneMatch(h -> h.startsWith("REFUSED" + suffix)), "refused unproven");
+            }
+        }
+        assertEquals(0, host.open());
+        assertTrue(far.out.isEmpty(), "nothing is left out");
+    }
+
+    /** A module that never acts, or acts when the test says so. */
+    private static final class Silent implements SessionControl {
+        private Actions actions;
+        private int notes;
+
+        @Override
+        public void start(double now) { }
+
+        @Override
+        public void servers(double now, ListKind kind, List<Server> servers) { }
+
+        @Override
+        public void request(double now, Request request) { }
+
+        @Override
+        public void takenOver(double now, Request request, String server) { }
+
+        @Override
+        public void playing(double now, String request, String server, double tookMs) { }
+
+        @Override
+        public void ended(double now, String request, boolean closed, Outcome outcome, String server, Load load) { }
+
+        @Override
+        public void note(double now, String request, String server, NoteKind kind, double value) {
+            notes++;
+        }
+
+        @Override
+        public void gone(double now, String request) { }
+
+        @Override
+        public void timer(double now, String token) { }
+    }
+}
--- a/session/src/test/java/spanrill/session/HandClock.java
+++ b/session/src/test/java/spanrill/session/HandClock.java
@@ -5,7 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Time that stands still until the test moves it; timers run in order of time, then of setting. */
-final class HandClock implements Scheduler {
+public final class HandClock implements Scheduler {
     private record Due(double at, long order, Runnable action) { }
 
     private final PriorityQueue<Due> due = new PriorityQueue<>(
@@ -26,12 +26,12 @@
     }
 
     /** Time passes without a timer run, as when a process stands still. */
-    void standStill(double ms) {
+    public void standStill(double ms) {
         now += ms;
     }
 
     /** Runs timers until something holds or a time has passed; true when it holds. */
-    boolean runUntil(BooleanSupplier holds, double ms) {
+    public boolean runUntil(BooleanSupplier holds, double ms) {
         double end = now + ms;
         while (!holds.getAsBoolean()) {
             Due next = due.peek();
@@ -47,7 +47,7 @@
     }
 
     /** Runs all timers of a time. */
-    void run(double ms) {
+    public void run(double ms) {
         runUntil(() -> false, ms);
     }
 }
--- /dev/null
+++ b/wire/src/test/java/spanrill/wire/platform/SetUpTest.java
@@ -0,0 +1,68 @@
+package spanrill.wire.platform;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SetUpTest {
+    private static final String FIGURES = "home:4;copies:3;top:4;viewer:00000000b4d65521";
+
+    private static Message message(String className, String wait, String title, String figures) {
+        return new Message(MessageType.SET_UP, 7).with(Parameter.CLASS, className).with(Parameter.WAIT, wait)
+                .with(Parameter.TITLE, title).with(Parameter.FIGURES, figures)
+                .with(Parameter.DESCRIPTION, new byte[] {1, 2});
+    }
+
+    @Test
+    void readsAUsualSetUp() throws FieldFault {
+        SetUp setUp = SetUp.of(message("paid", "1500", "7f3a9c21e0b4d655", FIGURES + ";again:1;new:x"));
+        assertEquals(new Figures(4, 3, 4, "00000000b4d65521", true, null), setUp.figures());
+        assertEquals(1500, setUp.waitMs());
+        assertArrayEquals(new byte[] {1, 2}, setUp.description());
+    }
+
+    /** Guards against refusing the sessions of a start: their wait is no time, and none is waited for. */
+    @ParameterizedTest
+    @ValueSource(strings = {"inf", "-1", "1e300", "later"})
+    void theWaitOfASessionThatPlaysIsNotRead(String wait) throws FieldFault {
+        SetUp setUp = SetUp.of(message("paid", wait, "7f3a9c21e0b4d655", FIGURES + ";at:s-00c41f7a"));
+        assertEquals("s-00c41f7a", setUp.figures().at());
+    }
+
+    @ParameterizedTest
+    @CsvSource(nullValues = "-", value = {"-,1500,7f3a9c21e0b4d655,F,96", "paid,-,7f3a9c21e0b4d655,F,96",
+        "paid,1500,-,F,96", "paid,1500,7f3a9c21e0b4d655,-,96", "paid,soon,7f3a9c21e0b4d655,F,100",
+        "paid,NaN,7f3a9c21e0b4d655,F,100", "paid,-5,7f3a9c21e0b4d655,F,100", "paid,1e12,7f3a9c21e0b4d655,F,100",
+        "paid,1500,7f3a,F,100", "paid,1500,7f3a9c21e0b4d6zz,F,100", "paid,1500,7f3a9c21e0b4d655,home:4;copies:3,96",
+        "paid,1500,7f3a9c21e0b4d655,home:-4;copies:3;top:4;viewer:00000000b4d65521,100",
+        "paid,1500,7f3a9c21e0b4d655,home:4;home:5;copies:3;top:4;viewer:00000000b4d65521,100",
+        "paid,1500,7f3a9c21e0b4d655,home:99999999999;copies:3;top:4;viewer:00000000b4d65521,100",
+        "paid,1500,7f3a9c21e0b4d655,home,100"})
+    void wrongFieldsAreFaultsWithACause(String className, String wait, String title, String figures, int cause) {
+        String given = "F".equals(figures) ? FIGURES : figures;
+        FieldFault fault = assertThrows(FieldFault.class, () -> SetUp.of(message(className, wait, title, given)));
+        assertEquals(cause, fault.releaseCause());
+    }
+
+    @Test
+    void aParameterThatComesTwiceOrNoSessionIsAFault() {
+        assertThrows(FieldFault.class, () -> SetUp.of(message("paid", "1500", "7f3a9c21e0b4d655", FIGURES)
+                .with(Parameter.CLASS, "free")));
+        assertThrows(FieldFault.class, () -> SetUp.of(new Message(MessageType.SET_UP, 0)));
+    }
+
+    @Test
+    void reportsKeepWhatIsAFigure() {
+        assertEquals(Map.of("x0", 12.0, "queue", 3.0), Report.parse("x0:12;x1:noise;queue:3;:4;x;y:inf"));
+        assertNull(Report.parse(null));
+        assertTrue(Double.isNaN(Report.number("")) && Double.isNaN(Report.number("NaN")));
+    }
+}
