--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -61,6 +61,7 @@
     private final Map<String, NodeSession> byName = new HashMap<>();
     private final Map<String, Set<NodeSession>> standing = new HashMap<>();
     private final OwedReleases owed = new OwedReleases(OWED_MS, HEARD_MS, TRIES, MOST_OWED);
+    private boolean looking;
     private final Map<Long, NodeSession> moving = new HashMap<>();
     private final LinkedHashMap<String, Double> moved = new LinkedHashMap<>();
     private final Counts counts = new Counts();
@@ -358,14 +359,11 @@
         ViewerLink link = session.link.open() ? session.link : anyLink.get();
         trace.info("tellOver", "id", session.name(), "end", end, "own", session.link.open(), "link",
                 link != null);
-        boolean first = owed.isEmpty();
         OwedReleases.Owed one = owed.add(scheduler.now(), session.id(), end);
         if (link != null) {
             send(one, link);
         }
-        if (first) {
-            turns.after(OWED_LOOK_MS, now -> lookAtOwed());
-        }
+        lookLater();
     }
 
     private void send(OwedReleases.Owed one, ViewerLink link) {
@@ -378,7 +376,14 @@
         if (link != null) {
             owed.due(scheduler.now()).forEach(one -> send(one, link));
         }
-        if (!owed.isEmpty()) {
+        looking = false;
+        lookLater();
+    }
+
+    /** One look at a time is due, however often what is owed comes and goes. */
+    private void lookLater() {
+        if (!looking && !owed.isEmpty()) {
+            looking = true;
             turns.after(OWED_LOOK_MS, now -> lookAtOwed());
         }
     }
--- a/session/src/test/java/spanrill/session/HandClock.java
+++ b/session/src/test/java/spanrill/session/HandClock.java
@@ -46,6 +46,11 @@
         return true;
     }
 
+    /** Timers that are set. */
+    public int waiting() {
+        return due.size();
+    }
+
     /** Runs all timers of a time. */
     public void run(double ms) {
         runUntil(() -> false, ms);
