--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -82,12 +82,26 @@
     @Test
     void whoSendsNothingOfUseIsClosedWellWithinThreeSeconds() {
         ViewerPatience patience = new ViewerPatience();
-        assertTrue(patience.over(new View(1500, 1500, 0, false, false)), "silent since the start");
-        assertTrue(patience.over(new View(9000, 1500, 0, true, true)), "half a message");
-        assertFalse(patience.over(new View(9000, 9000, 1, false, true)), "an answer is owed");
-        assertFalse(patience.over(new View(60_000, 4000, 0, true, false)),
-                "a usual viewer between two set-ups");
-        assertTrue(patience.over(new View(60_000, 10_000, 0, true, false)), "held for good");
+        assertTrue(patience.over(new View(1500, 1500, 0, 0, false, false)), "silent since the start");
+        assertTrue(patience.over(new View(9000, 1500, 0, 1, true, true)), "half a message");
+        assertFalse(patience.over(new View(9000, 9000, 1, 0, false, true)), "an answer is owed");
+        assertFalse(patience.over(new View(60_000, 4000, 0, 0, true, false)), "between two set-ups");
+        assertTrue(patience.over(new View(60_000, 10_000, 0, 0, true, false)), "held for good");
+        assertFalse(patience.over(new View(60_000, 30_000, 0, 1, true, false)), "its session plays");
+        assertFalse(patience.flooded(10));
+        assertTrue(patience.flooded(100));
+    }
+
+    /** A process held back by its share of a core reads late: the viewer's wait has run on meanwhile. */
+    @Test
+    void timeThatBytesLayUnreadIsTakenOffTheWait() {
+        UnreadTime unread = new UnreadTime(20);
+        assertEquals(0, unread.at(50), "not known yet");
+        unread.round(100);
+        assertEquals(0, unread.at(115));
+        assertEquals(80, unread.at(200));
+        unread.round(201);
+        assertEquals(0, unread.at(202));
     }
 
     @Test
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -199,6 +199,9 @@
             through(new Message(MessageType.RELEASE, session).withCause(16));
         }
 
+        @Override
+        public void standing(boolean more) { }
+
         @Override
         public void move(long session) { }
     }
--- a/node/src/main/java/spanrill/node/session/OwedReleases.java
+++ b/node/src/main/java/spanrill/node/session/OwedReleases.java
@@ -65,8 +65,8 @@
         return next;
     }
 
-    void heard(long session) {
-        owed.remove(session);
+    boolean heard(long session) {
+        return owed.remove(session) != null;
     }
 
     /** It goes out now. */
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -17,6 +18,7 @@
 import spanrill.SessionControl.Outcome;
 import spanrill.SessionControl.Request;
 import spanrill.SessionControl.Server;
+import spanrill.SessionControl.ServerState;
 import spanrill.decisions.SessionState.Event;
 import spanrill.decisions.SessionState.Phase;
 import spanrill.session.EventSink;
@@ -42,6 +44,8 @@
     // The rules give 8 s from the end of a session to its release.
     private static final double OWED_MS = 8000;
     private static final int MOST_OWED = 8192;
+    // The list tells of a new server some seconds late.
+    private static final double UNLISTED_MS = 6000;
     // A viewer says at once that it heard a release; 1 s is given from the server's release to the viewer's.
     private static final double HEARD_MS = 300;
     private static final int TRIES = 5;
@@ -61,6 +65,7 @@
     private final Map<String, NodeSession> byName = new HashMap<>();
     private final Map<String, Set<NodeSession>> standing = new HashMap<>();
     private final OwedReleases owed = new OwedReleases(OWED_MS, HEARD_MS, TRIES, MOST_OWED);
+    private final Set<String> listed = new HashSet<>();
     private boolean looking;
     private final Map<Long, NodeSession> moving = new HashMap<>();
     private final LinkedHashMap<String, Double> moved = new LinkedHashMap<>();
@@ -102,6 +107,16 @@
 
     /** A list of servers came. */
     public void servers(ListKind kind, List<Server> list) {
+        if (kind == ListKind.WHOLE || kind == ListKind.KEPT) {
+            listed.clear();
+        }
+        for (Server server : list) {
+            if (server.state() == ServerState.GONE) {
+                listed.remove(server.id());
+            } else {
+                listed.add(server.id());
+            }
+        }
         turns.tell(now -> control.servers(now, kind, list));
     }
 
@@ -157,6 +172,16 @@
         session.settled();
         stands(session);
         turns.tell(now -> control.takenOver(now, request, session.server));
+        if (!listed.contains(session.server)) {
+            turns.after(UNLISTED_MS, now -> unlisted(session));
+        }
+    }
+
+    /** Guards against sessions said to play at servers that don't exist: they would stand for good. */
+    private void unlisted(NodeSession session) {
+        if (session.state().inPlay() && !listed.contains(session.server)) {
+            over(session.server, session.id(), Outcome.RESET, null);
+        }
     }
 
     private Request request(NodeSession session, double leftMs) {
@@ -213,9 +238,9 @@
         }
     }
 
-    /** A viewer has heard the release of its session. */
-    public void heard(long id) {
-        owed.heard(id);
+    /** A viewer has heard the release of its session; true when that was owed. */
+    public boolean heard(long id) {
+        return owed.heard(id);
     }
 
     // ---- servers
@@ -331,6 +356,7 @@
     private void stands(NodeSession session) {
         Set<NodeSession> there = standing.computeIfAbsent(session.server, s -> new LinkedHashSet<>());
         there.add(session);
+        session.link.standing(true);
         session.standsSince = scheduler.now();
         servers.standing(session.server, there.size());
     }
@@ -338,6 +364,7 @@
     private void over(NodeSession session) {
         counts.ended++;
         session.state().on(Event.END);
+        session.link.standing(false);
         forget(session);
         Set<NodeSession> there = standing.get(session.server);
         if (there != null && there.remove(session)) {
--- a/node/src/main/java/spanrill/node/session/ViewerLink.java
+++ b/node/src/main/java/spanrill/node/session/ViewerLink.java
@@ -11,6 +11,9 @@
     /** Final answer or end; {@code stayAwayMs} above 0 tells when to come again. */
     void release(long session, End end, double stayAwayMs);
 
+    /** A session that was set up on it stands, or no longer. */
+    void standing(boolean more);
+
     /** The session ends here, its viewer comes again. */
     void move(long session);
 }
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -29,7 +29,9 @@
     private final MessageDecoder decoder = new MessageDecoder();
     private final Set<Long> waiting = new LinkedHashSet<>();
     private final double acceptedAt = ViewerListener.now();
-    private double messageAt = acceptedAt;
+    private double usefulAt = acceptedAt;
+    private int useless;
+    private int standing;
     /** Something useful came on it: a set-up that was served, or a test. */
     private boolean proven;
     /** A viewer was served on it: not so where only the platform tests. */
@@ -70,65 +72,74 @@
     }
 
     private boolean message(Message message) {
-        messageAt = ViewerListener.now();
         listener.came(this, message);
-        switch (message.type()) {
+        boolean useful = switch (message.type()) {
             case SET_UP -> setUp(message);
             case RELEASE -> {
                 waiting.remove(message.session());
-                host.released(message.session());
+                yield host.released(message.session());
             }
             case RELEASE_HEARD -> host.heard(message.session());
             case TEST -> {
                 proven = true;
-                send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
+                yield send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
             }
-            default -> { }
+            default -> false;
+        };
+        if (useful) {
+            usefulAt = ViewerListener.now();
+        } else if (listener.patience().flooded(++useless)) {
+            close();
         }
         return !over;
     }
 
-    private void setUp(Message message) {
+    /** True when it could be used. */
+    private boolean setUp(Message message) {
         SetUp setUp;
         try {
             setUp = SetUp.of(message);
         } catch (FieldFault fault) {
-            reject(message.session(), fault.releaseCause(), fault.getMessage());
-            return;
+            return reject(message.session(), fault.releaseCause(), fault.getMessage());
         }
+        boolean stands = setUp.figures().at() != null;
         if (host.knows(setUp.session())) {
-            again(setUp);
-        } else if (!host.possible(setUp)) {
-            reject(setUp.session(), Cause.INVALID_CONTENTS, "not of these settings");
-        } else if (setUp.figures().at() != null) {
-            proven = true;
+            return stands || again(setUp);
+        }
+        if (!host.possible(setUp)) {
+            return reject(setUp.session(), Cause.INVALID_CONTENTS, "not of these settings");
+        }
+        proven = true;
+        if (stands) {
             served = true;
             host.standsAt(setUp, this);
             listener.good(this);
-        } else if (setUp.waitMs() < 1) {
-            release(setUp.session(), Cause.TEMPORARY_FAILURE, 0);
-        } else {
-            waiting.add(setUp.session());
-            host.setUp(setUp, this, setUp.waitMs());
+            return true;
+        }
+        double left = setUp.waitMs() - listener.unreadMs();
+        if (left < 1) {
+            // Its viewer has left: work on it would be for nobody.
+            return reject(setUp.session(), Cause.TEMPORARY_FAILURE, "its time is up");
         }
+        waiting.add(setUp.session());
+        host.setUp(setUp, this, left);
+        return true;
     }
 
     /** A set-up that can't be used: failed, and said why to whoever follows the trace. */
-    private void reject(long session, int cause, String why) {
+    private boolean reject(long session, int cause, String why) {
         listener.rejected(session, why);
         release(session, cause, 0);
+        return false;
     }
 
     /** A set-up under a number that is in use. What the first one gets must not be spoilt by it. */
-    private void again(SetUp setUp) {
-        if (setUp.figures().at() != null) {
-            return;
-        }
+    private boolean again(SetUp setUp) {
         if (waiting.contains(setUp.session())) {
             close();
-        } else {
-            reject(setUp.session(), Cause.INVALID_REFERENCE, "the session is known");
+            return false;
         }
+        return reject(setUp.session(), Cause.INVALID_REFERENCE, "the session is known");
     }
 
     @Override
@@ -182,6 +193,11 @@
         }, end == End.REFUSED ? stayAwayMs : 0);
     }
 
+    @Override
+    public void standing(boolean more) {
+        standing += more ? 1 : -1;
+    }
+
     @Override
     public void move(long session) {
         send(new Message(MessageType.MOVE, session));
@@ -196,18 +212,19 @@
         send(message);
     }
 
-    private void send(Message message) {
+    private boolean send(Message message) {
         if (over || !channel.isActive()) {
-            return;
+            return false;
         }
         if (!channel.isWritable()) {
             // It reads nothing: what it is owed would pile up here.
             close();
-            return;
+            return false;
         }
         ByteBuf out = channel.alloc().heapBuffer(message.size());
         message.write(out);
         channel.writeAndFlush(out);
+        return true;
     }
 
     // ---- its end
@@ -225,10 +242,9 @@
         return !over && waiting.isEmpty();
     }
 
-    void look(double now, ViewerPatience patience) {
-        if (!over && patience.over(new ViewerPatience.View(now - acceptedAt, now - messageAt, waiting.size(),
-                proven,
-                decoder.within()))) {
+    void look(double now) {
+        if (!over && listener.patience().over(new ViewerPatience.View(now - acceptedAt, now - usefulAt,
+                waiting.size(), standing, proven, decoder.within()))) {
             close();
         }
     }
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ConnectionBudget;
+import spanrill.decisions.UnreadTime;
 import spanrill.decisions.ViewerPatience;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
@@ -25,11 +26,13 @@
 public final class ViewerListener {
     private static final int BACKLOG = 1024;
     private static final long LOOK_MS = 100;
+    private static final long ROUND_MS = 20;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(64 * 1024, 128 * 1024);
 
     private final EventLoop loop;
     private final ConnectionBudget budget;
     private final ViewerPatience patience;
+    private final UnreadTime unread = new UnreadTime(ROUND_MS);
     private final EventSink log;
     private final EventSink trace;
     private final boolean retryAfter;
@@ -52,6 +55,7 @@
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
         host = told;
         loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> unread.round(now()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -100,10 +104,19 @@
     private void look() {
         double now = now();
         for (ViewerConnection connection : Set.copyOf(connections)) {
-            connection.look(now, patience);
+            connection.look(now);
         }
     }
 
+    ViewerPatience patience() {
+        return patience;
+    }
+
+    /** Time that what is read now may have lain unread, ms. */
+    double unreadMs() {
+        return unread.at(now());
+    }
+
     static double now() {
         return System.nanoTime() / 1e6;
     }
--- a/node/src/test/java/spanrill/node/FrontNodeTest.java
+++ b/node/src/test/java/spanrill/node/FrontNodeTest.java
@@ -273,6 +273,21 @@
         playing(viewer(), "free");
     }
 
+    /** Messages that mean nothing, one after the other, are no service: they end with the connection. */
+    @Test
+    void floodsOfWhatCanNotBeUsedAreClosedAtOnce() throws Exception {
+        Wire rejected = viewer();
+        Wire unknown = viewer();
+        for (int i = 1; i <= 200; i++) {
+            rejected.send(setUp(5000 + i, "gold", ""));
+            unknown.send(new Message(MessageType.PROGRESS, i));
+        }
+        assertEquals(100, rejected.next(SOON).cause());
+        assertTrue(rejected.endsWithin(1000));
+        assertTrue(unknown.endsWithin(1000));
+        playing(viewer(), "free");
+    }
+
     @Test
     void anOpenNumberUsedAgainDoesNotDisturbTheFirst() throws Exception {
         both((wire, message) -> { });
--- /dev/null
+++ b/node/src/test/java/spanrill/node/MainTest.java
@@ -0,0 +1,110 @@
+package spanrill.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import spanrill.wire.platform.Message;
+import spanrill.wire.platform.MessageType;
+
+/** The program as the platform starts it: its configuration, and signals. */
+@Timeout(60)
+class MainTest {
+    @TempDir
+    private Path folder;
+    private Process process;
+
+    @AfterEach
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private BufferedReader start(String config) throws IOException {
+        Path file = folder.resolve("config.json");
+        if (config != null) {
+            Files.writeString(file, config);
+        }
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
+                "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+                "spanrill.node.Main");
+        builder.environment().put("EDGE_CONFIG", file.toString());
+        process = builder.redirectErrorStream(true).start();
+        return process.inputReader(StandardCharsets.UTF_8);
+    }
+
+    private static String lineWith(BufferedReader log, String text) throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains(text)) {
+                return line;
+            }
+        }
+        return null;
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name,
+                Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void aWrongConfigurationIsOneLineAndExitCodeTwo() throws Exception {
+        String good = TestConfig.json(3868, 4222, List.of());
+        BufferedReader log = start(good.replace("\"racks\":1", "\"racks\":\"x\""));
+        List<String> lines = log.lines().toList();
+        assertEquals(2, process.waitFor());
+        assertEquals(1, lines.size(), lines.toString());
+        assertTrue(lines.get(0).contains("config.json: 'settings.family_info.racks' is not a number: 'x'"));
+    }
+
+    @Test
+    void aMissingConfigurationIsOneLineAndExitCodeTwo() throws Exception {
+        List<String> lines = start(null).lines().toList();
+        assertEquals(2, process.waitFor());
+        assertEquals(1, lines.size(), lines.toString());
+        assertTrue(lines.get(0).contains("config.json"));
+    }
+
+    /** SIGHUP never ends the program, whatever the file holds by then; SIGTERM ends it with 0. */
+    @Test
+    void signalsReloadAndStop() throws Exception {
+        int port = freePort();
+        String config = TestConfig.json(port, freePort(), List.of());
+        BufferedReader log = start(config);
+        assertTrue(lineWith(log, "node.serving").contains(Integer.toString(port)));
+        Files.writeString(folder.resolve("config.json"), "{\"bulletin\":");
+        signal("HUP");
+        assertTrue(lineWith(log, "config.unusable").contains("config.json"));
+        Files.writeString(folder.resolve("config.json"), config);
+        signal("HUP");
+        assertTrue(lineWith(log, "config.loaded").contains("config.json"));
+        try (Wire platform = Wire.to(port)) {
+            platform.send(new Message(MessageType.TEST, 1).withCause(0));
+            assertEquals(1, platform.next(5000).cause());
+        }
+        signal("TERM");
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+        assertFalse(process.isAlive());
+    }
+}
--- a/node/src/test/java/spanrill/node/session/SessionHostTest.java
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -89,6 +89,7 @@
         private final List<String> heard = new ArrayList<>();
         private byte[] description;
         private boolean open = true;
+        private int standing;
 
         @Override
         public boolean open() {
@@ -106,6 +107,11 @@
             heard.add(end + " " + session + (stayAwayMs > 0 ? " away" : ""));
         }
 
+        @Override
+        public void standing(boolean more) {
+            standing += more ? 1 : -1;
+        }
+
         @Override
         public void move(long session) {
             heard.add("move " + session);
@@ -281,6 +287,24 @@
         host.lost("s-2");
         host.lost("s-9");
         assertEquals(List.of("CUT 50", "CUT 51"), near.heard);
+        assertEquals(0, near.standing);
+    }
+
+    /**
+     * The server of a session may be listed late; one that never is does not exist, and nothing stands
+     * there.
+     */
+    @Test
+    void sessionsAtAServerThatIsNeverListedEnd() {
+        host.standsAt(asked(50, "free", "s-8"), near);
+        host.standsAt(asked(51, "free", "s-9"), near);
+        clock.run(3000);
+        assertEquals(2, near.standing);
+        host.servers(ListKind.CHANGES, List.of(new Server("s-8", "a", "std", 0, ServerState.READY, 1,
+                Double.NaN)));
+        clock.run(3500);
+        assertEquals(List.of("CUT 51"), near.heard.subList(0, 1));
+        assertEquals(1, near.standing);
     }
 
     @Test
