Node: a class-data archive from the build; a refused connection tells a death sooner

Change: a connection lost by the other end is followed by a new one; refused, and nothing heard for 500 ms, means gone. A release that was not heard goes out on another connection.

--- a/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
@@ -18,6 +18,8 @@
     }
 
     private static final int MOST_TRIES = 2;
+    // Shorter than the time between two notes: with sessions there a server that lives says something sooner.
+    private static final double QUIET_MS = 500;
 
     private final double silentMs;
     private final double answerMs;
@@ -67,6 +69,15 @@
         return Step.NONE;
     }
 
+    /**
+     * A connection was refused, so no process listens there any more: true when the server is gone by all
+     * signs. An older connection that still stands says otherwise only while something comes on it: where a
+     * process dies, one may be left open for good.
+     */
+    public boolean refused(double now, boolean othersStand) {
+        return !othersStand || Double.isNaN(heardAt) || now - heardAt >= QUIET_MS;
+    }
+
     /** A connection did not come up in time: true when the server is gone by all signs. */
     public boolean unreachable(double now) {
         failed++;
--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -46,6 +46,18 @@
         assertTrue(watch.unreachable(4000));
     }
 
+    /**
+     * Seen: a server died, its process refused connections, and one old connection stayed open and silent.
+     */
+    @Test
+    void aRefusedConnectionMeansGoneUnlessAnOlderOneStillTells() {
+        SilenceWatch watch = new SilenceWatch(3000, 250);
+        watch.heard(0);
+        assertTrue(watch.refused(10, false));
+        assertFalse(watch.refused(10, true));
+        assertTrue(watch.refused(600, true));
+    }
+
     @Test
     void anythingHeardEndsTheSuspicion() {
         SilenceWatch watch = new SilenceWatch(3000, 250);
--- a/node/src/main/java/spanrill/node/Main.java
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -13,7 +13,7 @@
 
     private Main() { }
 
-    /** Runs a front node until it is told to stop. */
+    /** Runs a front node until it is told to stop; with {@code once} it stops as soon as it serves. */
     public static void main(String[] args) throws InterruptedException {
         String file = System.getenv("EDGE_CONFIG");
         if (file == null || file.isEmpty()) {
@@ -44,6 +44,10 @@
             running.stop(() -> Runtime.getRuntime().halt(0));
         });
         log.info("node.serving", "listen", running.address());
+        if (args.length == 1 && args[0].equals("once")) {
+            // The build starts it so to make the class-data archive: it ends as after SIGTERM.
+            running.stop(() -> Runtime.getRuntime().halt(0));
+        }
         running.join();
     }
 
--- a/node/src/main/java/spanrill/node/config/NodeConfig.java
+++ b/node/src/main/java/spanrill/node/config/NodeConfig.java
@@ -62,7 +62,7 @@
         }
         boolean retryAfter = !settings.has("limits.retry_after")
                 || settings.text("limits.retry_after").equals("true");
-        return new NodeConfig(pairs.text("name"), Roster.address(pairs, "listen"), seed(pairs), sockets,
+        return new NodeConfig(pairs.text("name"), Roster.address(pairs, "listen", 0), seed(pairs), sockets,
                 Roster.address(pairs, "bulletin"), pairs.has("known.no") ? (long) pairs.number("known.no")
                         : last,
                 known, new SetupReader(settings).settings(), settings.number("limits.connect_timeout"),
--- a/node/src/main/java/spanrill/node/config/Roster.java
+++ b/node/src/main/java/spanrill/node/config/Roster.java
@@ -74,13 +74,18 @@
 
     /** Reads {@code host:port}, an address in figures: there is no DNS. */
     public static InetSocketAddress address(Pairs pairs, String key) {
+        return address(pairs, key, 1);
+    }
+
+    /** The same with ports from {@code least}: 0 stands for one that the system picks. */
+    static InetSocketAddress address(Pairs pairs, String key, int least) {
         String text = pairs.text(key);
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, Math.max(0, colon));
         if (host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+]")) {
             try {
                 int port = Integer.parseInt(text.substring(colon + 1));
-                if (port > 0 && port < 65_536) {
+                if (port >= least && port < 65_536) {
                     return new InetSocketAddress(host, port);
                 }
             } catch (NumberFormatException e) {
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -45,6 +45,7 @@
     private boolean gone;
     private boolean replaced;
     private double openAfter;
+    private boolean refusedLast;
 
     Server(String id, InetSocketAddress address, EventLoop loop, ServerTimes times, ConnectionBudget budget,
             SessionHost host, EventSink log, EventSink trace) {
@@ -154,6 +155,7 @@
         }
         standing = sessions;
         if (sessions > 0 && links.isEmpty()) {
+            // News of them can only come on a connection.
             reach();
         }
     }
@@ -192,7 +194,7 @@
     /** Opens a connection where there is none, so that news of sessions there can come. */
     private void reach() {
         double now = now();
-        if (links.isEmpty() && !replaced && now >= openAfter && budget.open() < budget.most()) {
+        if (links.size() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
             openAfter = now + times.connectMs();
             open();
         }
@@ -200,6 +202,7 @@
 
     void opened(ServerLink link) {
         silence.heard(now());
+        refusedLast = false;
         for (Long session : owedReleases) {
             link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
         }
@@ -218,14 +221,15 @@
         trace.info("linkEnded", "server", id, "refused", refused, "timedOut", timedOut, "left", links.size(),
                 "open", link.open(), "standing", standing);
         budget.closed();
-        if (refused && links.stream().noneMatch(ServerLink::connected)) {
-            // A refused connection: no process listens there, and those that did have cut their sessions.
+        refusedLast = refused;
+        if (refused && silence.refused(now(), links.stream().anyMatch(ServerLink::connected))) {
             dead("refused");
         } else if (timedOut && silence.unreachable(now())) {
             dead("silent");
         } else {
             lostIfDead();
-            if (standing > 0 && links.isEmpty()) {
+            if (standing > 0 && !link.retired()) {
+                // Lost by the other end: a server that died is told from one that lives by a new connection.
                 reach();
             }
         }
@@ -264,6 +268,11 @@
             reach();
             return;
         }
+        if (refusedLast) {
+            // One more refusal after a while in which nothing came tells a death from a listener that was
+            // full.
+            reach();
+        }
         switch (silence.look(now)) {
             case TEST -> {
                 ServerLink link = live();
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -50,6 +50,7 @@
     private Channel channel;
     private boolean connected;
     private boolean suspect;
+    private boolean retired;
     private boolean over;
     private int stray;
     private double usedAt = Server.now();
@@ -105,6 +106,11 @@
         return !suspect && !over;
     }
 
+    /** True when this side ended it, or was about to. */
+    boolean retired() {
+        return retired;
+    }
+
     double usedAt() {
         return usedAt;
     }
@@ -165,6 +171,7 @@
     /** Takes nothing new and closes once nothing is open on it. */
     void retire() {
         suspect = true;
+        retired = true;
         if (open.isEmpty()) {
             close();
         }
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -237,6 +237,10 @@
         return served;
     }
 
+    double usefulAt() {
+        return usefulAt;
+    }
+
     /** True when nobody waits for an answer on it. */
     boolean spare() {
         return !over && waiting.isEmpty();
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -38,7 +38,7 @@
     private final boolean retryAfter;
     private final Set<ViewerConnection> connections = new LinkedHashSet<>();
     private SessionHost host;
-    private ViewerConnection lastGood;
+    private ViewerConnection lastGiven;
 
     /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
     public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log,
@@ -81,7 +81,7 @@
         channel.closeFuture().addListener(f -> {
             budget.closed();
             connections.remove(connection);
-            lastGood = lastGood == connection ? null : lastGood;
+            lastGiven = lastGiven == connection ? null : lastGiven;
         });
         channel.pipeline().addLast(connection);
     }
@@ -140,21 +140,28 @@
 
     /** A connection on which a usual viewer was served: it can take what is owed. */
     void good(ViewerConnection connection) {
-        lastGood = connection;
         host.linkReady(connection);
     }
 
-    /** A connection that can take a release whose own is gone, or null. */
+    /**
+     * A connection that can take a release whose own is gone, or null: the one on which something useful
+     * came last, but not the one given last time while there is another. What was not heard on one may be
+     * heard on the next.
+     */
     public ViewerLink any() {
-        if (lastGood != null && lastGood.open()) {
-            return lastGood;
-        }
         ViewerConnection best = null;
+        ViewerConnection second = null;
         for (ViewerConnection connection : connections) {
             if (connection.served() && connection.open()) {
-                best = connection;
+                if (best == null || connection.usefulAt() > best.usefulAt()) {
+                    second = best;
+                    best = connection;
+                } else if (second == null || connection.usefulAt() > second.usefulAt()) {
+                    second = connection;
+                }
             }
         }
-        return best;
+        lastGiven = best == lastGiven && second != null ? second : best;
+        return lastGiven;
     }
 }
--- a/node/src/test/java/spanrill/node/FrontNodeTest.java
+++ b/node/src/test/java/spanrill/node/FrontNodeTest.java
@@ -483,6 +483,30 @@
         assertEquals(41, end.cause());
     }
 
+    /** Known at once by the refused connection, not only when the list tells. */
+    @Test
+    void aDeadServerIsKnownThoughOneConnectionStaysOpen() throws Exception {
+        // Two set-ups at once, so that each of the servers that get two has two connections.
+        List<ScriptedServer.Got> held = new java.util.concurrent.CopyOnWriteArrayList<>();
+        both((wire, message) -> held.add(new ScriptedServer.Got(wire, message)));
+        Wire viewer = viewer();
+        for (int i = 0; i < 8; i++) {
+            ask(viewer, "paid");
+        }
+        for (int i = 0; i < 200 && held.size() < 8; i++) {
+            atServer();
+        }
+        assertEquals(8, held.size());
+        held.forEach(got -> one.answer(got.wire(), got.message()));
+        for (int i = 0; i < 8; i++) {
+            answer(viewer, SOON);
+        }
+        ScriptedServer dying = one.connections() > 1 ? one : two;
+        assertTrue(dying.connections() > 1);
+        dying.dieLeavingOneOpen();
+        assertEquals(41, viewer.next(1800).cause());
+    }
+
     // ---- stop
 
     @Test
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -86,6 +86,16 @@
         return TestConfig.member(id, port(), phase);
     }
 
+    /** Its process dies, but one connection is left open and silent, as after a broken path. */
+    void dieLeavingOneOpen() throws IOException {
+        listening.close();
+        wires.subList(1, wires.size()).forEach(Wire::reset);
+    }
+
+    int connections() {
+        return wires.size();
+    }
+
     /** Dies: refuses connections and resets those that stand. */
     @Override
     public void close() throws IOException {
