Node: the end of a session is told where a give-up crossed the answer; slow readers are closed

Also: a connection that came up counted as word of a silent server (Server.opened), so one whose kernel still accepts would never have been given up; an orderly close behind what a peer does not read never came (ViewerConnection.close), found by the new test.

--- a/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
@@ -2,9 +2,9 @@
 
 /**
  * When a server that holds sessions and says nothing is suspect, and when it counts as gone. A vanished or
- * cut-off machine resets nothing: its open connections stay open and silent, new ones never come up. So
- * after a silence it is tested on an open connection; without an answer a new connection is tried; when
- * that does not come up either, twice, the server is gone.
+ * cut-off machine resets nothing: its open connections stay open and silent, new ones don't come up, or
+ * come up and stay silent. So after a silence it is tested on an open connection; without an answer new
+ * connections are tried, each with a test; when three of them brought nothing, the server is gone.
  */
 public final class SilenceWatch {
     /** What to do now. */
@@ -13,11 +13,13 @@
         NONE,
         /** Send a test on an open connection. */
         TEST,
-        /** Open a new connection. */
-        CONNECT
+        /** Open a new connection and test on it. */
+        CONNECT,
+        /** It is gone. */
+        GONE
     }
 
-    private static final int MOST_TRIES = 2;
+    private static final int MOST_TRIES = 3;
     // Shorter than the time between two notes: with sessions there a server that lives says something sooner.
     private static final double QUIET_MS = 500;
 
@@ -26,7 +28,7 @@
     private double heardAt = Double.NaN;
     private double testedAt = Double.NaN;
     private double triedAt = Double.NaN;
-    private int failed;
+    private int tries;
 
     /**
      * A watch.
@@ -39,12 +41,20 @@
         this.answerMs = answerMs;
     }
 
-    /** Something came from it, or a connection to it came up. */
+    /**
+     * Something came from it. That a connection came up is no word of it: a dead machine's kernel may
+     * accept.
+     */
     public void heard(double now) {
         heardAt = now;
         testedAt = Double.NaN;
         triedAt = Double.NaN;
-        failed = 0;
+        tries = 0;
+    }
+
+    /** True while it is silent for longer than it should be. */
+    public boolean suspect() {
+        return !Double.isNaN(testedAt);
     }
 
     /** What to do now; asked every so often while sessions stand there. */
@@ -63,7 +73,11 @@
             return Step.NONE;
         }
         if (Double.isNaN(triedAt) || now - triedAt >= 2 * answerMs) {
+            if (tries >= MOST_TRIES) {
+                return Step.GONE;
+            }
             triedAt = now;
+            tries++;
             return Step.CONNECT;
         }
         return Step.NONE;
@@ -77,10 +91,4 @@
     public boolean refused(double now, boolean othersStand) {
         return !othersStand || Double.isNaN(heardAt) || now - heardAt >= QUIET_MS;
     }
-
-    /** A connection did not come up in time: true when the server is gone by all signs. */
-    public boolean unreachable(double now) {
-        failed++;
-        return failed >= MOST_TRIES && !Double.isNaN(heardAt) && now - heardAt >= silentMs;
-    }
 }
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -201,8 +201,10 @@
     }
 
     void opened(ServerLink link) {
-        silence.heard(now());
         refusedLast = false;
+        if (silence.suspect()) {
+            link.send(new Message(MessageType.TEST, 0).withCause(0));
+        }
         for (Long session : owedReleases) {
             link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
         }
@@ -214,18 +216,16 @@
     }
 
     /** A connection has ended, or never came up. */
-    void ended(ServerLink link, boolean refused, boolean timedOut) {
+    void ended(ServerLink link, boolean refused) {
         if (!links.remove(link)) {
             return;
         }
-        trace.info("linkEnded", "server", id, "refused", refused, "timedOut", timedOut, "left", links.size(),
+        trace.info("linkEnded", "server", id, "refused", refused, "left", links.size(),
                 "open", link.open(), "standing", standing);
         budget.closed();
         refusedLast = refused;
         if (refused && silence.refused(now(), links.stream().anyMatch(ServerLink::connected))) {
             dead("refused");
-        } else if (timedOut && silence.unreachable(now())) {
-            dead("silent");
         } else {
             lostIfDead();
             if (standing > 0 && !link.retired()) {
@@ -285,6 +285,7 @@
                     open();
                 }
             }
+            case GONE -> dead("silent");
             default -> { }
         }
     }
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -71,7 +71,7 @@
                 opened();
             } else {
                 boolean timedOut = f.cause() instanceof ConnectTimeoutException;
-                finish(timedOut ? Event.CONNECT_TIMED_OUT : Event.CONNECT_REFUSED, !timedOut, timedOut);
+                finish(timedOut ? Event.CONNECT_TIMED_OUT : Event.CONNECT_REFUSED, !timedOut);
             }
         });
     }
@@ -195,7 +195,7 @@
                 decoder.feed(in, this::message);
             }
         } catch (FrameFault fault) {
-            finish(Event.RESET, false, false);
+            finish(Event.RESET, false);
             ctx.close();
         } finally {
             in.release();
@@ -245,7 +245,7 @@
 
     private void stray() {
         if (++stray > MOST_STRAY) {
-            finish(Event.RESET, false, false);
+            finish(Event.RESET, false);
             channel.close();
         }
     }
@@ -273,17 +273,17 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         if (connected) {
-            finish(Event.CLOSED, false, false);
+            finish(Event.CLOSED, false);
         }
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        finish(Event.RESET, false, false);
+        finish(Event.RESET, false);
         ctx.close();
     }
 
-    private void finish(Event event, boolean refused, boolean timedOut) {
+    private void finish(Event event, boolean refused) {
         if (over) {
             return;
         }
@@ -292,7 +292,7 @@
         List<Attempt> lost = new ArrayList<>(open.values());
         open.clear();
         Outcome outcome = OutcomeTable.read(connected ? Stage.WRITTEN : Stage.CONNECTING, event);
-        server.ended(this, refused, timedOut);
+        server.ended(this, refused);
         for (Attempt attempt : lost) {
             host.ended(attempt, outcome, null);
         }
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -206,6 +206,8 @@
             String server = session.server;
             over(session);
             servers.release(server, id);
+            // A give-up may have crossed the answer: the viewer then holds a session that is over.
+            tellOver(session, End.OVER);
             turns.tell(now -> control.gone(now, session.name()));
         }
         return true;
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ViewerPatience;
 import spanrill.node.session.End;
 import spanrill.node.session.SessionHost;
@@ -23,6 +24,9 @@
 
 /** One connection of viewers: many sessions, each message checked before the sessions see it. */
 final class ViewerConnection extends ChannelInboundHandlerAdapter implements ViewerLink {
+    // What was written before a close has this long to go out.
+    private static final long LINGER_MS = 500;
+
     private final ViewerListener listener;
     private final SessionHost host;
     private final boolean retryAfter;
@@ -257,6 +261,12 @@
     void close() {
         listener.over(this, "closed here");
         ended();
+        if (!channel.isWritable()) {
+            // It reads nothing, so what was written would never go out, and an orderly close never come.
+            channel.close();
+            return;
+        }
         channel.writeAndFlush(channel.alloc().heapBuffer(0)).addListener(ChannelFutureListener.CLOSE);
+        channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -92,6 +92,16 @@
         wires.subList(1, wires.size()).forEach(Wire::reset);
     }
 
+    /** True when all connections to it were ended by the other side in time. */
+    boolean allEndWithin(long ms) throws InterruptedException {
+        for (Wire wire : wires) {
+            if (!wire.endsWithin(ms)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     int connections() {
         return wires.size();
     }
