Node: releases have a class of their own, dead code out, nothing built for a trace that is off

Three copies of one clock reading, a memory of moved viewers beside RecentlyOver, a tuned silence in FrontNode, and hex texts for each message though the trace is off.

No behaviour is meant to change but in the trace: an id that is not known stands there as a number.

--- a/node/src/main/java/spanrill/node/session/OwedReleases.java
+++ b/decisions/src/main/java/spanrill/decisions/OwedReleases.java
@@ -1,4 +1,4 @@
-package spanrill.node.session;
+package spanrill.decisions;
 
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -11,32 +11,34 @@
  * again: the connection that took it may have been ending, or may not be a viewers' at all. Bounded in
  * number, time and tries.
  */
-final class OwedReleases {
+public final class OwedReleases<T> {
     private final double keepMs;
     private final double againMs;
     private final int most;
     private final int tries;
-    private final Map<Long, Owed> owed = new LinkedHashMap<>();
+    private final Map<Long, Owed<T>> owed = new LinkedHashMap<>();
 
     /** One release that is owed. */
-    static final class Owed {
+    public static final class Owed<T> {
         private final long session;
-        private final End end;
+        private final T end;
         private final double since;
         private double sentAt = Double.NEGATIVE_INFINITY;
         private int sent;
 
-        private Owed(long session, End end, double since) {
+        private Owed(long session, T end, double since) {
             this.session = session;
             this.end = end;
             this.since = since;
         }
 
-        long session() {
+        /** The session. */
+        public long session() {
             return session;
         }
 
-        End end() {
+        /** How it ended. */
+        public T end() {
             return end;
         }
     }
@@ -49,37 +51,39 @@
      * @param tries so many times in all
      * @param most so many at once; the oldest goes first
      */
-    OwedReleases(double keepMs, double againMs, int tries, int most) {
+    public OwedReleases(double keepMs, double againMs, int tries, int most) {
         this.keepMs = keepMs;
         this.againMs = againMs;
         this.tries = tries;
         this.most = most;
     }
 
-    Owed add(double now, long session, End end) {
+    /** A session that stood is over: its viewer is owed a release. */
+    public Owed<T> add(double now, long session, T end) {
         if (owed.size() >= most) {
             owed.remove(owed.keySet().iterator().next());
         }
-        Owed next = new Owed(session, end, now);
+        Owed<T> next = new Owed<>(session, end, now);
         owed.put(session, next);
         return next;
     }
 
-    boolean heard(long session) {
+    /** Its viewer heard it: true when it was owed. */
+    public boolean heard(long session) {
         return owed.remove(session) != null;
     }
 
     /** It goes out now. */
-    void sent(double now, Owed one) {
+    public void sent(double now, Owed<T> one) {
         one.sentAt = now;
         one.sent++;
     }
 
     /** Those that are to go out now; what is too old or was sent often enough is let go. */
-    List<Owed> due(double now) {
-        List<Owed> due = new ArrayList<>();
-        for (Iterator<Owed> it = owed.values().iterator(); it.hasNext();) {
-            Owed one = it.next();
+    public List<Owed<T>> due(double now) {
+        List<Owed<T>> due = new ArrayList<>();
+        for (Iterator<Owed<T>> it = owed.values().iterator(); it.hasNext();) {
+            Owed<T> one = it.next();
             if (now - one.since > keepMs || (one.sent >= tries && now - one.sentAt >= againMs)) {
                 it.remove();
             } else if (one.sent < tries && now - one.sentAt >= againMs) {
@@ -89,7 +93,8 @@
         return due;
     }
 
-    boolean isEmpty() {
+    /** True when nothing is owed. */
+    public boolean isEmpty() {
         return owed.isEmpty();
     }
 }
--- a/decisions/src/main/java/spanrill/decisions/RecentlyOver.java
+++ b/decisions/src/main/java/spanrill/decisions/RecentlyOver.java
@@ -37,6 +37,13 @@
         return kept == null ? null : kept.what();
     }
 
+    /** The same, and it is kept no longer. */
+    public T take(double now, String id) {
+        T what = get(now, id);
+        all.remove(id);
+        return what;
+    }
+
     private void drop(double now) {
         Iterator<Kept<T>> oldest = all.values().iterator();
         while (oldest.hasNext()) {
--- a/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
@@ -19,6 +19,9 @@
         GONE
     }
 
+    // A server may be gone for 8 s until its sessions must be released; most of that is for tests and tries.
+    private static final double MOST_SILENT_MS = 5000;
+    private static final double UNTOLD_MS = 4000;
     private static final int MOST_TRIES = 3;
     // Shorter than the time between two notes: with sessions there a server that lives says something sooner.
     private static final double QUIET_MS = 500;
@@ -41,6 +44,11 @@
         this.answerMs = answerMs;
     }
 
+    /** The silence to test after: two notes missed, which come each {@code tellMs} (0: none), told late. */
+    public static double silentMs(double tellMs, double lateMs) {
+        return tellMs > 0 ? Math.min(MOST_SILENT_MS, 2 * tellMs + lateMs) : UNTOLD_MS;
+    }
+
     /**
      * Something came from it. That a connection came up is no word of it: a dead machine's kernel may
      * accept.
--- a/loop/src/main/java/spanrill/loop/Clock.java
+++ b/loop/src/main/java/spanrill/loop/Clock.java
@@ -8,6 +8,11 @@
     private final double base = System.currentTimeMillis();
     private final long start = System.nanoTime();
 
+    /** Milliseconds from no particular beginning, for differences only; never goes back. */
+    public static double ticks() {
+        return System.nanoTime() / 1e6;
+    }
+
     /** Now, in milliseconds. */
     public double now() {
         return base + (System.nanoTime() - start) / 1e6;
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -16,6 +16,7 @@
 import spanrill.SessionControl.ServerState;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.DescriptorShares;
+import spanrill.decisions.SilenceWatch;
 import spanrill.decisions.StopTimes;
 import spanrill.loop.Clock;
 import spanrill.loop.LoopScheduler;
@@ -50,7 +51,8 @@
         ViewerListener viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()),
                 config.retryAfter(), log, trace);
         servers = new ServerTable(loop, new ServerTimes((int) Math.ceil(config.connectMs()), config.idleMs(),
-                silentMs(config)), new ConnectionBudget(shares.servers()), log, trace);
+                SilenceWatch.silentMs(config.settings().tellMs(), config.settings().seeMs())),
+                        new ConnectionBudget(shares.servers()), log, trace);
         host = new SessionHost(config.settings(), scheduler, log, trace, servers, viewers::any,
                 actions -> new Control(config.settings(), config.seed(), actions));
         bulletin = new BulletinClient(loop, log, config.bulletin(), config.knownNo(), config.seed(),
@@ -78,12 +80,6 @@
         return new FrontNode(config, log, trace);
     }
 
-    // Notes of use come each tell, told late; a server that misses two of them is asked.
-    private static double silentMs(NodeConfig config) {
-        double tell = config.settings().tellMs();
-        return tell > 0 ? Math.min(5000, 2 * tell + config.settings().seeMs()) : 4000;
-    }
-
     private void listed(Roster event, ListKind kind) {
         List<Server> list = new ArrayList<>();
         for (Roster.Member member : event.members()) {
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -41,12 +41,12 @@
     private static final double LASTS_MS = 1500;
 
     private final PriorityQueue<Due> agenda = new PriorityQueue<>();
-    private final List<String> servers = new ArrayList<>();
     private final NodeConfig config;
     private final SessionHost host;
     private final Time time = new Time();
     private final Sink viewer = new Sink();
     private long order;
+    private int asked;
 
     private WarmUp(NodeConfig config) {
         this.config = config;
@@ -66,21 +66,20 @@
         for (Roster event : config.known()) {
             List<Server> list = new ArrayList<>();
             event.members().forEach(member -> list.add(member.server()));
-            list.forEach(server -> servers.add(server.id()));
             host.servers(event.whole() ? ListKind.KEPT : ListKind.CHANGES, list);
         }
         for (int i = 0; i < sessions; i++) {
             int number = i;
             time.after(i * GAP_MS, () -> ask(number));
         }
-        while (!agenda.isEmpty() && System.nanoTime() < until && host.counts().taken < sessions) {
+        while (!agenda.isEmpty() && System.nanoTime() < until && asked < sessions) {
             Due next = agenda.poll();
             time.now = Math.max(time.now, next.at);
             if (!next.off) {
                 next.action.run();
             }
         }
-        return (int) host.counts().taken;
+        return asked;
     }
 
     private void ask(int number) {
@@ -97,6 +96,7 @@
             SetUp setUp = SetUp.of(message);
             if (host.possible(setUp)) {
                 host.setUp(setUp, viewer, setUp.waitMs());
+                asked++;
             }
         } catch (FieldFault fault) {
             throw new IllegalStateException("the warm-up's own set-up", fault);
@@ -163,7 +163,7 @@
                     host.ended(attempt, Outcome.FULL, null);
                     return;
                 }
-                host.answered(attempt, message.get(Parameter.DESCRIPTION), null);
+                host.answered(attempt, message.get(Parameter.DESCRIPTION));
                 host.note(attempt.server(), attempt.session(), NoteKind.LINK_USE, 0.5);
                 host.note(attempt.server(), attempt.session(), NoteKind.UPLINK_USE, 0.6);
                 time.after(LASTS_MS, () -> host.over(attempt.server(), attempt.session(), Outcome.OK, null));
--- a/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
+++ b/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import spanrill.decisions.BulletinWatch;
+import spanrill.loop.Clock;
 import spanrill.node.config.JsonPairs;
 import spanrill.node.config.Roster;
 import spanrill.session.EventSink;
@@ -65,12 +66,8 @@
         ask();
     }
 
-    private static double now() {
-        return System.nanoTime() / 1e6;
-    }
-
     private void look() {
-        if (watch.due(now())) {
+        if (watch.due(Clock.ticks())) {
             drop();
             ask();
         }
@@ -84,12 +81,12 @@
     }
 
     private void ask() {
-        watch.asked(now());
+        watch.asked(Clock.ticks());
         Stream next = new Stream();
         stream = next;
         HttpClientConnection.open(loop, address, CONNECT_MS, HttpLimits.CLIENT, next::opened, cause -> {
             if (stream == next) {
-                watch.broken(now());
+                watch.broken(Clock.ticks());
             }
         });
     }
@@ -117,7 +114,7 @@
 
         private void broken() {
             if (stream == this) {
-                watch.broken(now());
+                watch.broken(Clock.ticks());
             }
         }
 
@@ -134,7 +131,7 @@
             if (stream != this) {
                 return;
             }
-            watch.heard(now());
+            watch.heard(Clock.ticks());
             try {
                 events.feed(part);
             } catch (HttpFault fault) {
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -10,6 +10,7 @@
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.LinkChoice;
 import spanrill.decisions.SilenceWatch;
+import spanrill.loop.Clock;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
@@ -69,10 +70,6 @@
         return address;
     }
 
-    static double now() {
-        return System.nanoTime() / 1e6;
-    }
-
     void listed(InetSocketAddress at) {
         trace.info("listed", "server", id, "address", at);
         if (!at.equals(address)) {
@@ -108,7 +105,7 @@
 
     void setUp(Attempt attempt) {
         List<LinkChoice.Link> seen = new ArrayList<>();
-        double now = now();
+        double now = Clock.ticks();
         for (ServerLink link : links) {
             seen.add(new LinkChoice.Link(link.open(), now - link.usedAt(), link.usable()));
         }
@@ -151,7 +148,7 @@
 
     void standing(int sessions) {
         if (standing == 0 && sessions > 0) {
-            silence.heard(now());
+            silence.heard(Clock.ticks());
         }
         standing = sessions;
         if (sessions > 0 && links.isEmpty()) {
@@ -193,7 +190,7 @@
 
     /** Opens a connection where there is none, so that news of sessions there can come. */
     private void reach() {
-        double now = now();
+        double now = Clock.ticks();
         if (links.size() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
             openAfter = now + times.connectMs();
             open();
@@ -212,7 +209,7 @@
     }
 
     void heard() {
-        silence.heard(now());
+        silence.heard(Clock.ticks());
     }
 
     /** A connection has ended, or never came up. */
@@ -224,7 +221,7 @@
                 "open", link.open(), "standing", standing);
         budget.closed();
         refusedLast = refused;
-        if (refused && silence.refused(now(), links.stream().anyMatch(ServerLink::connected))) {
+        if (refused && silence.refused(Clock.ticks(), links.stream().anyMatch(ServerLink::connected))) {
             dead("refused");
         } else {
             lostIfDead();
@@ -251,7 +248,7 @@
     /** A look now and then; {@code each}: connections that one server may have. */
     void look(int each) {
         most = Math.min(each, MOST_LINKS);
-        double now = now();
+        double now = Clock.ticks();
         for (ServerLink link : List.copyOf(links)) {
             boolean idle = link.connected() && link.open() == 0;
             boolean needed = standing > 0 && links.size() == 1 && link.usable();
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -23,6 +23,7 @@
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.ReleaseMeaning;
+import spanrill.loop.Clock;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.setup.SetupReader;
@@ -53,7 +54,7 @@
     private boolean retired;
     private boolean over;
     private int stray;
-    private double usedAt = Server.now();
+    private double usedAt = Clock.ticks();
     private double heardAt = usedAt;
 
     ServerLink(Server server, SessionHost host) {
@@ -78,7 +79,7 @@
 
     private void opened() {
         connected = true;
-        heardAt = Server.now();
+        heardAt = Clock.ticks();
         List<Attempt> waiting = new ArrayList<>(open.values());
         server.opened(this);
         for (Attempt attempt : waiting) {
@@ -122,7 +123,7 @@
     // ---- what goes out
 
     void setUp(Attempt attempt) {
-        usedAt = Server.now();
+        usedAt = Clock.ticks();
         open.put(attempt.session(), attempt);
         if (connected) {
             write(attempt);
@@ -190,7 +191,7 @@
         ByteBuf in = (ByteBuf) part;
         try {
             if (!over) {
-                heardAt = Server.now();
+                heardAt = Clock.ticks();
                 server.heard();
                 decoder.feed(in, this::message);
             }
@@ -229,7 +230,7 @@
             host.ended(attempt, Outcome.RESET, null);
             return;
         }
-        host.answered(attempt, description, load(message));
+        host.answered(attempt, description);
     }
 
     private void release(Message message) {
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.HexFormat;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +17,7 @@
 import spanrill.SessionControl.Request;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
+import spanrill.decisions.RecentlyOver;
 import spanrill.decisions.SessionState.Event;
 import spanrill.decisions.SessionState.Phase;
 import spanrill.session.EventSink;
@@ -41,15 +40,8 @@
     private static final double UNREAD_MS = 1;
     // A viewer that was moved counts as coming back from a move for this long.
     private static final double RETURN_MS = 30_000;
-    // The rules give 8 s from the end of a session to its release.
-    private static final double OWED_MS = 8000;
-    private static final int MOST_OWED = 8192;
     // The list tells of a new server some seconds late.
     private static final double UNLISTED_MS = 6000;
-    // A viewer says at once that it heard a release; 1 s is given from the server's release to the viewer's.
-    private static final double HEARD_MS = 300;
-    private static final int TRIES = 5;
-    private static final double OWED_LOOK_MS = 100;
     private static final int MOST_MOVED = 8192;
 
     private final SessionControl.Settings settings;
@@ -59,27 +51,14 @@
     private final EventSink log;
     private final EventSink trace;
     private final ServerSide servers;
-    private final Supplier<ViewerLink> anyLink;
+    private final ViewerReleases releases;
     private final SessionControl control;
     private final Map<Long, NodeSession> sessions = new HashMap<>();
     private final Map<String, NodeSession> byName = new HashMap<>();
     private final Map<String, Set<NodeSession>> standing = new HashMap<>();
-    private final OwedReleases owed = new OwedReleases(OWED_MS, HEARD_MS, TRIES, MOST_OWED);
     private final Set<String> listed = new HashSet<>();
-    private boolean looking;
     private final Map<Long, NodeSession> moving = new HashMap<>();
-    private final LinkedHashMap<String, Double> moved = new LinkedHashMap<>();
-    private final Counts counts = new Counts();
-
-    /** What has been counted since the start. */
-    public static final class Counts {
-        /**
-         * Requests taken, answered "plays", refused, failed, given up by viewers, and ended after an
-         * answer.
-         */
-        public long taken, played, refused, failed, left, ended;
-    }
-
+    private final RecentlyOver<Boolean> moved = new RecentlyOver<>(RETURN_MS, MOST_MOVED);
     /**
      * A host; {@code module} makes the module for its actions.
      *
@@ -94,8 +73,8 @@
         this.log = log;
         this.trace = trace;
         this.servers = servers;
-        this.anyLink = anyLink;
         turns = new Turns(scheduler, log);
+        releases = new ViewerReleases(turns, trace, anyLink);
         settings.classes().forEach(c -> onceByClass.put(c.name(), c.once()));
         control = module.apply(new Asked());
     }
@@ -134,12 +113,6 @@
         return sessions.containsKey(id);
     }
 
-    /** The connection on which an open set-up with this id came, null where there is none. */
-    public ViewerLink linkOf(long id) {
-        NodeSession session = sessions.get(id);
-        return session == null ? null : session.link;
-    }
-
     /**
      * A possible set-up under a new id.
      *
@@ -149,7 +122,6 @@
         NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
         sessions.put(session.id(), session);
         byName.put(session.name(), session);
-        counts.taken++;
         trace.info("request", "id", session.name(), "class", setUp.className(), "left", leftMs);
         session.deadline = turns.after(leftMs + NET_MS, now -> overdue(now, session));
         turns.tell(now -> {
@@ -186,8 +158,7 @@
 
     private Request request(NodeSession session, double leftMs) {
         SetUp asked = session.setUp();
-        Double left = moved.remove(session.viewer());
-        boolean back = left != null && scheduler.now() - left < RETURN_MS;
+        boolean back = moved.take(scheduler.now(), session.viewer()) != null;
         return new Request(session.name(), asked.className(), null, session.viewer(), asked.title(), leftMs,
                 asked.figures().home(), asked.figures().copies(), asked.figures().top(), back,
                 back || asked.figures().again());
@@ -196,7 +167,7 @@
     /** A viewer gives a set-up up or ends its session; true when there was one. */
     public boolean released(long id) {
         NodeSession session = sessions.get(id);
-        trace.info("viewerReleases", "id", HexFormat.of().toHexDigits(id), "known", session != null);
+        trace.info("viewerReleases", "id", session == null ? id : session.name(), "known", session != null);
         if (session == null) {
             return false;
         }
@@ -207,7 +178,7 @@
             over(session);
             servers.release(server, id);
             // A give-up may have crossed the answer: the viewer then holds a session that is over.
-            tellOver(session, End.OVER);
+            releases.tell(session, End.OVER);
             turns.tell(now -> control.gone(now, session.name()));
         }
         return true;
@@ -224,7 +195,6 @@
     }
 
     private void withdraw(NodeSession session) {
-        counts.left++;
         session.state().on(Event.LEAVE);
         if (session.attempt != null) {
             servers.giveUp(session.attempt);
@@ -235,14 +205,12 @@
 
     /** A viewers' connection can take what is owed. */
     public void linkReady(ViewerLink link) {
-        if (!owed.isEmpty()) {
-            owed.due(scheduler.now()).forEach(one -> send(one, link));
-        }
+        releases.ready(link);
     }
 
     /** A viewer has heard the release of its session; true when that was owed. */
     public boolean heard(long id) {
-        return owed.heard(id);
+        return releases.heard(id);
     }
 
     // ---- servers
@@ -253,14 +221,13 @@
     }
 
     /** An attempt was answered: the session stands. */
-    public void answered(Attempt attempt, byte[] description, Load load) {
+    public void answered(Attempt attempt, byte[] description) {
         NodeSession session = attempt.owner();
         if (session.attempt != attempt) {
             return;
         }
         session.state().on(Event.PLAYS);
         session.server = attempt.server();
-        counts.played++;
         double took = scheduler.now() - session.sentAt;
         trace.info("plays", "id", session.name(), "server", session.server, "took", took);
         // The answer goes out before anything else is done: the viewer's time runs.
@@ -287,7 +254,7 @@
     /** A session that stood has ended at its server. */
     public void over(String server, long id, Outcome outcome, Load load) {
         NodeSession session = sessions.get(id);
-        trace.info("over", "id", HexFormat.of().toHexDigits(id), "server", server, "outcome", outcome,
+        trace.info("over", "id", session == null ? id : session.name(), "server", server, "outcome", outcome,
                 "known", session != null);
         moving.remove(id);
         if (session == null || !session.state().inPlay() || !server.equals(session.server)) {
@@ -295,17 +262,14 @@
         }
         over(session);
         if (outcome != Outcome.CANCELLED) {
-            tellOver(session, outcome == Outcome.OK ? End.OVER : End.CUT);
+            releases.tell(session, outcome == Outcome.OK ? End.OVER : End.CUT);
         }
         turns.tell(now -> control.ended(now, session.name(), true, outcome, server, load));
     }
 
     /** A server is gone with all that stood there. */
     public void lost(String server) {
-        List<NodeSession> all = new ArrayList<>(standing.getOrDefault(server, Set.of()));
-        for (NodeSession session : all) {
-            over(server, session.id(), Outcome.RESET, null);
-        }
+        restarted(server, Double.POSITIVE_INFINITY);
     }
 
     /** A server started anew at a time, ms on the scheduler's clock: what stood there before is gone. */
@@ -333,11 +297,6 @@
         return value >= 0 && value < settings.rungKb().size() && value == Math.rint(value);
     }
 
-    /** Sessions that stand at a server. */
-    public int standingAt(String server) {
-        return standing.getOrDefault(server, Set.of()).size();
-    }
-
     /** Requests whose answer is owed. */
     public int open() {
         return (int) sessions.values().stream().filter(s -> s.state().answerOwed()).count();
@@ -348,11 +307,6 @@
         return sessions.size();
     }
 
-    /** What has been counted. */
-    public Counts counts() {
-        return counts;
-    }
-
     // ---- within
 
     private void stands(NodeSession session) {
@@ -364,7 +318,6 @@
     }
 
     private void over(NodeSession session) {
-        counts.ended++;
         session.state().on(Event.END);
         session.link.standing(false);
         forget(session);
@@ -383,40 +336,6 @@
         byName.remove(session.name());
     }
 
-    /** Tells a viewer, on whatever connection there is, that its session is over. */
-    private void tellOver(NodeSession session, End end) {
-        ViewerLink link = session.link.open() ? session.link : anyLink.get();
-        trace.info("tellOver", "id", session.name(), "end", end, "own", session.link.open(), "link",
-                link != null);
-        OwedReleases.Owed one = owed.add(scheduler.now(), session.id(), end);
-        if (link != null) {
-            send(one, link);
-        }
-        lookLater();
-    }
-
-    private void send(OwedReleases.Owed one, ViewerLink link) {
-        owed.sent(scheduler.now(), one);
-        link.release(one.session(), one.end(), 0);
-    }
-
-    private void lookAtOwed() {
-        ViewerLink link = anyLink.get();
-        if (link != null) {
-            owed.due(scheduler.now()).forEach(one -> send(one, link));
-        }
-        looking = false;
-        lookLater();
-    }
-
-    /** One look at a time is due, however often what is owed comes and goes. */
-    private void lookLater() {
-        if (!looking && !owed.isEmpty()) {
-            looking = true;
-            turns.after(OWED_LOOK_MS, now -> lookAtOwed());
-        }
-    }
-
     /** The net under the module: an answer that it still owes is given, and an attempt that is out ends. */
     private void overdue(double now, NodeSession session) {
         if (!session.state().answerOwed()) {
@@ -440,7 +359,7 @@
     private void unmoved(NodeSession session, String server) {
         if (moving.remove(session.id()) != null) {
             servers.release(server, session.id());
-            tellOver(session, End.CUT);
+            releases.tell(session, End.CUT);
         }
     }
 
@@ -507,11 +426,8 @@
             over(session);
             moving.put(session.id(), session);
             trace.info("move", "id", request, "server", server);
-            while (moved.size() >= MOST_MOVED) {
-                moved.remove(moved.keySet().iterator().next());
-            }
-            moved.put(session.viewer(), scheduler.now());
-            ViewerLink link = session.link.open() ? session.link : anyLink.get();
+            moved.over(scheduler.now(), session.viewer(), true);
+            ViewerLink link = releases.linkTo(session);
             if (link != null) {
                 link.move(session.id());
             }
@@ -530,16 +446,14 @@
                 fail(request);
                 return;
             }
-            counts.refused++;
-            answer(session, Event.REFUSE, End.REFUSED, retryAfterMs);
+                answer(session, Event.REFUSE, End.REFUSED, retryAfterMs);
         }
 
         @Override
         public void fail(String request) {
             NodeSession session = byName.get(request);
             if (session != null && session.state().may(Event.FAIL)) {
-                counts.failed++;
-                answer(session, Event.FAIL, End.FAILED, 0);
+                        answer(session, Event.FAIL, End.FAILED, 0);
             }
         }
 
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ViewerPatience;
+import spanrill.loop.Clock;
 import spanrill.node.session.End;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
@@ -32,7 +33,7 @@
     private final boolean retryAfter;
     private final MessageDecoder decoder = new MessageDecoder();
     private final Set<Long> waiting = new LinkedHashSet<>();
-    private final double acceptedAt = ViewerListener.now();
+    private final double acceptedAt = Clock.ticks();
     private double usefulAt = acceptedAt;
     private int useless;
     private int standing;
@@ -70,11 +71,6 @@
         }
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-        ctx.flush();
-    }
-
     private boolean message(Message message) {
         listener.came(this, message);
         boolean useful = switch (message.type()) {
@@ -91,7 +87,7 @@
             default -> false;
         };
         if (useful) {
-            usefulAt = ViewerListener.now();
+            usefulAt = Clock.ticks();
         } else if (listener.patience().flooded(++useless)) {
             close();
         }
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -17,6 +17,7 @@
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.UnreadTime;
 import spanrill.decisions.ViewerPatience;
+import spanrill.loop.Clock;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
 import spanrill.session.EventSink;
@@ -55,7 +56,7 @@
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
         host = told;
         loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(() -> unread.round(now()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> unread.round(Clock.ticks()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -102,7 +103,7 @@
     }
 
     private void look() {
-        double now = now();
+        double now = Clock.ticks();
         for (ViewerConnection connection : Set.copyOf(connections)) {
             connection.look(now);
         }
@@ -114,20 +115,23 @@
 
     /** Time that what is read now may have lain unread, ms. */
     double unreadMs() {
-        return unread.at(now());
-    }
-
-    static double now() {
-        return System.nanoTime() / 1e6;
+        return unread.at(Clock.ticks());
     }
 
     void came(ViewerConnection on, Message message) {
-        trace.info("came", "on", on, "type", message.type(), "id",
-                HexFormat.of().toHexDigits(message.session()));
+        if (trace.keeps()) {
+            trace.info("came", "on", on, "type", message.type(), "id", hex(message.session()));
+        }
     }
 
     void sent(ViewerConnection on, long session, int cause) {
-        trace.info("released", "on", on, "id", HexFormat.of().toHexDigits(session), "cause", cause);
+        if (trace.keeps()) {
+            trace.info("released", "on", on, "id", hex(session), "cause", cause);
+        }
+    }
+
+    private static String hex(long session) {
+        return HexFormat.of().toHexDigits(session);
     }
 
     void over(ViewerConnection on, String why) {
@@ -135,7 +139,9 @@
     }
 
     void rejected(long session, String why) {
-        trace.info("rejected", "id", HexFormat.of().toHexDigits(session), "why", why);
+        if (trace.keeps()) {
+            trace.info("rejected", "id", hex(session), "why", why);
+        }
     }
 
     /** A connection on which a usual viewer was served: it can take what is owed. */
--- a/node/src/test/java/spanrill/node/session/SessionHostTest.java
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -136,7 +136,7 @@
     @Test
     void aSessionIsSetUpAnsweredAndReleased() {
         long id = ask("free");
-        host.answered(out(), new byte[] {9}, null);
+        host.answered(out(), new byte[] {9});
         assertArrayEquals(new byte[] {9}, near.description);
         host.over(out().server(), id, Outcome.OK, null);
         host.heard(id);
@@ -149,8 +149,8 @@
     void secondAnswersAndSecondEndsAreNothing() {
         long id = ask("free");
         Attempt attempt = out();
-        host.answered(attempt, new byte[0], null);
-        host.answered(attempt, new byte[0], null);
+        host.answered(attempt, new byte[0]);
+        host.answered(attempt, new byte[0]);
         host.ended(attempt, Outcome.RESET, null);
         host.over(attempt.server(), id, Outcome.OK, null);
         host.over(attempt.server(), id, Outcome.OK, null);
@@ -165,7 +165,7 @@
         clock.runUntil(() -> far.said.size() >= 3, 1000);
         assertEquals("giveUp", far.said.get(1));
         assertTrue(far.said.get(2).startsWith("setUp") && !far.said.get(2).equals(far.said.get(0)));
-        host.answered(first, new byte[0], null);
+        host.answered(first, new byte[0]);
         assertTrue(near.heard.isEmpty(), "the first attempt was given up");
     }
 
@@ -175,7 +175,7 @@
         ask("free");
         Attempt attempt = out();
         clock.runUntil(() -> clock.now() >= attempt.until(), 1000);
-        host.answered(attempt, new byte[0], null);
+        host.answered(attempt, new byte[0]);
         clock.run(2000);
         assertEquals(List.of("answer 1"), near.heard);
     }
@@ -227,7 +227,7 @@
     @Test
     void aViewerEndsItsSessionAtItsServer() {
         long id = ask("free");
-        host.answered(out(), new byte[0], null);
+        host.answered(out(), new byte[0]);
         host.released(id);
         assertTrue(far.said.contains("release 1"));
         host.over(out().server(), id, Outcome.CANCELLED, null);
@@ -238,9 +238,9 @@
     @Test
     void theEndOfASessionFindsAnotherConnection() {
         long first = ask("free");
-        host.answered(out(), new byte[0], null);
+        host.answered(out(), new byte[0]);
         long second = ask("free");
-        host.answered(out(), new byte[0], null);
+        host.answered(out(), new byte[0]);
         near.open = false;
         other = new Near();
         host.over(far.out.get(0).server(), first, Outcome.OK, null);
@@ -269,12 +269,12 @@
         int before = clock.waiting();
         for (int i = 0; i < 50; i++) {
             long id = ask("free");
-            host.answered(out(), new byte[0], null);
+            host.answered(out(), new byte[0]);
             host.over(out().server(), id, Outcome.OK, null);
             host.heard(id);
         }
         long last = ask("free");
-        host.answered(out(), new byte[0], null);
+        host.answered(out(), new byte[0]);
         host.over(out().server(), last, Outcome.OK, null);
         clock.run(150);
         assertTrue(clock.waiting() <= before + 1, "timers: " + before + " then " + clock.waiting());
@@ -378,7 +378,7 @@
                 ask(name);
             } else if (pick < 5 && attempt != null) {
                 far.out.remove(attempt);
-                host.answered(attempt, new byte[0], null);
+                host.answered(attempt, new byte[0]);
             } else if (pick < 8 && attempt != null) {
                 far.out.remove(attempt);
                 Outcome outcome = List.of(Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET,
--- a/session/src/main/java/spanrill/session/EventSink.java
+++ b/session/src/main/java/spanrill/session/EventSink.java
@@ -8,9 +8,19 @@
     /** A fault of this program; {@code cause} may be null. */
     void error(String event, Throwable cause, Object... fields);
 
+    /** False when it keeps nothing, so that what costs something to say need not be built. */
+    default boolean keeps() {
+        return true;
+    }
+
     /** Keeps nothing. */
     static EventSink none() {
         return new EventSink() {
+            @Override
+            public boolean keeps() {
+                return false;
+            }
+
             @Override
             public void info(String event, Object... fields) { }
 
