One agenda, one listener, pure choices of viewers' connections instead of copies

- session.Agenda (from emulator) serves both; it implements Scheduler.
- wire.Listening binds for both listeners.
- decisions.ViewerRoom picks which connection makes room and which takes what is owed.

Behaviour is meant to be the same.

--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -117,6 +117,27 @@
         assertEquals(0, unread.at(202));
     }
 
+    @Test
+    void whoBroughtNothingMakesRoomFirstAndWhoWaitsNever() {
+        ViewerRoom.Held waits = new ViewerRoom.Held(false, false);
+        ViewerRoom.Held usual = new ViewerRoom.Held(true, true);
+        ViewerRoom.Held silent = new ViewerRoom.Held(true, false);
+        assertEquals(2, ViewerRoom.toClose(List.of(waits, usual, silent, silent)));
+        assertEquals(1, ViewerRoom.toClose(List.of(waits, usual, usual)));
+        assertEquals(ViewerRoom.NONE, ViewerRoom.toClose(List.of(waits)));
+    }
+
+    @Test
+    void whatIsOwedGoesWhereSomethingUsefulCameLastAndThenElsewhere() {
+        List<ViewerRoom.Way> ways = List.of(new ViewerRoom.Way(true, 5), new ViewerRoom.Way(false, 9),
+                new ViewerRoom.Way(true, 7));
+        assertEquals(2, ViewerRoom.toTell(ways, ViewerRoom.NONE));
+        assertEquals(0, ViewerRoom.toTell(ways, 2));
+        assertEquals(2, ViewerRoom.toTell(ways, 0));
+        assertEquals(0, ViewerRoom.toTell(ways.subList(0, 2), 0), "no other");
+        assertEquals(ViewerRoom.NONE, ViewerRoom.toTell(ways.subList(1, 2), 1));
+    }
+
     @Test
     void aStopEndsWhenNothingIsOwedAndBeforeTheKill() {
         StopTimes times = new StopTimes(1000);
--- a/emulator/src/main/java/spanrill/emulator/Front.java
+++ b/emulator/src/main/java/spanrill/emulator/Front.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import spanrill.check.TapEvent;
+import spanrill.session.Agenda;
 import spanrill.session.CoreSettings;
 import spanrill.session.EventSink;
 import spanrill.session.Scheduler;
--- a/emulator/src/main/java/spanrill/emulator/World.java
+++ b/emulator/src/main/java/spanrill/emulator/World.java
@@ -14,6 +14,7 @@
 import spanrill.model.link.LinkNetwork;
 import spanrill.model.player.FrontChoice;
 import spanrill.model.trouble.Effect;
+import spanrill.session.Agenda;
 import spanrill.session.SessionCore;
 import spanrill.session.Title;
 
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.PriorityQueue;
 import spanrill.Control;
 import spanrill.SessionControl.ListKind;
 import spanrill.SessionControl.NoteKind;
@@ -21,8 +20,8 @@
 import spanrill.node.session.ServerSide;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
+import spanrill.session.Agenda;
 import spanrill.session.EventSink;
-import spanrill.session.Scheduler;
 import spanrill.wire.platform.FieldFault;
 import spanrill.wire.platform.Message;
 import spanrill.wire.platform.MessageDecoder;
@@ -40,12 +39,10 @@
     private static final double ANSWER_MS = 60;
     private static final double LASTS_MS = 1500;
 
-    private final PriorityQueue<Due> agenda = new PriorityQueue<>();
+    private final Agenda time = new Agenda();
     private final NodeConfig config;
     private final SessionHost host;
-    private final Time time = new Time();
     private final Sink viewer = new Sink();
-    private long order;
     private int asked;
 
     private WarmUp(NodeConfig config) {
@@ -72,12 +69,8 @@
             int number = i;
             time.after(i * GAP_MS, () -> ask(number));
         }
-        while (!agenda.isEmpty() && System.nanoTime() < until && asked < sessions) {
-            Due next = agenda.poll();
-            time.now = Math.max(time.now, next.at);
-            if (!next.off) {
-                next.action.run();
-            }
+        while (asked < sessions && time.now() < sessions * GAP_MS && System.nanoTime() < until) {
+            time.runUntil(time.now() + GAP_MS);
         }
         return asked;
     }
@@ -113,45 +106,6 @@
         return read.poll();
     }
 
-    private final class Due implements Scheduler.Timer, Comparable<Due> {
-        private final double at;
-        private final long place = order++;
-        private final Runnable action;
-        private boolean off;
-
-        Due(double at, Runnable action) {
-            this.at = at;
-            this.action = action;
-        }
-
-        @Override
-        public void cancel() {
-            off = true;
-        }
-
-        @Override
-        public int compareTo(Due other) {
-            int byTime = Double.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(place, other.place);
-        }
-    }
-
-    private final class Time implements Scheduler {
-        private double now = 1;
-
-        @Override
-        public double now() {
-            return now;
-        }
-
-        @Override
-        public Timer after(double ms, Runnable action) {
-            Due due = new Due(now + Math.max(0, ms), action);
-            agenda.add(due);
-            return due;
-        }
-    }
-
     /** Servers that answer all but a few, tell of themselves, and end sessions after a while. */
     private final class Far implements ServerSide {
         @Override
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -1,26 +1,26 @@
 package spanrill.node.viewer;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.UnreadTime;
 import spanrill.decisions.ViewerPatience;
+import spanrill.decisions.ViewerRoom;
 import spanrill.loop.Clock;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
 import spanrill.session.EventSink;
+import spanrill.wire.Listening;
 import spanrill.wire.platform.Message;
 
 /** Listens for viewers and for the platform's tests. */
@@ -57,16 +57,7 @@
         host = told;
         loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> unread.round(Clock.ticks()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
-                .childHandler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        accept(channel);
-                    }
-                }).bind(address);
+        return Listening.bind(group, address, BACKLOG, MARKS, this::accept);
     }
 
     private void accept(SocketChannel channel) {
@@ -87,18 +78,15 @@
         channel.pipeline().addLast(connection);
     }
 
-    /** Closes the oldest connection on which nobody waits for anything, to let a new one in. */
+    /** Lets a connection go on which nobody waits, for a new one. */
     private boolean makeRoom() {
-        ViewerConnection chosen = null;
-        for (ViewerConnection connection : connections) {
-            if (connection.spare() && (chosen == null || !connection.proven() && chosen.proven())) {
-                chosen = connection;
-            }
-        }
-        if (chosen == null) {
+        List<ViewerConnection> all = List.copyOf(connections);
+        int chosen = ViewerRoom.toClose(all.stream().map(c -> new ViewerRoom.Held(c.spare(),
+                c.proven())).toList());
+        if (chosen == ViewerRoom.NONE) {
             return false;
         }
-        chosen.close();
+        all.get(chosen).close();
         return budget.open() < budget.most();
     }
 
@@ -149,25 +137,12 @@
         host.linkReady(connection);
     }
 
-    /**
-     * A connection that can take a release whose own is gone, or null: the one on which something useful
-     * came last, but not the one given last time while there is another. What was not heard on one may be
-     * heard on the next.
-     */
+    /** A connection that can take a release whose own is gone, or null. */
     public ViewerLink any() {
-        ViewerConnection best = null;
-        ViewerConnection second = null;
-        for (ViewerConnection connection : connections) {
-            if (connection.served() && connection.open()) {
-                if (best == null || connection.usefulAt() > best.usefulAt()) {
-                    second = best;
-                    best = connection;
-                } else if (second == null || connection.usefulAt() > second.usefulAt()) {
-                    second = connection;
-                }
-            }
-        }
-        lastGiven = best == lastGiven && second != null ? second : best;
+        List<ViewerConnection> all = new ArrayList<>(connections);
+        int chosen = ViewerRoom.toTell(all.stream().map(c -> new ViewerRoom.Way(c.served() && c.open(),
+                c.usefulAt())).toList(), all.indexOf(lastGiven));
+        lastGiven = chosen == ViewerRoom.NONE ? null : all.get(chosen);
         return lastGiven;
     }
 }
--- a/emulator/src/main/java/spanrill/emulator/Agenda.java
+++ b/session/src/main/java/spanrill/session/Agenda.java
@@ -1,4 +1,4 @@
-package spanrill.emulator;
+package spanrill.session;
 
 import java.util.Arrays;
 
@@ -8,9 +8,9 @@
  *
  * <p>A cancelled event stays until its time and is passed over then.
  */
-final class Agenda {
+public final class Agenda implements Scheduler {
     /** An event that was set. */
-    static final class Entry {
+    public static final class Entry implements Timer {
         private final double at;
         private final long order;
         private Runnable action;
@@ -21,8 +21,8 @@
             this.action = action;
         }
 
-        /** Stops it; nothing happens when it ran already. */
-        void cancel() {
+        @Override
+        public void cancel() {
             action = null;
         }
 
@@ -37,18 +37,18 @@
     private long orders;
     private long ran;
 
-    /** Now, ms. */
-    double now() {
+    @Override
+    public double now() {
         return now;
     }
 
     /** Events that ran. */
-    long ran() {
+    public long ran() {
         return ran;
     }
 
-    /** Sets an event after a time. */
-    Entry after(double ms, Runnable action) {
+    @Override
+    public Entry after(double ms, Runnable action) {
         Entry entry = new Entry(now + Math.max(0, ms), orders++, action);
         if (size == heap.length) {
             heap = Arrays.copyOf(heap, size * 2);
@@ -63,7 +63,7 @@
     }
 
     /** Runs all events up to a time, that time included; it is now then. */
-    void runUntil(double end) {
+    public void runUntil(double end) {
         while (size > 0 && heap[0].at <= end) {
             Entry next = poll();
             if (next.action != null) {
--- a/emulator/src/test/java/spanrill/emulator/AgendaTest.java
+++ b/session/src/test/java/spanrill/session/AgendaTest.java
@@ -1,4 +1,4 @@
-package spanrill.emulator;
+package spanrill.session;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- /dev/null
+++ b/wire/src/main/java/spanrill/wire/package-info.java
@@ -0,0 +1,2 @@
+/** What all protocols here share on the network. */
+package spanrill.wire;
