Node: stops by stages, sends after it has read, knows the list before it serves

- FrontNode.stop halted once no answer was owed after 0.9 s: answers in the process's own buffers, releases not heard and moves at hand were lost, the listener took connections until the halt, and at 3.5 s it halted over open answers.
Now decisions.StopStages.
- A set-up was written in the round that read it: a close or cancel behind it, a proof in front of a close, and a server's close lay unread.
Attempts now leave after the next round has read (loop.NextRound; Netty tells of a close in a task of that round).
- A cancel on another connection left its id waiting on its own; one read before its set-up was dropped and the set-up sent.
A release read before the session is taken over again was dropped and its server not told.
- A set-up that waited for a connection went to a server that had been called draining meanwhile; it is taken back with proof.
One that waited in vain counted as a time-out, though nothing was written: paid sessions failed that may be refused or go elsewhere.
- A connection given up here while it came up counted as refused by the other end, and with it the sessions there as lost.
No room of our own counted against the server.
- What may stand where an answer was lost or unreadable is released there.
- Events in the body of a refusal of the bulletin were applied.
- The bulletin was asked after the warm-up and beside the first viewers; it is now asked first, and viewers come once what was missed is known or can't be had.
- A look at idle connections could close one with bytes that the loop had yet to read.

--- a/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
@@ -11,10 +11,17 @@
     private static final double SILENT_MS = 2200;
     private static final double ANSWER_MS = 1500;
 
+    // After an answer began, what was missed comes at once: a pause of so long, or nothing at all for longer,
+    // says that it is told. A network's way there and back takes some milliseconds.
+    private static final double PAUSE_MS = 20;
+    private static final double NOTHING_MS = 100;
+
     private final Backoff backoff;
     private double askedAt = Double.NaN;
+    private double answeredAt = Double.NaN;
     private double heardAt = Double.NaN;
     private double againAt = Double.NaN;
+    private boolean brokeOnce;
 
     /** Waits are drawn from the seed. */
     public BulletinWatch(long seed) {
@@ -24,10 +31,16 @@
     /** It is being asked. */
     public void asked(double now) {
         askedAt = now;
+        answeredAt = Double.NaN;
         heardAt = Double.NaN;
         againAt = Double.NaN;
     }
 
+    /** Its answer has begun. */
+    public void answered(double now) {
+        answeredAt = now;
+    }
+
     /** Something came: an event, a part of one, or a comment. */
     public void heard(double now) {
         heardAt = now;
@@ -36,6 +49,7 @@
 
     /** It can't be had, has ended, or told what can't be read. */
     public void broken(double now) {
+        brokeOnce = true;
         if (Double.isNaN(againAt)) {
             againAt = now + backoff.failed();
         }
@@ -48,4 +62,13 @@
         }
         return Double.isNaN(heardAt) ? now - askedAt >= ANSWER_MS : now - heardAt >= SILENT_MS;
     }
+
+    /**
+     * True when what was told before a start is known, as far as it can be had: it counts for a node that has
+     * yet to ask. A node serves viewers from then on.
+     */
+    public boolean caughtUp(double now) {
+        return brokeOnce || now - askedAt >= ANSWER_MS || now - heardAt >= PAUSE_MS
+                || (Double.isNaN(heardAt) && now - answeredAt >= NOTHING_MS);
+    }
 }
--- a/decisions/src/main/java/spanrill/decisions/OwedReleases.java
+++ b/decisions/src/main/java/spanrill/decisions/OwedReleases.java
@@ -93,6 +93,11 @@
         return due;
     }
 
+    /** How many are owed. */
+    public int size() {
+        return owed.size();
+    }
+
     /** True when nothing is owed. */
     public boolean isEmpty() {
         return owed.isEmpty();
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -5,10 +5,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import spanrill.Control;
 import spanrill.SessionControl.ListKind;
@@ -17,7 +20,7 @@
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.DescriptorShares;
 import spanrill.decisions.SilenceWatch;
-import spanrill.decisions.StopTimes;
+import spanrill.decisions.StopStages;
 import spanrill.loop.Clock;
 import spanrill.loop.LoopScheduler;
 import spanrill.node.bulletin.BulletinClient;
@@ -33,22 +36,28 @@
 /** A front node that runs: one event loop with viewers, sessions, servers and the bulletin. */
 public final class FrontNode implements AutoCloseable {
     private static final long STOP_LOOK_MS = 20;
+    private static final long START_LOOK_MS = 5;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final NodeConfig config;
     private final Scheduler scheduler;
+    private final ViewerListener viewers;
     private final ServerTable servers;
     private final SessionHost host;
     private final BulletinClient bulletin;
     private final Channel listening;
+    private final List<Roster> early = new ArrayList<>();
+    private boolean begun;
+    private ScheduledFuture<?> stopping;
 
-    private FrontNode(NodeConfig config, EventSink log, EventSink trace) throws IOException {
+    private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile)
+            throws IOException {
         this.config = config;
         scheduler = new LoopScheduler(loop, new Clock());
         DescriptorShares shares = new DescriptorShares(config.sockets());
-        ViewerListener viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()),
+        viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()),
                 config.retryAfter(), log, trace);
         servers = new ServerTable(loop, new ServerTimes((int) Math.ceil(config.connectMs()), config.idleMs(),
                 SilenceWatch.silentMs(config.settings().tellMs(), config.settings().seeMs())),
@@ -56,13 +65,13 @@
         host = new SessionHost(config.settings(), scheduler, log, trace, servers, viewers::any,
                 actions -> new Control(config.settings(), config.seed(), actions));
         bulletin = new BulletinClient(loop, log, config.bulletin(), config.knownNo(), config.seed(),
-                event -> listed(event, event.whole() ? ListKind.WHOLE : ListKind.CHANGES));
-        loop.submit(() -> {
-            host.start();
-            servers.begin(host);
-            config.known().forEach(event -> listed(event, event.whole() ? ListKind.KEPT : ListKind.CHANGES));
-            bulletin.start();
-        }).syncUninterruptibly();
+                this::told);
+        loop.submit(bulletin::start).syncUninterruptibly();
+        meanwhile.run();
+        Promise<Void> caughtUp = loop.newPromise();
+        loop.execute(() -> awaitList(caughtUp));
+        caughtUp.awaitUninterruptibly();
+        loop.submit(() -> begin(config.known())).syncUninterruptibly();
         ChannelFuture bound = viewers.bind(group, config.listen(), host).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             close();
@@ -77,7 +86,47 @@
      * @throws IOException when the address can't be had
      */
     public static FrontNode start(NodeConfig config, EventSink log, EventSink trace) throws IOException {
-        return new FrontNode(config, log, trace);
+        return start(config, log, trace, () -> { });
+    }
+
+    /**
+     * Starts a node. The bulletin is asked first, since what it told counts whether it was asked or not;
+     * viewers are served once that is known, or can't be had, and {@code meanwhile} has run.
+     *
+     * @throws IOException when the address can't be had
+     */
+    public static FrontNode start(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile)
+            throws IOException {
+        return new FrontNode(config, log, trace, meanwhile);
+    }
+
+    private void awaitList(Promise<Void> caughtUp) {
+        if (bulletin.caughtUp()) {
+            caughtUp.setSuccess(null);
+        } else {
+            loop.schedule(() -> awaitList(caughtUp), START_LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void begin(List<Roster> known) {
+        host.start();
+        servers.begin(host);
+        known.forEach(event -> listed(event, event.whole() ? ListKind.KEPT : ListKind.CHANGES));
+        begun = true;
+        early.forEach(this::told);
+        early.clear();
+    }
+
+    /** Events of the bulletin; those that come before the module has started wait. */
+    private void told(Roster event) {
+        if (begun) {
+            listed(event, event.whole() ? ListKind.WHOLE : ListKind.CHANGES);
+        } else {
+            if (event.whole()) {
+                early.clear();
+            }
+            early.add(event);
+        }
     }
 
     private void listed(Roster event, ListKind kind) {
@@ -88,7 +137,7 @@
             if (server.state() == ServerState.GONE) {
                 servers.gone(server.id());
             } else {
-                servers.listed(server.id(), member.address());
+                servers.listed(server.id(), member.address(), server.state() == ServerState.DRAINING);
                 if (!Double.isNaN(server.startedAt())) {
                     host.restarted(server.id(), server.startedAt());
                 }
@@ -98,6 +147,8 @@
             servers.only(list);
         }
         host.servers(kind, list);
+        // After the module has heard it: what comes back unsent goes elsewhere.
+        servers.takeBack();
     }
 
     /** Takes up what a new configuration changes: where the bulletin is asked. */
@@ -106,21 +157,34 @@
     }
 
     /**
-     * Goes on serving for as long as requests may come, gives every answer, then ends; {@code done} is
-     * told.
+     * Ends by the stages of {@link StopStages}: goes on serving for as long as requests may come, gives every
+     * answer and lets it go out; {@code done} is told once, and has to end the process.
      */
     public void stop(Runnable done) {
         loop.execute(() -> {
+            if (stopping != null) {
+                return;
+            }
             double began = scheduler.now();
-            StopTimes times = new StopTimes(config.deadlineMs());
-            loop.scheduleAtFixedRate(() -> {
-                if (times.over(scheduler.now() - began, host.open())) {
-                    done.run();
-                }
-            }, STOP_LOOK_MS, STOP_LOOK_MS, TimeUnit.MILLISECONDS);
+            StopStages stages = new StopStages(config.deadlineMs());
+            stopping = loop.scheduleAtFixedRate(() -> stop(stages, scheduler.now() - began, done),
+                    STOP_LOOK_MS, STOP_LOOK_MS, TimeUnit.MILLISECONDS);
         });
     }
 
+    private void stop(StopStages stages, double sinceMs, Runnable done) {
+        switch (stages.look(sinceMs, new StopStages.View(host.open(), host.owed() + servers.owed(),
+                viewers.unsent() || servers.unsent(), viewers.quietMs()))) {
+            case CLOSE_LISTENER -> listening.close();
+            case ANSWER_ALL -> host.answerAll();
+            case END -> {
+                stopping.cancel(false);
+                done.run();
+            }
+            default -> { }
+        }
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) listening.localAddress();
@@ -131,9 +195,19 @@
         return loop.submit(host::size).syncUninterruptibly().getNow();
     }
 
+    /** The loop that all of it runs on: whoever holds it up decides what lies unread together. */
+    Executor loop() {
+        return loop;
+    }
+
+    /** True while something that was said lies in buffers of this process; may be asked from any thread. */
+    boolean unsent() {
+        return loop.submit(() -> viewers.unsent() || servers.unsent()).syncUninterruptibly().getNow();
+    }
+
     /** Waits until it is stopped. */
     public void join() throws InterruptedException {
-        listening.closeFuture().await();
+        group.terminationFuture().await();
     }
 
     /** Stops at once. */
--- a/node/src/main/java/spanrill/node/Main.java
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -24,12 +24,12 @@
         FrontNode node = null;
         try {
             // Before all else, and in place of the runtime's own: SIGHUP would end the program.
-            Signals.on("HUP", () -> { });
+            if (!Signals.on("HUP", () -> { })) {
+                log.error("signal.ignored", null, "signal", "HUP", "reason",
+                        "started with it ignored: a new configuration can't be taken up");
+            }
             NodeConfig config = NodeConfig.read(Path.of(file));
-            long began = System.nanoTime();
-            int played = WarmUp.run(config, WARM_SESSIONS, WARM_MS);
-            log.info("node.warm", "sessions", played, "ms", (System.nanoTime() - began) / 1_000_000);
-            node = FrontNode.start(config, log, Trace.open(config.name()));
+            node = FrontNode.start(config, log, Trace.open(config.name()), () -> warmUp(config, log));
         } catch (SetupFault fault) {
             System.err.println("spanrill node: " + file + ": " + fault.getMessage());
             System.exit(WRONG_SETUP);
@@ -51,6 +51,12 @@
         running.join();
     }
 
+    private static void warmUp(NodeConfig config, LineLog log) {
+        long began = System.nanoTime();
+        int played = WarmUp.run(config, WARM_SESSIONS, WARM_MS);
+        log.info("node.warm", "sessions", played, "ms", (System.nanoTime() - began) / 1_000_000);
+    }
+
     private static void reload(FrontNode node, String file, LineLog log) {
         try {
             node.reconfigure(NodeConfig.read(Path.of(file)));
--- a/node/src/main/java/spanrill/node/Signals.java
+++ b/node/src/main/java/spanrill/node/Signals.java
@@ -9,7 +9,11 @@
 final class Signals {
     private Signals() { }
 
-    /** Runs the action on a thread of the runtime's at each such signal; false when that can't be had. */
+    /**
+     * Runs the action on a thread of the runtime's at each such signal; false when that can't be had, as
+     * where the process was started with the signal ignored (by nohup, say): the runtime leaves it so,
+     * unsaid.
+     */
     static boolean on(String name, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
@@ -24,9 +28,9 @@
                         case "equals" -> self == args[0];
                         default -> name;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance(name), proxy);
-            return true;
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             return false;
         }
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -125,7 +125,9 @@
         }
 
         @Override
-        public void giveUp(Attempt attempt) { }
+        public boolean giveUp(Attempt attempt) {
+            return false;
+        }
 
         @Override
         public void release(String server, long session) { }
@@ -148,6 +150,9 @@
             through(new Message(MessageType.ANSWER, session).with(Parameter.DESCRIPTION, description));
         }
 
+        @Override
+        public void withdrawn(long session) { }
+
         @Override
         public void release(long session, End end, double stayAwayMs) {
             through(new Message(MessageType.RELEASE, session).withCause(16));
--- a/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
+++ b/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
@@ -66,6 +66,11 @@
         ask();
     }
 
+    /** True when what was missed is known, as far as it can be had. */
+    public boolean caughtUp() {
+        return watch.caughtUp(Clock.ticks());
+    }
+
     private void look() {
         if (watch.due(Clock.ticks())) {
             drop();
@@ -100,8 +105,10 @@
             connection = opened;
             Headers headers = new Headers().add("host", address.getHostString() + ":" + address.getPort())
                     .add("accept", "text/event-stream").add("last-event-id", Long.toString(last));
-            if (stream != this || !opened.send("GET", PATH, headers, new byte[0], this)) {
-                opened.abandon();
+            if (stream != this) {
+                // Moved, or given up, while it was coming up.
+                abandon();
+            } else if (!opened.send("GET", PATH, headers, new byte[0], this)) {
                 broken();
             }
         }
@@ -112,8 +119,11 @@
             }
         }
 
+        /** Nothing more is taken from it, whatever it goes on to send. */
         private void broken() {
             if (stream == this) {
+                stream = null;
+                abandon();
                 watch.broken(Clock.ticks());
             }
         }
@@ -123,6 +133,8 @@
             if (head.status() != 200) {
                 log.info("bulletin.refused", "status", head.status());
                 broken();
+            } else if (stream == this) {
+                watch.answered(Clock.ticks());
             }
         }
 
@@ -136,7 +148,6 @@
                 events.feed(part);
             } catch (HttpFault fault) {
                 log.info("bulletin.malformed", "reason", fault.getMessage());
-                abandon();
                 broken();
             }
         }
@@ -151,7 +162,6 @@
             } catch (SetupFault fault) {
                 // The list in force stays whole; the same event is asked for again.
                 log.info("bulletin.malformed", "id", id, "reason", fault.getMessage());
-                abandon();
                 broken();
                 return;
             }
@@ -160,7 +170,6 @@
             }
             if (roster.no() > last + 1 && !roster.whole()) {
                 log.info("bulletin.gap", "after", last, "came", roster.no());
-                abandon();
                 broken();
                 return;
             }
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -6,11 +6,14 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import spanrill.SessionControl.Outcome;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.LinkChoice;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.OutcomeTable.Event;
+import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.SilenceWatch;
 import spanrill.loop.Clock;
+import spanrill.loop.NextRound;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
@@ -31,6 +34,7 @@
 
     private final String id;
     private final EventLoop loop;
+    private final NextRound nextRound;
     private final ServerTimes times;
     private final ConnectionBudget budget;
     private final SessionHost host;
@@ -43,16 +47,18 @@
     private InetSocketAddress address;
     private int most = 2;
     private int standing;
+    private boolean draining;
     private boolean gone;
     private boolean replaced;
     private double openAfter;
     private boolean refusedLast;
 
-    Server(String id, InetSocketAddress address, EventLoop loop, ServerTimes times, ConnectionBudget budget,
-            SessionHost host, EventSink log, EventSink trace) {
+    Server(String id, InetSocketAddress address, EventLoop loop, NextRound nextRound, ServerTimes times,
+            ConnectionBudget budget, SessionHost host, EventSink log, EventSink trace) {
         this.id = id;
         this.address = address;
         this.loop = loop;
+        this.nextRound = nextRound;
         this.times = times;
         this.budget = budget;
         this.host = host;
@@ -70,12 +76,13 @@
         return address;
     }
 
-    void listed(InetSocketAddress at) {
+    void listed(InetSocketAddress at, boolean drains) {
         trace.info("listed", "server", id, "address", at);
         if (!at.equals(address)) {
             address = at;
             links.forEach(ServerLink::retire);
         }
+        draining = drains;
         gone = false;
         replaced = false;
     }
@@ -96,6 +103,11 @@
         lostIfDead();
     }
 
+    /** True when nothing new may go there. */
+    boolean leaving() {
+        return draining || gone;
+    }
+
     /** True when nothing of it is left. */
     boolean finished() {
         return gone && standing == 0 && links.isEmpty();
@@ -111,19 +123,40 @@
         }
         int chosen = choice.choose(seen, !replaced && links.size() < most && budget.open() < budget.most());
         if (chosen == LinkChoice.NONE) {
-            host.ended(attempt, Outcome.CONNECT_FAILED, null);
+            // A lack of room here says nothing against the server; that another has its address does.
+            host.ended(attempt, OutcomeTable.read(Stage.CONNECTING, replaced ? Event.CONNECT_REFUSED
+                    : Event.NO_ROOM), null);
             return;
         }
         ServerLink link = chosen == LinkChoice.NEW ? open() : links.get(chosen);
         link.setUp(attempt);
     }
 
-    void giveUp(Attempt attempt) {
-        for (ServerLink link : List.copyOf(links)) {
-            if (link.giveUp(attempt)) {
-                return;
+    /** True when nothing of it was written. */
+    boolean giveUp(Attempt attempt) {
+        for (ServerLink link : links) {
+            if (link.holds(attempt)) {
+                return link.giveUp(attempt);
             }
         }
+        return false;
+    }
+
+    /** What waits for a connection to come up: it is no longer to be sent. */
+    List<Attempt> takeBack() {
+        List<Attempt> all = new ArrayList<>();
+        links.forEach(link -> all.addAll(link.takeBack()));
+        return all;
+    }
+
+    /** True while a release waits for a connection that is coming up. */
+    boolean owes() {
+        return !owedReleases.isEmpty() && links.stream().anyMatch(link -> !link.connected());
+    }
+
+    /** True while something lies in buffers of this process. */
+    boolean unsent() {
+        return links.stream().anyMatch(ServerLink::unsent);
     }
 
     void release(long session) {
@@ -131,13 +164,30 @@
         if (link != null) {
             link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
         } else if (!gone && !replaced) {
-            if (owedReleases.size() < MOST_OWED) {
-                owedReleases.add(session);
-            }
+            releaseLater(session);
             reach();
         }
     }
 
+    /**
+     * A session may stand here though nobody knows it: its answer was lost with its connection, or could not
+     * be read. It is released when there is a connection; none is opened for it.
+     */
+    void mayStand(long session) {
+        ServerLink link = live();
+        if (link != null) {
+            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+        } else if (!gone && !replaced) {
+            releaseLater(session);
+        }
+    }
+
+    private void releaseLater(long session) {
+        if (owedReleases.size() < MOST_OWED) {
+            owedReleases.add(session);
+        }
+    }
+
     void rung(long session, int rung) {
         ServerLink link = holding(session);
         link = link == null ? live() : link;
@@ -159,7 +209,7 @@
 
     private ServerLink holding(long session) {
         for (ServerLink link : links) {
-            if (link.holds(session)) {
+            if (link.carries(session)) {
                 return link;
             }
         }
@@ -182,7 +232,7 @@
 
     private ServerLink open() {
         budget.opened();
-        ServerLink link = new ServerLink(this, host);
+        ServerLink link = new ServerLink(this, host, nextRound);
         links.add(link);
         link.connect(loop, address, times.connectMs());
         return link;
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -8,14 +8,18 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.NoteKind;
 import spanrill.SessionControl.Outcome;
@@ -24,6 +28,7 @@
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.ReleaseMeaning;
 import spanrill.loop.Clock;
+import spanrill.loop.NextRound;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.setup.SetupReader;
@@ -48,6 +53,9 @@
     private final SessionHost host;
     private final MessageDecoder decoder = new MessageDecoder();
     private final Map<Long, Attempt> open = new LinkedHashMap<>();
+    // Of those open, the ones of which nothing was written yet.
+    private final Set<Attempt> unwritten = new LinkedHashSet<>();
+    private final NextRound nextRound;
     private Channel channel;
     private boolean connected;
     private boolean suspect;
@@ -57,9 +65,10 @@
     private double usedAt = Clock.ticks();
     private double heardAt = usedAt;
 
-    ServerLink(Server server, SessionHost host) {
+    ServerLink(Server server, SessionHost host, NextRound nextRound) {
         this.server = server;
         this.host = host;
+        this.nextRound = nextRound;
     }
 
     void connect(EventLoop loop, InetSocketAddress address, int connectMs) {
@@ -71,8 +80,11 @@
             if (f.isSuccess()) {
                 opened();
             } else {
-                boolean timedOut = f.cause() instanceof ConnectTimeoutException;
-                finish(timedOut ? Event.CONNECT_TIMED_OUT : Event.CONNECT_REFUSED, !timedOut);
+                // Refused by the other end, and neither late nor closed here meanwhile: only that says that
+                // no process listens there.
+                boolean refused = f.cause() instanceof ConnectException
+                        && !(f.cause() instanceof ConnectTimeoutException);
+                finish(refused ? Event.CONNECT_REFUSED : Event.CONNECT_TIMED_OUT, refused);
             }
         });
     }
@@ -80,10 +92,14 @@
     private void opened() {
         connected = true;
         heardAt = Clock.ticks();
-        List<Attempt> waiting = new ArrayList<>(open.values());
         server.opened(this);
-        for (Attempt attempt : waiting) {
-            if (open.get(attempt.session()) == attempt) {
+        // What came while this connection did is read first: the viewers may have left.
+        nextRound.execute(this::writeWaiting);
+    }
+
+    private void writeWaiting() {
+        for (Attempt attempt : List.copyOf(unwritten)) {
+            if (!over && unwritten.contains(attempt)) {
                 write(attempt);
             }
         }
@@ -95,10 +111,20 @@
         return open.size();
     }
 
-    boolean holds(long session) {
+    boolean carries(long session) {
         return open.containsKey(session);
     }
 
+    boolean holds(Attempt attempt) {
+        return open.get(attempt.session()) == attempt;
+    }
+
+    /** True while something lies in buffers of this process. */
+    boolean unsent() {
+        ChannelOutboundBuffer out = connected ? channel.unsafe().outboundBuffer() : null;
+        return out != null && !out.isEmpty();
+    }
+
     boolean connected() {
         return connected && !over;
     }
@@ -125,12 +151,14 @@
     void setUp(Attempt attempt) {
         usedAt = Clock.ticks();
         open.put(attempt.session(), attempt);
+        unwritten.add(attempt);
         if (connected) {
             write(attempt);
         }
     }
 
     private void write(Attempt attempt) {
+        unwritten.remove(attempt);
         SetUp asked = attempt.setUp();
         Message message = new Message(MessageType.SET_UP, attempt.session())
                 .with(Parameter.CLASS, asked.className())
@@ -156,17 +184,23 @@
         return channel.writeAndFlush(out);
     }
 
-    /** True when the attempt was open here. */
+    /** Gives up an attempt that is held here; true when nothing of it was written. */
     boolean giveUp(Attempt attempt) {
-        if (open.get(attempt.session()) != attempt) {
-            return false;
-        }
         open.remove(attempt.session());
-        if (connected) {
-            send(new Message(MessageType.RELEASE, attempt.session()).withCause(Cause.NORMAL_CLEARING));
-            suspect |= host.leftMs(attempt) <= 1;
+        if (unwritten.remove(attempt)) {
+            return true;
         }
-        return true;
+        send(new Message(MessageType.RELEASE, attempt.session()).withCause(Cause.NORMAL_CLEARING));
+        suspect |= host.leftMs(attempt) <= 1;
+        return false;
+    }
+
+    /** What waits for the connection to come up; it is open here no longer. */
+    List<Attempt> takeBack() {
+        List<Attempt> waiting = List.copyOf(unwritten);
+        unwritten.clear();
+        waiting.forEach(attempt -> open.remove(attempt.session()));
+        return waiting;
     }
 
     /** Takes nothing new and closes once nothing is open on it. */
@@ -227,6 +261,7 @@
         if (description == null || message.repeated()) {
             // Framed well, yet no answer: what else comes here can't be trusted either.
             suspect = true;
+            server.mayStand(attempt.session());
             host.ended(attempt, Outcome.RESET, null);
             return;
         }
@@ -291,11 +326,16 @@
         over = true;
         decoder.drop();
         List<Attempt> lost = new ArrayList<>(open.values());
+        Set<Attempt> unsent = Set.copyOf(unwritten);
         open.clear();
-        Outcome outcome = OutcomeTable.read(connected ? Stage.WRITTEN : Stage.CONNECTING, event);
+        unwritten.clear();
         server.ended(this, refused);
         for (Attempt attempt : lost) {
-            host.ended(attempt, outcome, null);
+            boolean never = unsent.contains(attempt);
+            if (!never) {
+                server.mayStand(attempt.session());
+            }
+            host.ended(attempt, OutcomeTable.read(never ? Stage.CONNECTING : Stage.WRITTEN, event), null);
         }
     }
 }
--- a/node/src/main/java/spanrill/node/server/ServerTable.java
+++ b/node/src/main/java/spanrill/node/server/ServerTable.java
@@ -5,12 +5,17 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.ConnectionBudget;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.OutcomeTable.Event;
+import spanrill.decisions.OutcomeTable.Stage;
+import spanrill.loop.NextRound;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.ServerSide;
 import spanrill.node.session.SessionHost;
@@ -25,13 +30,16 @@
     private final ConnectionBudget budget;
     private final EventSink log;
     private final EventSink trace;
+    private final NextRound nextRound;
     private final Map<String, Server> servers = new HashMap<>();
+    private final Set<Attempt> unsent = new LinkedHashSet<>();
     private SessionHost host;
 
     /** Connections are opened on the loop, within the budget. */
     public ServerTable(EventLoop loop, ServerTimes times, ConnectionBudget budget, EventSink log,
             EventSink trace) {
         this.loop = loop;
+        nextRound = new NextRound(loop);
         this.times = times;
         this.budget = budget;
         this.log = log;
@@ -44,11 +52,11 @@
         loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** A server is listed at an address. */
-    public void listed(String id, InetSocketAddress address) {
+    /** A server is listed at an address; {@code draining}: nothing new goes there. */
+    public void listed(String id, InetSocketAddress address, boolean draining) {
         Server listed = servers.computeIfAbsent(id,
-                i -> new Server(i, address, loop, times, budget, host, log, trace));
-        listed.listed(address);
+                i -> new Server(i, address, loop, nextRound, times, budget, host, log, trace));
+        listed.listed(address, draining);
         for (Server other : servers.values()) {
             if (!other.id().equals(id) && other.address().equals(address)) {
                 // A new server has taken the address: nothing that is opened there reaches the old one.
@@ -72,6 +80,28 @@
         servers.values().stream().filter(server -> !named.contains(server.id())).forEach(Server::gone);
     }
 
+    /**
+     * Takes back what waits for a connection to a server that is leaving: a connection may come up later than
+     * new set-ups may reach it.
+     */
+    public void takeBack() {
+        for (Server server : List.copyOf(servers.values())) {
+            if (server.leaving()) {
+                server.takeBack().forEach(this::unoffered);
+            }
+        }
+    }
+
+    /** Connections on which a release is yet to go out, or the proof that it can't. */
+    public int owed() {
+        return (int) servers.values().stream().filter(Server::owes).count();
+    }
+
+    /** True while something that was said lies in buffers of this process. */
+    public boolean unsent() {
+        return !unsent.isEmpty() || servers.values().stream().anyMatch(Server::unsent);
+    }
+
     private void look() {
         List<Server> done = new ArrayList<>();
         int each = Math.max(2, budget.most() / Math.max(1, servers.size()));
@@ -84,22 +114,46 @@
         done.forEach(server -> servers.remove(server.id()));
     }
 
+    /** Goes out when what came before this was read: its viewer may have left, the server may have closed. */
     @Override
     public void setUp(Attempt attempt) {
+        if (unsent.isEmpty()) {
+            nextRound.execute(this::send);
+        }
+        unsent.add(attempt);
+    }
+
+    private void send() {
+        for (Attempt attempt : List.copyOf(unsent)) {
+            // What becomes of one may give up another.
+            if (unsent.remove(attempt)) {
+                send(attempt);
+            }
+        }
+    }
+
+    private void send(Attempt attempt) {
         Server server = servers.get(attempt.server());
         if (server == null) {
             host.ended(attempt, Outcome.CONNECT_FAILED, null);
+        } else if (server.leaving()) {
+            unoffered(attempt);
         } else {
             server.setUp(attempt);
         }
     }
 
+    private void unoffered(Attempt attempt) {
+        host.ended(attempt, OutcomeTable.read(Stage.CONNECTING, Event.NO_ROOM), null);
+    }
+
     @Override
-    public void giveUp(Attempt attempt) {
-        Server server = servers.get(attempt.server());
-        if (server != null) {
-            server.giveUp(attempt);
+    public boolean giveUp(Attempt attempt) {
+        if (unsent.remove(attempt)) {
+            return true;
         }
+        Server server = servers.get(attempt.server());
+        return server != null && server.giveUp(attempt);
     }
 
     @Override
@@ -113,7 +167,8 @@
     @Override
     public void rung(String id, long session, int rung) {
         Server server = servers.get(id);
-        if (server != null) {
+        // A set-up that is still to go out takes its rung with it.
+        if (server != null && unsent.stream().noneMatch(attempt -> attempt.session() == session)) {
             server.rung(session, rung);
         }
     }
--- a/node/src/main/java/spanrill/node/session/Attempt.java
+++ b/node/src/main/java/spanrill/node/session/Attempt.java
@@ -7,13 +7,11 @@
     private final NodeSession session;
     private final String server;
     private final double until;
-    private final int rung;
 
-    Attempt(NodeSession session, String server, double until, int rung) {
+    Attempt(NodeSession session, String server, double until) {
         this.session = session;
         this.server = server;
         this.until = until;
-        this.rung = rung;
     }
 
     /** The session that it is for. */
@@ -36,9 +34,9 @@
         return until;
     }
 
-    /** The rung, or -1: the lowest of the class. */
+    /** The rung as it is asked for now, or -1: the lowest of the class. */
     public int rung() {
-        return rung;
+        return session.rung;
     }
 
     NodeSession owner() {
--- a/node/src/main/java/spanrill/node/session/ServerSide.java
+++ b/node/src/main/java/spanrill/node/session/ServerSide.java
@@ -5,8 +5,12 @@
     /** Sends a set-up; exactly one of {@code answered} and {@code ended} follows, unless it is given up. */
     void setUp(Attempt attempt);
 
-    /** Gives an attempt up; nothing is told of it any more. */
-    void giveUp(Attempt attempt);
+    /**
+     * Gives an attempt up; nothing is told of it any more.
+     *
+     * @return true when nothing of it was written: proof that it never ran
+     */
+    boolean giveUp(Attempt attempt);
 
     /** Ends a session that stands. */
     void release(String server, long session);
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,8 @@
 import spanrill.SessionControl.Request;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
+import spanrill.decisions.OutcomeTable;
+import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.RecentlyOver;
 import spanrill.decisions.SessionState.Event;
 import spanrill.decisions.SessionState.Phase;
@@ -43,6 +46,10 @@
     // The list tells of a new server some seconds late.
     private static final double UNLISTED_MS = 6000;
     private static final int MOST_MOVED = 8192;
+    // A release may be read before the set-up that it ends, where the two come on two connections; after a
+    // start also before the session is told of again. The rules give 8 s for what has to be released.
+    private static final double EARLY_MS = 8000;
+    private static final int MOST_EARLY = 2048;
 
     private final SessionControl.Settings settings;
     private final Map<String, Boolean> onceByClass = new HashMap<>();
@@ -59,6 +66,8 @@
     private final Set<String> listed = new HashSet<>();
     private final Map<Long, NodeSession> moving = new HashMap<>();
     private final RecentlyOver<Boolean> moved = new RecentlyOver<>(RETURN_MS, MOST_MOVED);
+    private final RecentlyOver<Boolean> releasedEarly = new RecentlyOver<>(EARLY_MS, MOST_EARLY);
+
     /**
      * A host; {@code module} makes the module for its actions.
      *
@@ -144,11 +153,19 @@
         session.settled();
         stands(session);
         turns.tell(now -> control.takenOver(now, request, session.server));
-        if (!listed.contains(session.server)) {
+        if (withdrawnBefore(session.id())) {
+            // Its viewer ended it while no node held it: its server has not heard of that.
+            released(session.id());
+        } else if (!listed.contains(session.server)) {
             turns.after(UNLISTED_MS, now -> unlisted(session));
         }
     }
 
+    /** True, once, when its viewer released it before it was known here: no answer is owed. */
+    public boolean withdrawnBefore(long id) {
+        return releasedEarly.take(scheduler.now(), HexFormat.of().toHexDigits(id)) != null;
+    }
+
     /** Guards against sessions said to play at servers that don't exist: they would stand for good. */
     private void unlisted(NodeSession session) {
         if (session.state().inPlay() && !listed.contains(session.server)) {
@@ -169,6 +186,7 @@
         NodeSession session = sessions.get(id);
         trace.info("viewerReleases", "id", session == null ? id : session.name(), "known", session != null);
         if (session == null) {
+            releasedEarly.over(scheduler.now(), HexFormat.of().toHexDigits(id), true);
             return false;
         }
         if (session.state().answerOwed()) {
@@ -200,6 +218,7 @@
             servers.giveUp(session.attempt);
         }
         forget(session);
+        session.link.withdrawn(session.id());
         turns.tell(now -> control.gone(now, session.name()));
     }
 
@@ -302,6 +321,16 @@
         return (int) sessions.values().stream().filter(s -> s.state().answerOwed()).count();
     }
 
+    /** Sessions that are over, of which a viewer has yet to be told or a server to tell. */
+    public int owed() {
+        return moving.size() + releases.size();
+    }
+
+    /** Gives each answer that is still owed: there will be no time for a better one. */
+    public void answerAll() {
+        turns.tell(now -> List.copyOf(sessions.values()).forEach(session -> overdue(now, session)));
+    }
+
     /** Sessions held, open or standing. */
     public int size() {
         return sessions.size();
@@ -336,6 +365,10 @@
         byName.remove(session.name());
     }
 
+    private static Outcome timedOut(boolean unsent) {
+        return OutcomeTable.read(unsent ? Stage.CONNECTING : Stage.WRITTEN, OutcomeTable.Event.TIMED_OUT);
+    }
+
     /** The net under the module: an answer that it still owes is given, and an attempt that is out ends. */
     private void overdue(double now, NodeSession session) {
         if (!session.state().answerOwed()) {
@@ -344,9 +377,9 @@
         log.info("answer.overdue", "session", session.name(), "phase", session.state().phase());
         if (session.attempt != null) {
             Attempt out = session.attempt;
-            servers.giveUp(out);
+            boolean unsent = servers.giveUp(out);
             session.attemptOver();
-            session.state().attemptEnded(Outcome.TIMEOUT);
+            session.state().attemptEnded(timedOut(unsent));
         }
         answer(session, Event.FAIL, End.FAILED, 0);
         control.gone(now, session.name());
@@ -382,7 +415,7 @@
             session.state().on(Event.SEND);
             session.sentAt = scheduler.now();
             trace.info("send", "id", request, "server", server, "rung", session.rung);
-            Attempt attempt = new Attempt(session, server, until, session.rung);
+            Attempt attempt = new Attempt(session, server, until);
             session.attempt = attempt;
             session.giveUp = turns.after(until - session.sentAt, now -> due(attempt));
             servers.setUp(attempt);
@@ -398,8 +431,7 @@
         private void timeOut(Attempt attempt) {
             if (attempt.owner().attempt == attempt) {
                 // The give-up leaves before any further attempt of the session can.
-                servers.giveUp(attempt);
-                ended(attempt, Outcome.TIMEOUT, null);
+                ended(attempt, timedOut(servers.giveUp(attempt)), null);
             }
         }
 
@@ -446,14 +478,14 @@
                 fail(request);
                 return;
             }
-                answer(session, Event.REFUSE, End.REFUSED, retryAfterMs);
+            answer(session, Event.REFUSE, End.REFUSED, retryAfterMs);
         }
 
         @Override
         public void fail(String request) {
             NodeSession session = byName.get(request);
             if (session != null && session.state().may(Event.FAIL)) {
-                        answer(session, Event.FAIL, End.FAILED, 0);
+                answer(session, Event.FAIL, End.FAILED, 0);
             }
         }
 
--- a/node/src/main/java/spanrill/node/session/ViewerLink.java
+++ b/node/src/main/java/spanrill/node/session/ViewerLink.java
@@ -8,6 +8,9 @@
     /** The session stands; the server's description. */
     void answer(long session, byte[] description);
 
+    /** A set-up that was open on it was given up, perhaps on another: no answer follows. */
+    void withdrawn(long session);
+
     /** Final answer or end; {@code stayAwayMs} above 0 tells when to come again. */
     void release(long session, End end, double stayAwayMs);
 
--- a/node/src/main/java/spanrill/node/session/ViewerReleases.java
+++ b/node/src/main/java/spanrill/node/session/ViewerReleases.java
@@ -56,6 +56,11 @@
         return owed.heard(id);
     }
 
+    /** Releases that no viewer has heard yet. */
+    int size() {
+        return owed.size();
+    }
+
     private void send(OwedReleases.Owed<End> one, ViewerLink link) {
         owed.sent(turns.now(), one);
         link.release(one.session(), one.end(), 0);
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -60,6 +61,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object part) {
         ByteBuf in = (ByteBuf) part;
+        listener.came();
         try {
             if (!over) {
                 decoder.feed(in, this::message);
@@ -75,10 +77,7 @@
         listener.came(this, message);
         boolean useful = switch (message.type()) {
             case SET_UP -> setUp(message);
-            case RELEASE -> {
-                waiting.remove(message.session());
-                yield host.released(message.session());
-            }
+            case RELEASE -> host.released(message.session());
             case RELEASE_HEARD -> host.heard(message.session());
             case TEST -> {
                 proven = true;
@@ -116,6 +115,9 @@
             listener.good(this);
             return true;
         }
+        if (host.withdrawnBefore(setUp.session())) {
+            return reject(setUp.session(), Cause.TEMPORARY_FAILURE, "its viewer has withdrawn it");
+        }
         double left = setUp.waitMs() - listener.unreadMs();
         if (left < 1) {
             // Its viewer has left: work on it would be for nobody.
@@ -183,6 +185,11 @@
         listener.good(this);
     }
 
+    @Override
+    public void withdrawn(long session) {
+        waiting.remove(session);
+    }
+
     @Override
     public void release(long session, End end, double stayAwayMs) {
         waiting.remove(session);
@@ -241,6 +248,12 @@
         return usefulAt;
     }
 
+    /** True while something lies in buffers of this process. */
+    boolean unsent() {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return out != null && !out.isEmpty();
+    }
+
     /** True when nobody waits for an answer on it. */
     boolean spare() {
         return !over && waiting.isEmpty();
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -17,6 +17,7 @@
 import spanrill.decisions.ViewerPatience;
 import spanrill.decisions.ViewerRoom;
 import spanrill.loop.Clock;
+import spanrill.loop.NextRound;
 import spanrill.node.session.SessionHost;
 import spanrill.node.session.ViewerLink;
 import spanrill.session.EventSink;
@@ -40,6 +41,7 @@
     private final Set<ViewerConnection> connections = new LinkedHashSet<>();
     private SessionHost host;
     private ViewerConnection lastGiven;
+    private double cameAt = Clock.ticks();
 
     /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
     public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log,
@@ -55,12 +57,16 @@
     /** Listens; the future tells when, or why not. */
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
         host = told;
-        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        // After a round that reads: one that lay unread while the loop was busy must not be taken for idle.
+        NextRound nextRound = new NextRound(loop);
+        loop.scheduleAtFixedRate(() -> nextRound.execute(this::look), LOOK_MS, LOOK_MS,
+                TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> unread.round(Clock.ticks()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
         return Listening.bind(group, address, BACKLOG, MARKS, this::accept);
     }
 
     private void accept(SocketChannel channel) {
+        came();
         if (!budget.opened() && !(makeRoom() && budget.opened())) {
             channel.close();
             if (budget.becameFull()) {
@@ -106,6 +112,20 @@
         return unread.at(Clock.ticks());
     }
 
+    /** Time since something came from a viewer, or a connection was accepted, ms. */
+    public double quietMs() {
+        return Clock.ticks() - cameAt;
+    }
+
+    /** True while something that was said to a viewer lies in buffers of this process. */
+    public boolean unsent() {
+        return connections.stream().anyMatch(ViewerConnection::unsent);
+    }
+
+    void came() {
+        cameAt = Clock.ticks();
+    }
+
     void came(ViewerConnection on, Message message) {
         if (trace.keeps()) {
             trace.info("came", "on", on, "type", message.type(), "id", hex(message.session()));
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -92,6 +92,11 @@
         wires.subList(1, wires.size()).forEach(Wire::reset);
     }
 
+    /** Closes its connections in order, as one that finds them idle; it goes on listening. */
+    void closeConnections() {
+        wires.forEach(Wire::close);
+    }
+
     /** True when all connections to it were ended by the other side in time. */
     boolean allEndWithin(long ms) throws InterruptedException {
         for (Wire wire : wires) {
--- a/node/src/test/java/spanrill/node/Wire.java
+++ b/node/src/test/java/spanrill/node/Wire.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -36,6 +38,36 @@
         return new Wire(socket, (wire, message) -> { });
     }
 
+    /** One that reads nothing until it is told to, with a small buffer for what comes. */
+    static Wire reading(int port, int buffer) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(buffer);
+        socket.connect(new InetSocketAddress("127.0.0.1", port));
+        socket.setTcpNoDelay(true);
+        return new Wire(socket);
+    }
+
+    /** True when no connection can be had there. */
+    static boolean refused(int port) throws IOException {
+        try {
+            new Socket("127.0.0.1", port).close();
+            return false;
+        } catch (ConnectException e) {
+            return true;
+        }
+    }
+
+    private Wire(Socket socket) {
+        this.socket = socket;
+    }
+
+    /** Reads from now on. */
+    void read() {
+        Thread reader = new Thread(() -> run((wire, message) -> { }), "wire");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
     private void run(BiConsumer<Wire, Message> heard) {
         MessageDecoder decoder = new MessageDecoder();
         byte[] part = new byte[4096];
