Node: releases lost with their connection go again; max_streams and probing are kept

Cause, by reading: a release that was written to a connection which then ended was gone, and the session stood at its server for good (Server.opened cleared what it owed as soon as it had written it). The node's own figures came before the customer's: 32 set-ups on a connection whatever limits.max_streams says, tests of servers whatever limits.probing says.

- decisions.SaidReleases: what was written in the last second before a connection's end, and of which the server has not spoken, is said again on another.
- limits.max_streams bounds the set-ups on a connection, an impossible one is a fault of the configuration; where limits.probing is false a silent server is tried by a connection.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -27,7 +27,7 @@
 import spanrill.node.config.NodeConfig;
 import spanrill.node.config.Roster;
 import spanrill.node.server.ServerTable;
-import spanrill.node.server.ServerTimes;
+import spanrill.node.server.ServerLimits;
 import spanrill.node.session.SessionHost;
 import spanrill.node.viewer.ViewerListener;
 import spanrill.session.EventSink;
@@ -37,6 +37,8 @@
 public final class FrontNode implements AutoCloseable {
     private static final long STOP_LOOK_MS = 20;
     private static final long START_LOOK_MS = 5;
+    // Set-ups that one answer which can't be read may spoil, where the settings allow more.
+    private static final int MOST_ON_ONE = 32;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
             NioIoHandler.newFactory());
@@ -59,9 +61,7 @@
         DescriptorShares shares = new DescriptorShares(config.sockets());
         viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()),
                 config.retryAfter(), log, trace);
-        servers = new ServerTable(loop, new ServerTimes((int) Math.ceil(config.connectMs()), config.idleMs(),
-                SilenceWatch.silentMs(config.settings().tellMs(), config.settings().seeMs())),
-                        new ConnectionBudget(shares.servers()), log, trace);
+        servers = new ServerTable(loop, limits(config), new ConnectionBudget(shares.servers()), log, trace);
         host = new SessionHost(config.settings(), scheduler, log, trace, servers, viewers::any,
                 actions -> new Control(config.settings(), config.seed(), actions));
         bulletin = new BulletinClient(loop, log, config.bulletin(), config.knownNo(), config.seed(),
@@ -80,6 +80,12 @@
         listening = bound.channel();
     }
 
+    private static ServerLimits limits(NodeConfig config) {
+        return new ServerLimits((int) Math.ceil(config.connectMs()), config.idleMs(),
+                SilenceWatch.silentMs(config.settings().tellMs(), config.settings().seeMs()),
+                Math.min(MOST_ON_ONE, config.maxStreams()), config.mayTest());
+    }
+
     /**
      * Starts a node.
      *
--- a/node/src/main/java/spanrill/node/config/NodeConfig.java
+++ b/node/src/main/java/spanrill/node/config/NodeConfig.java
@@ -25,11 +25,14 @@
  * @param connectMs a connection to a server has failed when it is not up by then, ms
  * @param idleMs servers close idle connections after so long, ms
  * @param deadlineMs the longest deadline of a class, ms
+ * @param maxStreams set-ups that may be open on one connection to a server
+ * @param mayTest true when servers may be tested
  * @param retryAfter true when viewers may be told when to come again
  */
 public record NodeConfig(String name, InetSocketAddress listen, long seed, int sockets,
         InetSocketAddress bulletin, long knownNo, List<Roster> known, Settings settings, double connectMs,
-        double idleMs, double deadlineMs, boolean retryAfter) {
+        double idleMs, int maxStreams, boolean mayTest, double deadlineMs,
+        boolean retryAfter) {
     private static final long MOST_BYTES = 16L << 20;
 
     /**
@@ -60,13 +63,29 @@
         if (sockets < 64) {
             throw pairs.fault("limits.sockets", "leaves no room: at least 64 are needed");
         }
-        boolean retryAfter = !settings.has("limits.retry_after")
-                || settings.text("limits.retry_after").equals("true");
+        boolean retryAfter = allows(settings, "limits.retry_after");
         return new NodeConfig(pairs.text("name"), Roster.address(pairs, "listen", 0), seed(pairs), sockets,
                 Roster.address(pairs, "bulletin"), pairs.has("known.no") ? (long) pairs.number("known.no")
                         : last,
                 known, new SetupReader(settings).settings(), settings.number("limits.connect_timeout"),
-                settings.number("limits.conn_idle"), deadline, retryAfter);
+                settings.number("limits.conn_idle"), maxStreams(settings),
+                allows(settings, "limits.probing"), deadline, retryAfter);
+    }
+
+    /** What the settings don't speak of is allowed. */
+    private static boolean allows(Pairs settings, String key) {
+        return !settings.has(key) || settings.text(key).equals("true");
+    }
+
+    private static int maxStreams(Pairs settings) {
+        if (!settings.has("limits.max_streams")) {
+            return Integer.MAX_VALUE;
+        }
+        int most = settings.integer("limits.max_streams");
+        if (most < 1) {
+            throw settings.fault("limits.max_streams", "lets no set-up through: at least 1 is needed");
+        }
+        return most;
     }
 
     private static long seed(Pairs pairs) {
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/Server.java
@@ -17,7 +17,6 @@
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
-import spanrill.wire.platform.Cause;
 import spanrill.wire.platform.Message;
 import spanrill.wire.platform.MessageType;
 import spanrill.wire.platform.Parameter;
@@ -26,7 +25,6 @@
 final class Server {
     // Idle connections take nothing past this share of the server's idle time, and are closed a little later.
     private static final double IDLE_SHARE = 0.5;
-    private static final int MOST_ON_ONE = 32;
     private static final int MOST_OWED = 4096;
     // One for each set-up up to so many: beyond, the cost of new connections in a rush outweighs what an
     // answer that can't be read would spoil.
@@ -35,7 +33,7 @@
     private final String id;
     private final EventLoop loop;
     private final NextRound nextRound;
-    private final ServerTimes times;
+    private final ServerLimits limits;
     private final ConnectionBudget budget;
     private final SessionHost host;
     private final EventSink log;
@@ -53,19 +51,19 @@
     private double openAfter;
     private boolean refusedLast;
 
-    Server(String id, InetSocketAddress address, EventLoop loop, NextRound nextRound, ServerTimes times,
+    Server(String id, InetSocketAddress address, EventLoop loop, NextRound nextRound, ServerLimits limits,
             ConnectionBudget budget, SessionHost host, EventSink log, EventSink trace) {
         this.id = id;
         this.address = address;
         this.loop = loop;
         this.nextRound = nextRound;
-        this.times = times;
+        this.limits = limits;
         this.budget = budget;
         this.host = host;
         this.log = log;
         this.trace = trace;
-        choice = new LinkChoice(IDLE_SHARE * times.idleMs(), MOST_ON_ONE);
-        silence = new SilenceWatch(times.silentMs(), times.connectMs());
+        choice = new LinkChoice(IDLE_SHARE * limits.idleMs(), limits.mostOnOne());
+        silence = new SilenceWatch(limits.silentMs(), limits.connectMs());
     }
 
     String id() {
@@ -162,7 +160,7 @@
     void release(long session) {
         ServerLink link = live();
         if (link != null) {
-            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+            link.release(session);
         } else if (!gone && !replaced) {
             releaseLater(session);
             reach();
@@ -176,12 +174,17 @@
     void mayStand(long session) {
         ServerLink link = live();
         if (link != null) {
-            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+            link.release(session);
         } else if (!gone && !replaced) {
             releaseLater(session);
         }
     }
 
+    /** Releases that may have been lost with their connection. */
+    void releaseAgain(List<Long> sessions) {
+        sessions.forEach(this::release);
+    }
+
     private void releaseLater(long session) {
         if (owedReleases.size() < MOST_OWED) {
             owedReleases.add(session);
@@ -234,7 +237,7 @@
         budget.opened();
         ServerLink link = new ServerLink(this, host, nextRound);
         links.add(link);
-        link.connect(loop, address, times.connectMs());
+        link.connect(loop, address, limits.connectMs());
         return link;
     }
 
@@ -242,19 +245,20 @@
     private void reach() {
         double now = Clock.ticks();
         if (links.size() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
-            openAfter = now + times.connectMs();
+            openAfter = now + limits.connectMs();
             open();
         }
     }
 
     void opened(ServerLink link) {
         refusedLast = false;
-        if (silence.suspect()) {
+        if (!limits.mayTest()) {
+            // The best word of it that may be asked for.
+            silence.heard(Clock.ticks());
+        } else if (silence.suspect()) {
             link.send(new Message(MessageType.TEST, 0).withCause(0));
         }
-        for (Long session : owedReleases) {
-            link.send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
-        }
+        owedReleases.forEach(link::release);
         owedReleases.clear();
     }
 
@@ -302,7 +306,7 @@
         for (ServerLink link : List.copyOf(links)) {
             boolean idle = link.connected() && link.open() == 0;
             boolean needed = standing > 0 && links.size() == 1 && link.usable();
-            if (idle && (!link.usable() || now - link.usedAt() > IDLE_SHARE * times.idleMs() && !needed
+            if (idle && (!link.usable() || now - link.usedAt() > IDLE_SHARE * limits.idleMs() && !needed
                     || gone && standing == 0)) {
                 link.retire();
             }
@@ -322,7 +326,7 @@
         }
         switch (silence.look(now)) {
             case TEST -> {
-                ServerLink link = live();
+                ServerLink link = limits.mayTest() ? live() : null;
                 if (link != null) {
                     link.send(new Message(MessageType.TEST, 0).withCause(0));
                 }
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -27,6 +27,7 @@
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.ReleaseMeaning;
+import spanrill.decisions.SaidReleases;
 import spanrill.loop.Clock;
 import spanrill.loop.NextRound;
 import spanrill.node.session.Attempt;
@@ -48,6 +49,9 @@
 final class ServerLink extends ChannelInboundHandlerAdapter {
     // More answers than this for set-ups that are not open here: the peer does not end.
     private static final int MOST_STRAY = 64;
+    // A release has to be heard within 1 s, so what was written so long before the end has been.
+    private static final double ARRIVED_MS = 1000;
+    private static final int MOST_SAID = 512;
 
     private final Server server;
     private final SessionHost host;
@@ -55,6 +59,7 @@
     private final Map<Long, Attempt> open = new LinkedHashMap<>();
     // Of those open, the ones of which nothing was written yet.
     private final Set<Attempt> unwritten = new LinkedHashSet<>();
+    private final SaidReleases said = new SaidReleases(ARRIVED_MS, MOST_SAID);
     private final NextRound nextRound;
     private Channel channel;
     private boolean connected;
@@ -184,13 +189,19 @@
         return channel.writeAndFlush(out);
     }
 
+    /** Releases a session that stands, or may. */
+    void release(long session) {
+        said.said(Clock.ticks(), session);
+        send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
+    }
+
     /** Gives up an attempt that is held here; true when nothing of it was written. */
     boolean giveUp(Attempt attempt) {
         open.remove(attempt.session());
         if (unwritten.remove(attempt)) {
             return true;
         }
-        send(new Message(MessageType.RELEASE, attempt.session()).withCause(Cause.NORMAL_CLEARING));
+        release(attempt.session());
         suspect |= host.leftMs(attempt) <= 1;
         return false;
     }
@@ -245,6 +256,7 @@
             case ANSWER -> answer(message);
             case RELEASE -> release(message);
             case NOTE -> note(message);
+            case RELEASE_HEARD -> said.heard(message.session());
             default -> { }
         }
         return !over;
@@ -269,6 +281,7 @@
     }
 
     private void release(Message message) {
+        said.heard(message.session());
         Attempt attempt = open.remove(message.session());
         if (attempt != null) {
             usedAt = heardAt;
@@ -330,6 +343,7 @@
         open.clear();
         unwritten.clear();
         server.ended(this, refused);
+        server.releaseAgain(said.lost(Clock.ticks()));
         for (Attempt attempt : lost) {
             boolean never = unsent.contains(attempt);
             if (!never) {
--- a/node/src/main/java/spanrill/node/server/ServerTable.java
+++ b/node/src/main/java/spanrill/node/server/ServerTable.java
@@ -26,7 +26,7 @@
     private static final long LOOK_MS = 200;
 
     private final EventLoop loop;
-    private final ServerTimes times;
+    private final ServerLimits limits;
     private final ConnectionBudget budget;
     private final EventSink log;
     private final EventSink trace;
@@ -36,11 +36,11 @@
     private SessionHost host;
 
     /** Connections are opened on the loop, within the budget. */
-    public ServerTable(EventLoop loop, ServerTimes times, ConnectionBudget budget, EventSink log,
+    public ServerTable(EventLoop loop, ServerLimits limits, ConnectionBudget budget, EventSink log,
             EventSink trace) {
         this.loop = loop;
         nextRound = new NextRound(loop);
-        this.times = times;
+        this.limits = limits;
         this.budget = budget;
         this.log = log;
         this.trace = trace;
@@ -55,7 +55,7 @@
     /** A server is listed at an address; {@code draining}: nothing new goes there. */
     public void listed(String id, InetSocketAddress address, boolean draining) {
         Server listed = servers.computeIfAbsent(id,
-                i -> new Server(i, address, loop, nextRound, times, budget, host, log, trace));
+                i -> new Server(i, address, loop, nextRound, limits, budget, host, log, trace));
         listed.listed(address, draining);
         for (Server other : servers.values()) {
             if (!other.id().equals(id) && other.address().equals(address)) {
