Node: strangers take no connection of a viewer who was served or is about to ask

Ruled out: a release sent and not heard (the trace shows link=false), descriptors of the servers (nothing refused there).

Change: room is made by who had 0.3 s to ask and did not, then by who was not served, then by viewers without a session, by the longest quiet; never where somebody waits, where a session stands, or on the viewers' connection used last. The pure test of the old order is replaced by one of the whole order.

Two tests with real connections, each seen to fail without its part of the mend.

--- a/decisions/src/main/java/spanrill/decisions/ViewerRoom.java
+++ b/decisions/src/main/java/spanrill/decisions/ViewerRoom.java
@@ -7,28 +7,69 @@
     /** None. */
     public static final int NONE = -1;
 
+    // A viewer's set-up follows its connection at once, but may be under way or lie unread for so long.
+    private static final double YOUNG_MS = 300;
+
     private ViewerRoom() { }
 
+    /** What has come on a connection so far. */
+    public enum Brought {
+        /** Nothing that could be used. */
+        NOTHING,
+        /** A test, or a set-up that was not served. */
+        LITTLE,
+        /** A viewer was served on it. */
+        SERVICE
+    }
+
     /**
      * A connection that may have to go.
      *
-     * @param spare true when nobody waits for an answer on it
-     * @param proven true when something useful came on it
+     * @param waiting set-ups open on it
+     * @param standing sessions that were set up on it and stand: their end is told on it
+     * @param brought what came on it
+     * @param quietMs time since something useful came on it, or since it was accepted
      */
-    public record Held(boolean spare, boolean proven) { }
+    public record Held(int waiting, int standing, Brought brought, double quietMs) { }
 
-    /** The oldest on which nobody waits, one that brought nothing useful first; they come oldest first. */
+    /**
+     * Who makes place for a new connection. First those that have had time to ask and did not, then those
+     * that were not served, then those of viewers without a session, then those that had no time yet; among
+     * equals the longest quiet. Never one on which somebody waits or a session stands, nor the viewers'
+     * connection used last: what ends must be told on one, and strangers in a crowd would cost viewers it.
+     */
     public static int toClose(List<Held> held) {
+        int keep = NONE;
+        for (int i = 0; i < held.size(); i++) {
+            if (held.get(i).brought() == Brought.SERVICE
+                    && (keep == NONE || held.get(i).quietMs() < held.get(keep).quietMs())) {
+                keep = i;
+            }
+        }
         int chosen = NONE;
         for (int i = 0; i < held.size(); i++) {
-            if (held.get(i).spare() && (chosen == NONE || !held.get(i).proven()
-                    && held.get(chosen).proven())) {
+            Held one = held.get(i);
+            if (i != keep && one.waiting() == 0 && one.standing() == 0
+                    && (chosen == NONE || before(one, held.get(chosen)))) {
                 chosen = i;
             }
         }
         return chosen;
     }
 
+    private static boolean before(Held one, Held other) {
+        int byTurn = Integer.compare(turn(one), turn(other));
+        return byTurn != 0 ? byTurn < 0 : one.quietMs() > other.quietMs();
+    }
+
+    private static int turn(Held one) {
+        return switch (one.brought()) {
+            case NOTHING -> one.quietMs() >= YOUNG_MS ? 0 : 3;
+            case LITTLE -> 1;
+            case SERVICE -> 2;
+        };
+    }
+
     /**
      * A connection that may take what is owed.
      *
--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import spanrill.decisions.ViewerRoom.Brought;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.LinkChoice.Link;
 import spanrill.decisions.SilenceWatch.Step;
@@ -119,12 +121,22 @@
 
     @Test
     void whoBroughtNothingMakesRoomFirstAndWhoWaitsNever() {
-        ViewerRoom.Held waits = new ViewerRoom.Held(false, false);
-        ViewerRoom.Held usual = new ViewerRoom.Held(true, true);
-        ViewerRoom.Held silent = new ViewerRoom.Held(true, false);
-        assertEquals(2, ViewerRoom.toClose(List.of(waits, usual, silent, silent)));
-        assertEquals(1, ViewerRoom.toClose(List.of(waits, usual, usual)));
-        assertEquals(ViewerRoom.NONE, ViewerRoom.toClose(List.of(waits)));
+        ViewerRoom.Held waits = new ViewerRoom.Held(1, 0, Brought.NOTHING, 9000);
+        ViewerRoom.Held stands = new ViewerRoom.Held(0, 1, Brought.SERVICE, 9000);
+        ViewerRoom.Held idle = new ViewerRoom.Held(0, 0, Brought.SERVICE, 5000);
+        ViewerRoom.Held recent = new ViewerRoom.Held(0, 0, Brought.SERVICE, 50);
+        ViewerRoom.Held tested = new ViewerRoom.Held(0, 0, Brought.LITTLE, 100);
+        ViewerRoom.Held testedLongAgo = new ViewerRoom.Held(0, 0, Brought.LITTLE, 8000);
+        ViewerRoom.Held silent = new ViewerRoom.Held(0, 0, Brought.NOTHING, 300);
+        ViewerRoom.Held young = new ViewerRoom.Held(0, 0, Brought.NOTHING, 299);
+        List<ViewerRoom.Held> all = new ArrayList<>(List.of(waits, stands, young, idle, recent, tested,
+                testedLongAgo, silent));
+        for (ViewerRoom.Held next : List.of(silent, testedLongAgo, tested, idle, young)) {
+            int chosen = ViewerRoom.toClose(all);
+            assertEquals(next, all.get(chosen));
+            all.remove(chosen);
+        }
+        assertEquals(ViewerRoom.NONE, ViewerRoom.toClose(all), "the last that may tell, waits, stands");
     }
 
     @Test
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ViewerPatience;
+import spanrill.decisions.ViewerRoom;
+import spanrill.decisions.ViewerRoom.Brought;
 import spanrill.loop.Clock;
 import spanrill.node.session.End;
 import spanrill.node.session.SessionHost;
@@ -236,8 +238,10 @@
 
     // ---- its end
 
-    boolean proven() {
-        return proven;
+    /** How it stands where room is needed. */
+    ViewerRoom.Held held(double now) {
+        return new ViewerRoom.Held(waiting.size(), standing, served ? Brought.SERVICE
+                : proven ? Brought.LITTLE : Brought.NOTHING, now - usefulAt);
     }
 
     boolean served() {
@@ -254,11 +258,6 @@
         return out != null && !out.isEmpty();
     }
 
-    /** True when nobody waits for an answer on it. */
-    boolean spare() {
-        return !over && waiting.isEmpty();
-    }
-
     void look(double now) {
         if (!over && listener.patience().over(new ViewerPatience.View(now - acceptedAt, now - usefulAt,
                 waiting.size(), standing, proven, decoder.within()))) {
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerListener.java
@@ -87,8 +87,8 @@
     /** Lets a connection go on which nobody waits, for a new one. */
     private boolean makeRoom() {
         List<ViewerConnection> all = List.copyOf(connections);
-        int chosen = ViewerRoom.toClose(all.stream().map(c -> new ViewerRoom.Held(c.spare(),
-                c.proven())).toList());
+        double now = Clock.ticks();
+        int chosen = ViewerRoom.toClose(all.stream().map(c -> c.held(now)).toList());
         if (chosen == ViewerRoom.NONE) {
             return false;
         }
--- a/node/src/test/java/spanrill/node/HostileViewersTest.java
+++ b/node/src/test/java/spanrill/node/HostileViewersTest.java
@@ -1,6 +1,7 @@
 package spanrill.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -171,6 +172,42 @@
         playing(viewer, "free");
     }
 
+    /** Strangers who ask for a test and stay: the connection of a session that stands is not for them. */
+    @Test
+    void aCrowdThatAsksOnceAndStaysTakesNoConnectionWithASession() throws Exception {
+        Wire viewer = viewer();
+        long id = ask(viewer, "free");
+        ScriptedServer.Got got = atServer();
+        answer(viewer, SOON);
+        for (int i = 0; i < 150; i++) {
+            tested();
+        }
+        got.wire().send(new Message(MessageType.RELEASE, id).withCause(16));
+        Message end = viewer.next(1000);
+        assertNotNull(end, "told on its own connection, at once");
+        assertEquals(id, end.session());
+    }
+
+    /** Room is full of those who have asked: who has had no time to ask yet is not the first to go. */
+    @Test
+    void aConnectionThatIsJustUpMakesNoRoomForOthers() throws Exception {
+        for (int i = 0; i < 130; i++) {
+            tested();
+        }
+        Wire viewer = viewer();
+        for (int i = 0; i < 4; i++) {
+            viewer();
+        }
+        settle();
+        playing(viewer, "free");
+    }
+
+    private void tested() throws Exception {
+        Wire stranger = viewer();
+        stranger.send(new Message(MessageType.TEST, 1).withCause(0));
+        assertEquals(MessageType.TEST_RESULT, stranger.next(SOON).type());
+    }
+
     @Test
     void aViewerThatLeavesHasItsAttemptGivenUp() throws Exception {
         both((wire, message) -> { });
