--- a/node/src/main/java/spanrill/node/server/ServerTable.java
+++ b/node/src/main/java/spanrill/node/server/ServerTable.java
@@ -130,6 +130,10 @@
                 send(attempt);
             }
         }
+        if (!unsent.isEmpty()) {
+            // What came of one made another, while more were left: it has its own round to wait for.
+            nextRound.execute(this::send);
+        }
     }
 
     private void send(Attempt attempt) {
