Node: signals at any time, repetitions that cross their answer, unsolicited answers by rate

(1) A connection to a server was closed under open attempts after 64 unsolicited answers over its life. (3) SIGTERM during the start ended the process with 143, SIGHUP during the start was forgotten.

Change: unsolicited answers are judged by rate (AbuseLimiter); RecentAnswers tells a repetition that crosses its answer within the protocol's 50 ms; SIGTERM ends a starting process at once with 0, SIGHUP is taken up once it serves; a second SIGTERM changes nothing. FrontNode is prepared, then listens.

--- a/decisions/src/test/java/spanrill/decisions/ConnectionLimitsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/ConnectionLimitsTest.java
@@ -46,6 +46,20 @@
         }
     }
 
+    @Test
+    void aSetUpThatCrossesItsAnswerIsARepetition() {
+        RecentAnswers answers = new RecentAnswers();
+        assertFalse(answers.crosses(0, 0), "nothing was answered yet");
+        answers.answered(100, 7);
+        assertTrue(answers.crosses(150, 7));
+        assertFalse(answers.crosses(151, 7), "its client has heard of it by now");
+        for (int id = 1000; id < 1064; id++) {
+            answers.answered(110, id);
+        }
+        assertFalse(answers.crosses(120, 7), "the oldest is forgotten");
+        assertTrue(answers.crosses(120, 1063));
+    }
+
     @Test
     void floodsAreFoundByTheirRateWhateverCameBefore() {
         AbuseLimiter limiter = new AbuseLimiter();
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -53,13 +53,12 @@
     private final ServerTable servers;
     private final SessionHost host;
     private final BulletinClient bulletin;
-    private final Channel listening;
+    private volatile Channel listening;
     private final List<Roster> early = new ArrayList<>();
     private boolean begun;
     private ScheduledFuture<?> stopping;
 
-    private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile)
-            throws IOException {
+    private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile) {
         this.config = config;
         this.log = log;
         scheduler = new LoopScheduler(loop, new Clock());
@@ -77,6 +76,14 @@
         loop.execute(() -> awaitList(caughtUp));
         caughtUp.awaitUninterruptibly();
         loop.submit(() -> begin(config.known())).syncUninterruptibly();
+    }
+
+    /**
+     * Listens for clients from now on.
+     *
+     * @throws IOException when the address can't be had; the node is closed then
+     */
+    public void listen() throws IOException {
         ChannelFuture bound = viewers.bind(group, config.listen(), host).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             close();
@@ -92,7 +99,7 @@
     }
 
     /**
-     * Starts a node.
+     * Starts a node that listens.
      *
      * @throws IOException when the address can't be had
      */
@@ -101,13 +108,23 @@
     }
 
     /**
-     * Starts a node. The bulletin is asked first, since what it told counts whether it was asked or not;
-     * viewers are served once that is known, or can't be had, and {@code meanwhile} has run.
+     * Prepares a node and listens.
      *
      * @throws IOException when the address can't be had
      */
-    public static FrontNode start(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile)
+    static FrontNode start(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile)
             throws IOException {
+        FrontNode node = prepare(config, log, trace, meanwhile);
+        node.listen();
+        return node;
+    }
+
+    /**
+     * Prepares a node that does not listen yet. The bulletin is asked first, since what it told counts
+     * whether it was asked or not; this returns once that is known, or can't be had, and {@code meanwhile}
+     * has run.
+     */
+    public static FrontNode prepare(NodeConfig config, EventSink log, EventSink trace, Runnable meanwhile) {
         return new FrontNode(config, log, trace, meanwhile);
     }
 
@@ -208,7 +225,9 @@
             return;
         }
         log.info("shutdown.drain", "connections", viewers.size(), "open", host.open());
-        listening.close();
+        if (listening != null) {
+            listening.close();
+        }
         viewers.shutDown(answerBy - scheduler.now());
     }
 
--- a/node/src/main/java/spanrill/node/Main.java
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import spanrill.node.config.NodeConfig;
 import spanrill.setup.SetupFault;
 
@@ -21,15 +23,15 @@
             System.exit(WRONG_SETUP);
         }
         LineLog log = new LineLog(System.out);
-        FrontNode node = null;
+        AtomicReference<FrontNode> running = new AtomicReference<>();
+        AtomicBoolean reloadLater = new AtomicBoolean();
+        takeSignals(running, reloadLater, file, log);
         try {
-            // Before all else, and in place of the runtime's own: SIGHUP would end the program.
-            if (!Signals.on("HUP", () -> { })) {
-                log.error("signal.ignored", null, "signal", "HUP", "reason",
-                        "started with it ignored: a new configuration can't be taken up");
-            }
             NodeConfig config = NodeConfig.read(Path.of(file));
-            node = FrontNode.start(config, log, Trace.open(config.name()), () -> warmUp(config, log));
+            FrontNode node = FrontNode.prepare(config, log, Trace.open(config.name()),
+                    () -> warmUp(config, log));
+            running.set(node);
+            node.listen();
         } catch (SetupFault fault) {
             System.err.println("spanrill node: " + file + ": " + fault.getMessage());
             System.exit(WRONG_SETUP);
@@ -37,18 +39,40 @@
             System.err.println("spanrill node: " + file + ": " + e.getMessage());
             System.exit(WRONG_SETUP);
         }
-        FrontNode running = node;
-        Signals.on("HUP", () -> reload(running, file, log));
-        Signals.on("TERM", () -> {
-            log.info("node.stopping");
-            running.stop(() -> Runtime.getRuntime().halt(0));
-        });
-        log.info("node.serving", "listen", running.address());
+        log.info("node.serving", "listen", running.get().address());
+        if (reloadLater.get()) {
+            reload(running.get(), file, log);
+        }
         if (args.length == 1 && args[0].equals("once")) {
             // The build starts it so to make the class-data archive: it ends as after SIGTERM.
-            running.stop(() -> Runtime.getRuntime().halt(0));
+            stop(running.get(), log);
+        }
+        running.get().join();
+    }
+
+    /** Before all else, and in place of the runtime's own handlers: SIGHUP would end the program. */
+    private static void takeSignals(AtomicReference<FrontNode> running, AtomicBoolean reloadLater,
+            String file, LineLog log) {
+        Runnable hangUp = () -> {
+            reloadLater.set(true);
+            if (running.get() != null) {
+                reload(running.get(), file, log);
+            }
+        };
+        if (!Signals.on("HUP", hangUp)) {
+            log.error("signal.ignored", null, "signal", "HUP", "reason",
+                    "started with it ignored: a new configuration can't be taken up");
+        }
+        Signals.on("TERM", () -> stop(running.get(), log));
+    }
+
+    /** Ends the process by stages, or at once where it has accepted nothing yet. */
+    private static void stop(FrontNode node, LineLog log) {
+        log.info("node.stopping", "phase", node == null ? "start" : "service");
+        if (node == null) {
+            Runtime.getRuntime().halt(0);
         }
-        running.join();
+        node.stop(() -> Runtime.getRuntime().halt(0));
     }
 
     private static void warmUp(NodeConfig config, LineLog log) {
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerLink.java
@@ -23,6 +23,7 @@
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.NoteKind;
 import spanrill.SessionControl.Outcome;
+import spanrill.decisions.AbuseLimiter;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
@@ -47,8 +48,6 @@
  * stayed out takes nothing new: neither tells what became of the rest.
  */
 final class ServerLink extends ChannelInboundHandlerAdapter {
-    // More answers than this for set-ups that are not open here: the peer does not end.
-    private static final int MOST_STRAY = 64;
     // A release has to be heard within 1 s, so what was written so long before the end has been.
     private static final double ARRIVED_MS = 1000;
     private static final int MOST_SAID = 512;
@@ -66,7 +65,8 @@
     private boolean suspect;
     private boolean retired;
     private boolean over;
-    private int stray;
+    /** Judges answers for set-ups that are not open here: late ones are usual, an endless stream is not. */
+    private final AbuseLimiter unsolicited = new AbuseLimiter();
     private double usedAt = Clock.ticks();
     private double heardAt = usedAt;
 
@@ -293,7 +293,7 @@
     }
 
     private void stray() {
-        if (++stray > MOST_STRAY) {
+        if (unsolicited.rejected(Clock.ticks())) {
             finish(Event.RESET, false);
             channel.close();
         }
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
@@ -16,6 +16,7 @@
 import spanrill.decisions.ClientConnectionState.Phase;
 import spanrill.decisions.CloseReason;
 import spanrill.decisions.ConnectionTimeouts;
+import spanrill.decisions.RecentAnswers;
 import spanrill.decisions.ViewerRoom;
 import spanrill.decisions.ViewerRoom.Brought;
 import spanrill.loop.Clock;
@@ -50,6 +51,7 @@
     private final ClientConnectionState state = new ClientConnectionState();
     private final AbuseLimiter abuse = new AbuseLimiter();
     private final Set<Long> openRequests = new LinkedHashSet<>();
+    private final RecentAnswers recentAnswers = new RecentAnswers();
     private final ChannelFutureListener flushed = future -> flushed();
     private final double acceptedAt = Clock.ticks();
     private double usefulAt = acceptedAt;
@@ -156,6 +158,9 @@
         if (host.knows(setUp.session())) {
             return stands || repeated(setUp.session());
         }
+        if (!stands && recentAnswers.crosses(Clock.ticks(), setUp.session())) {
+            return ignore(setUp.session(), "it crossed its answer");
+        }
         if (!host.possible(setUp)) {
             return reject(setUp.session(), Cause.INVALID_CONTENTS, "not of these settings");
         }
@@ -214,7 +219,11 @@
         if (!host.isOn(session, this)) {
             return reject(session, Cause.INVALID_REFERENCE, "the session is known");
         }
-        listener.rejected(this, session, "a repetition");
+        return ignore(session, "a repetition");
+    }
+
+    private boolean ignore(long session, String why) {
+        listener.rejected(this, session, why);
         if (abuse.rejected(Clock.ticks())) {
             drain(CloseReason.ABUSE);
         }
@@ -278,6 +287,7 @@
 
     private boolean release(long session, int cause, double stayAwayMs) {
         listener.sent(this, session, cause);
+        recentAnswers.answered(Clock.ticks(), session);
         Message message = new Message(MessageType.RELEASE, session).withCause(cause);
         if (retryAfter && stayAwayMs >= 1) {
             message.with(Parameter.STAY_AWAY, Long.toString(Math.round(stayAwayMs)));
--- a/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
+++ b/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.CountDownLatch;
@@ -89,6 +90,19 @@
         return id;
     }
 
+    /** Both lie unread together: the repetition was sent before its client could know of the answer. */
+    @Test
+    void aRepetitionThatCrossesItsAnswerGetsNoSecondOne() throws Exception {
+        Wire client = viewer();
+        whileHeld(() -> {
+            client.send(setUp(9001, "gold", ""));
+            client.send(setUp(9001, "free", ""));
+        });
+        assertEquals(100, client.next(SOON).cause());
+        assertNull(client.next(100), "a second answer");
+        playing(client, "free");
+    }
+
     /**
      * Servers hang from some time after the stop, through the rest of it; clients go on using their
      * connections until the kill.
--- a/node/src/test/java/spanrill/node/HostileServersTest.java
+++ b/node/src/test/java/spanrill/node/HostileServersTest.java
@@ -81,6 +81,22 @@
         assertNull(viewer.next(100));
     }
 
+    /** Late answers are usual: their number over the life of a connection ends nothing that is open on it. */
+    @Test
+    void unsolicitedAnswersEndNoConnectionUnderAnAttempt() throws Exception {
+        both((wire, message) -> { });
+        Wire viewer = viewer();
+        long id = ask(viewer, "paid");
+        ScriptedServer.Got open = atServer();
+        for (int i = 1; i <= 80; i++) {
+            open.wire().send(new Message(MessageType.ANSWER, 70_000 + i).with(Parameter.DESCRIPTION, "late"));
+        }
+        one.answer(open.wire(), open.message());
+        Message answer = answer(viewer, SOON);
+        assertEquals(id, answer.session());
+        assertEquals(MessageType.ANSWER, answer.type());
+    }
+
     @Test
     void aServerThatStaysSilentIsGivenUpAndTheAnswerComesInTime() throws Exception {
         both((wire, message) -> { });
--- a/node/src/test/java/spanrill/node/MainTest.java
+++ b/node/src/test/java/spanrill/node/MainTest.java
@@ -115,6 +115,41 @@
         assertFalse(process.isAlive());
     }
 
+    /** A second SIGTERM changes nothing, a new configuration is taken up until the end. */
+    @Test
+    void signalsDuringAStopDoNotEndItEarly() throws Exception {
+        int port = freePort();
+        BufferedReader log = start(TestConfig.json(port, freePort(), List.of()));
+        lineWith(log, "node.serving");
+        signal("TERM");
+        lineWith(log, "node.stopping");
+        signal("TERM");
+        signal("HUP");
+        assertTrue(lineWith(log, "config.loaded") != null);
+        try (Wire platform = Wire.to(port)) {
+            platform.send(new Message(MessageType.TEST, 1).withCause(0));
+            assertEquals(1, platform.next(5000).cause(), "it serves while requests may come");
+        }
+        assertTrue(lineWith(log, "shutdown.drain") != null);
+        assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** Nothing was accepted yet, so nothing is owed: it ends at once and never serves. */
+    @Test
+    void aStopDuringTheStartEndsItAtOnce() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            BufferedReader log = start(TestConfig.json(freePort(), silent.getLocalPort(), List.of()));
+            lineWith(log, "node.warm");
+            signal("TERM");
+            List<String> rest = log.lines().toList();
+            assertTrue(process.waitFor(5, TimeUnit.SECONDS));
+            assertEquals(0, process.exitValue());
+            assertTrue(rest.stream().anyMatch(line -> line.contains("phase=start")), rest.toString());
+            assertTrue(rest.stream().noneMatch(line -> line.contains("node.serving")), rest.toString());
+        }
+    }
+
     /** As under nohup: the runtime leaves the signal ignored, operators would wait for a reload in vain. */
     @Test
     void saysWhenItWasStartedWithSignalsIgnored() throws Exception {
