--- a/cli/src/main/java/spanrill/cli/Main.java
+++ b/cli/src/main/java/spanrill/cli/Main.java
@@ -20,7 +20,7 @@
         subcommands = {ServeCommand.class, StandinCommand.class, RehearseCommand.class, EmulateCommand.class,
                 AgreeCommand.class, VersionsCommand.class,
         CheckCommand.class,
-        MeasureCommand.class, SharesCommand.class, TicketsCommand.class, PlotCommand.class,
+        SoakCommand.class, MeasureCommand.class, SharesCommand.class, TicketsCommand.class, PlotCommand.class,
             TokenCommand.class, ConfigCommand.class, ModelCommand.class, ReportCommand.class,
                     MpdCommand.class,
                     CommandLine.HelpCommand.class})
--- /dev/null
+++ b/cli/src/test/java/spanrill/cli/SoakTest.java
@@ -0,0 +1,56 @@
+package spanrill.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
+import spanrill.soak.RunCommand;
+import spanrill.soak.Soak;
+import spanrill.soak.TrialDraw;
+import spanrill.soak.TrialResult;
+
+/** A short soak of real node processes, one trial of each kind. */
+class SoakTest {
+    private static final int TRIES = 3;
+    @TempDir
+    private Path folder;
+
+    @Test
+    void oneTrialOfEachKindBreaksNoRule() throws Exception {
+        RunCommand command = RunCommand.of(Path.of("..").toAbsolutePath().normalize());
+        List<TrialResult> results = new Soak(command, folder, System.out::println)
+                .play(LongStream.rangeClosed(101, 105).mapToObj(TrialDraw::of).toList(), 2);
+        for (TrialResult result : results) {
+            TrialResult last = result;
+            // A trial whose own peers were late says nothing: it is played again, alone.
+            for (int i = 1; i < TRIES && !last.voidReason().isEmpty(); i++) {
+                last = new Soak(command, folder.resolve("again" + i), System.out::println)
+                        .play(List.of(result.trial()), 1).get(0);
+            }
+            assertTrue(last.passed(), Soak.report(last));
+        }
+    }
+
+    @Test
+    void badInputIsSaidWithItsPlace() {
+        assertEquals("soak: --seeds: '5-x' is neither a number nor FROM-TO", soak("--seeds", "5-x"));
+        assertTrue(soak("--seeds", "1", "--home", "/nowhere").contains("/nowhere/deploy/balancer.toml"));
+    }
+
+    private static String soak(String... arguments) {
+        StringWriter said = new StringWriter();
+        CommandLine line = Main.line().setErr(new PrintWriter(said));
+        String[] all = new String[arguments.length + 1];
+        all[0] = "soak";
+        System.arraycopy(arguments, 0, all, 1, arguments.length);
+        assertTrue(line.execute(all) != Exit.HELD);
+        return said.toString().trim();
+    }
+}
--- /dev/null
+++ b/soak/src/main/java/spanrill/soak/NodeConfigFile.java
@@ -0,0 +1,50 @@
+package spanrill.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.stream.Collectors;
+
+/** Writes the configuration file of a node, as the operators' platform would. */
+final class NodeConfigFile {
+    private static final int SOCKETS = 512;
+    private static final int MEMORY_MB = 160;
+    private static final String SETTINGS = """
+            {"me":%d,"balancers":%d,"az":"a","models":["std"],"tenants":[],"over_share_worth":0.1,
+             "classes":[%s],
+             "family_info":{"cells":2,"racks":1,"class_floor":[%s],"class_top":[%s],"class_seats":[%s],
+              "scale_by_class":[%s],"places_by_kind":[500],"level_kb":[100.0,200.0,400.0],
+              "worth_by_rung":[0.3,0.6,1.0],"links_kb":3000000.0,"weight_kb":1000000.0,"rack_kb":3000000.0,
+              "stall":7.0,"change_costs_s":0.5,"told_late":200.0,"tell":1000.0},
+             "limits":{"max_attempts":%d,"max_retry_after":2000.0,"connect_timeout":300.0,"conn_idle":%s,
+              "retry_after":true},
+             "penalties":{"cross_zone":0.0},
+             "safety":{"cold":4000.0,"cold_share":0.4,"tip_multiple":2.0,"fall":500.0}}""";
+
+    private NodeConfigFile() { }
+
+    /** Writes it anew in one step, so that a node never reads half of one. */
+    static void write(Path file, Trial trial, int node, int listenPort, int discoveryPort, String known)
+            throws IOException {
+        String text = "{\"name\":\"n" + node + "\",\"listen\":\"127.0.0.1:" + listenPort
+                + "\",\"seed\":\"" + Long.toHexString(trial.seed() * 31 + node) + "\",\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS + "},\"bulletin\":\"127.0.0.1:"
+                + discoveryPort + "\",\"known\":" + known + ",\"settings\":" + settings(trial, node) + "}";
+        Path fresh = file.resolveSibling(file.getFileName() + ".new");
+        Files.writeString(fresh, text);
+        Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private static String settings(Trial trial, int node) {
+        String classes = trial.classes().stream().map(c -> "{\"name\":\"" + c.name() + "\",\"target\":"
+                + c.deadlineMs() / 2 + ",\"hard_limit\":" + c.deadlineMs() + ",\"value\":" + (c.once() ? 3.0 : 1.0)
+                + ",\"effect\":\"" + (c.once() ? "once" : "repeatable") + "\"}").collect(Collectors.joining(","));
+        return SETTINGS.formatted(node, trial.nodes(), classes, each(trial, "0"), each(trial, "2"),
+                each(trial, "0"), each(trial, "1.0"), Trial.MAX_ATTEMPTS, trial.idleMs());
+    }
+
+    private static String each(Trial trial, String value) {
+        return trial.classes().stream().map(c -> value).collect(Collectors.joining(","));
+    }
+}
