--- a/bench-jmh/src/main/java/spanrill/bench/HttpParserBench.java
+++ b/bench-jmh/src/main/java/spanrill/bench/HttpParserBench.java
@@ -31,7 +31,7 @@
             + "Referer: http://front.example/app\r\n\r\n";
     private static final String CHUNKED =
             "HTTP/1.1 200 OK\r\nContent-Type: video/mp4\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + ("2000\r\n" + "x".repeat(0x2000) + "\r\n").repeat(8) + "0\r\n\r\n";
+                    + ("2000\r\n" + "x".repeat(0x2000) + "\r\n").repeat(8) + "0\r\n\r\n";
 
     private final ByteBuf request = Unpooled.copiedBuffer(REQUEST, StandardCharsets.US_ASCII);
     private final ByteBuf chunked = Unpooled.copiedBuffer(CHUNKED, StandardCharsets.US_ASCII);
--- a/bench-jmh/src/main/java/spanrill/bench/LinkNetworkBench.java
+++ b/bench-jmh/src/main/java/spanrill/bench/LinkNetworkBench.java
@@ -29,8 +29,10 @@
 
     @Param({"10", "100", "1000", "10000", "100000"})
     private int sessions;
+
     @Param({"false", "true"})
     private boolean shortUplink;
+
     private LinkNetwork network;
     private LinkNetwork.Flow flow;
     private double now;
--- a/check/src/main/java/spanrill/check/BudgetRule.java
+++ b/check/src/main/java/spanrill/check/BudgetRule.java
@@ -46,7 +46,8 @@
                 boolean moved = setUp.continues() != null;
                 if (tried.add(moved ? requestOf(setUp.key()) : setUp.token())) {
                     if (moved) {
-                        taken.computeIfAbsent(setUp.front(), k -> new ArrayDeque<>()).add(setUp.t());
+                        taken.computeIfAbsent(setUp.front(), k -> new ArrayDeque<>())
+                                .add(setUp.t());
                     }
                     continue;
                 }
@@ -60,8 +61,11 @@
                 asked.removeIf(t -> t <= asksFrom);
                 double budget = facts.spareAttempts() + facts.attemptShare() * asked.size();
                 if (own.size() > budget) {
-                    verdict.broken(setUp.t(), String.format("front %d made %d further attempts, budget %.1f",
-                            setUp.front(), own.size(), budget));
+                    verdict.broken(
+                            setUp.t(),
+                            String.format(
+                                    "front %d made %d further attempts, budget %.1f",
+                                    setUp.front(), own.size(), budget));
                 }
             }
         }
--- a/check/src/main/java/spanrill/check/Checker.java
+++ b/check/src/main/java/spanrill/check/Checker.java
@@ -6,10 +6,10 @@
 
 /** Runs the six rules over the records of a run. */
 public final class Checker {
-    private static final List<Rule> RULES = List.of(new AnswersRule(), new OnceRule(), new OneOutRule(),
-            new DrainRule(), new TermsRule(), new BudgetRule());
+    private static final List<Rule> RULES = List.of(
+            new AnswersRule(), new OnceRule(), new OneOutRule(), new DrainRule(), new TermsRule(), new BudgetRule());
 
-    private Checker() { }
+    private Checker() {}
 
     /**
      * Judges.
@@ -28,11 +28,11 @@
             }
         }
         if (facts == null || facts.classes() == null) {
-            throw new IllegalArgumentException(
-                    "the records have no facts: they are cut, or of another program");
+            throw new IllegalArgumentException("the records have no facts: they are cut, or of another program");
         }
         for (TapEvent event : events) {
-            String cls = event instanceof TapEvent.Ask ask ? ask.cls()
+            String cls = event instanceof TapEvent.Ask ask
+                    ? ask.cls()
                     : event instanceof TapEvent.SetUp setUp ? setUp.cls() : null;
             if (cls != null && !facts.classes().containsKey(cls)) {
                 throw new IllegalArgumentException("the facts know no class " + cls);
--- a/check/src/main/java/spanrill/check/DrainRule.java
+++ b/check/src/main/java/spanrill/check/DrainRule.java
@@ -25,10 +25,17 @@
                 verdict.judged();
                 Double told = leaving.get(setUp.front() + " " + setUp.box());
                 // What waited unread at a silent box was written before it is read.
-                if (told != null && setUp.t() - told - attempts.away(setUp.front(), told, setUp.t())
-                        - attempts.muteMs(setUp.box(), told, setUp.t()) > facts.drainGraceMs()) {
-                    verdict.broken(setUp.t(), String.format("front %d set up at %s %.0f ms after it was told",
-                            setUp.front(), setUp.box(), setUp.t() - told));
+                if (told != null
+                        && setUp.t()
+                                        - told
+                                        - attempts.away(setUp.front(), told, setUp.t())
+                                        - attempts.muteMs(setUp.box(), told, setUp.t())
+                                > facts.drainGraceMs()) {
+                    verdict.broken(
+                            setUp.t(),
+                            String.format(
+                                    "front %d set up at %s %.0f ms after it was told",
+                                    setUp.front(), setUp.box(), setUp.t() - told));
                 }
             }
         }
--- a/check/src/main/java/spanrill/check/EarlyEnds.java
+++ b/check/src/main/java/spanrill/check/EarlyEnds.java
@@ -13,9 +13,10 @@
  */
 public final class EarlyEnds {
     /** A session that ended for want of its box,
-            front or hall shows it within this time: the front's idle time
+     * front or hall shows it within this time: the front's idle time
      * and the viewer's patience with a segment. */
     private static final double SHOWS_MS = 12_000;
+
     private static final double LOSS_SEEN_MS = 1000;
 
     /** Causes. */
@@ -42,9 +43,9 @@
      * @param t when its viewer saw it
      * @param cls class of session
      */
-    public record End(double t, String cls, Cause cause) { }
+    public record End(double t, String cls, Cause cause) {}
 
-    private EarlyEnds() { }
+    private EarlyEnds() {}
 
     /** All of a run, in order of time. */
     public static List<End> of(List<TapEvent> records) {
--- a/check/src/main/java/spanrill/check/OnceRule.java
+++ b/check/src/main/java/spanrill/check/OnceRule.java
@@ -18,7 +18,8 @@
         for (TapEvent event : events) {
             if (event instanceof TapEvent.Ask ask) {
                 asks.put(ask.ask(), ask);
-            } else if (event instanceof TapEvent.Answer answer && answer.answer().equals("refused")
+            } else if (event instanceof TapEvent.Answer answer
+                    && answer.answer().equals("refused")
                     && asks.containsKey(answer.ask())) {
                 TapEvent.Ask ask = asks.get(answer.ask());
                 if (!facts.classes().get(ask.cls()).once()) {
@@ -26,8 +27,10 @@
                 }
                 for (Attempt attempt : attempts.byToken().getOrDefault(ask.token(), List.of())) {
                     if (attempt.setUp.t() < answer.t() && !attempt.proven(answer.t())) {
-                        verdict.broken(answer.t(), "token " + ask.token() + " was refused though attempt "
-                                + attempt.setUp.key() + " may have run");
+                        verdict.broken(
+                                answer.t(),
+                                "token " + ask.token() + " was refused though attempt " + attempt.setUp.key()
+                                        + " may have run");
                     }
                 }
             }
@@ -57,8 +60,10 @@
                 unproven = spent && !before.proven(setUp.t()) ? before : unproven;
             }
             if (unproven != null) {
-                verdict.broken(setUp.t(), "token " + token + " was set up again though attempt "
-                        + unproven.setUp.key() + " may have run");
+                verdict.broken(
+                        setUp.t(),
+                        "token " + token + " was set up again though attempt " + unproven.setUp.key()
+                                + " may have run");
             }
             if (!setUp.spends()) {
                 verdict.broken(setUp.t(), "token " + token + " of a paid class was set up without spending");
--- a/check/src/main/java/spanrill/check/OneOutRule.java
+++ b/check/src/main/java/spanrill/check/OneOutRule.java
@@ -18,13 +18,16 @@
                 TapEvent.SetUp next = list.get(i).setUp;
                 verdict.judged();
                 for (Attempt before : list.subList(0, i)) {
-                    double limit = next.t() + CROSSING_MS + attempts.away(next.front(), before.setUp.t(),
-                            next.t() + 50);
-                    if (before.endedAt > limit && before.setUp.front() == next.front()
+                    double limit =
+                            next.t() + CROSSING_MS + attempts.away(next.front(), before.setUp.t(), next.t() + 50);
+                    if (before.endedAt > limit
+                            && before.setUp.front() == next.front()
                             && !attempts.mute(before.setUp.box(), before.setUp.t(), limit)) {
-                        verdict.broken(next.t(), "token " + next.token() + " is sent to " + next.box()
-                                + " while attempt " + before.setUp.key() + " is out at "
-                                + before.setUp.box());
+                        verdict.broken(
+                                next.t(),
+                                "token " + next.token() + " is sent to " + next.box()
+                                        + " while attempt " + before.setUp.key() + " is out at "
+                                        + before.setUp.box());
                     }
                 }
             }
--- a/check/src/main/java/spanrill/check/Requests.java
+++ b/check/src/main/java/spanrill/check/Requests.java
@@ -17,10 +17,19 @@
 final class Requests {
     /** A kill is recorded a moment before viewers see it, and they see it a moment after. */
     private static final double KILL_SEEN_MS = 1000;
+
     private static final double LOSS_SEEN_MS = 50;
 
     /** What became of a request; each has one. */
-    enum Fate { PLAYS, REFUSED, FAILED, NOT_TAKEN, LEFT, LOST_WITH_FRONT, UNANSWERED }
+    enum Fate {
+        PLAYS,
+        REFUSED,
+        FAILED,
+        NOT_TAKEN,
+        LEFT,
+        LOST_WITH_FRONT,
+        UNANSWERED
+    }
 
     /**
      * A request that was judged.
@@ -30,10 +39,10 @@
      * @param answers heads of answers that its viewer read
      * @param faults what broke rule 1, each with its time
      */
-    record Judged(TapEvent.Ask ask, Fate fate, boolean owed, int answers, List<Fault> faults) { }
+    record Judged(TapEvent.Ask ask, Fate fate, boolean owed, int answers, List<Fault> faults) {}
 
     /** What broke rule 1. */
-    record Fault(double t, String text) { }
+    record Fault(double t, String text) {}
 
     private static final class Open {
         private final TapEvent.Ask ask;
@@ -77,8 +86,8 @@
     private Judged judge(Open request) {
         List<Fault> faults = new ArrayList<>(0);
         TapEvent.Ask ask = request.ask;
-        for (TapEvent.Answer more : request.answers.subList(Math.min(1, request.answers.size()),
-                request.answers.size())) {
+        for (TapEvent.Answer more :
+                request.answers.subList(Math.min(1, request.answers.size()), request.answers.size())) {
             faults.add(new Fault(more.t(), "ask " + ask.ask() + " was answered twice: now " + more.answer()));
         }
         boolean owed = false;
@@ -88,8 +97,8 @@
             fate = of(first.answer());
             double late = first.t() - ask.t() - ask.patienceMs();
             if (late > attempts.away(ask.front(), ask.t(), first.t())) {
-                faults.add(new Fault(first.t(), String.format(Locale.ROOT, "ask %d was answered %.0f ms late",
-                        ask.ask(), late)));
+                faults.add(new Fault(
+                        first.t(), String.format(Locale.ROOT, "ask %d was answered %.0f ms late", ask.ask(), late)));
             }
         } else if (request.lost != null && request.lost.viewerLeft()) {
             fate = Fate.LEFT;
@@ -100,8 +109,8 @@
             fate = dead ? Fate.LOST_WITH_FRONT : Fate.UNANSWERED;
             owed = !dead && attempts.away(ask.front(), from, lostAt + LOSS_SEEN_MS) == 0;
             if (owed) {
-                faults.add(new Fault(lostAt, "ask " + ask.ask() + " lost its connection at running front "
-                        + ask.front()));
+                faults.add(
+                        new Fault(lostAt, "ask " + ask.ask() + " lost its connection at running front " + ask.front()));
             }
         } else {
             double until = request.none == null ? end : request.none.t();
@@ -110,8 +119,8 @@
             double due = ask.t() + ask.patienceMs() + attempts.away(ask.front(), ask.t(), until);
             owed = !dead && due < until;
             if (owed) {
-                faults.add(new Fault(due, "ask " + ask.ask() + " of " + ask.cls()
-                        + " got no answer from front " + ask.front()));
+                faults.add(new Fault(
+                        due, "ask " + ask.ask() + " of " + ask.cls() + " got no answer from front " + ask.front()));
             }
         }
         return new Judged(ask, fate, owed, request.answers.size(), faults);
--- a/check/src/main/java/spanrill/check/Tally.java
+++ b/check/src/main/java/spanrill/check/Tally.java
@@ -21,8 +21,16 @@
  * @param left their viewer left before the answer
  * @param lostWithFront their front died
  */
-public record Tally(long requests, long plays, long refused, long failed, long notTaken, long unanswered,
-        long excused, long left, long lostWithFront) {
+public record Tally(
+        long requests,
+        long plays,
+        long refused,
+        long failed,
+        long notTaken,
+        long unanswered,
+        long excused,
+        long left,
+        long lostWithFront) {
 
     /** Counts. */
     public static Tally of(List<TapEvent> records) {
@@ -36,9 +44,15 @@
         }
         // Counted from the records themselves, not as a sum: what is judged must be all there is.
         long requests = events.stream().filter(TapEvent.Ask.class::isInstance).count();
-        return new Tally(requests, count(counts, Requests.Fate.PLAYS), count(counts, Requests.Fate.REFUSED),
-                count(counts, Requests.Fate.FAILED), count(counts, Requests.Fate.NOT_TAKEN),
-                count(counts, Requests.Fate.UNANSWERED), excused, count(counts, Requests.Fate.LEFT),
+        return new Tally(
+                requests,
+                count(counts, Requests.Fate.PLAYS),
+                count(counts, Requests.Fate.REFUSED),
+                count(counts, Requests.Fate.FAILED),
+                count(counts, Requests.Fate.NOT_TAKEN),
+                count(counts, Requests.Fate.UNANSWERED),
+                excused,
+                count(counts, Requests.Fate.LEFT),
                 count(counts, Requests.Fate.LOST_WITH_FRONT));
     }
 
--- a/check/src/main/java/spanrill/check/Tap.java
+++ b/check/src/main/java/spanrill/check/Tap.java
@@ -76,8 +76,7 @@
                     continue;
                 }
                 if (line.length() > MOST_LINE) {
-                    throw new IOException(path + ":" + number + ": a line of more than " + MOST_LINE
-                            + " characters");
+                    throw new IOException(path + ":" + number + ": a line of more than " + MOST_LINE + " characters");
                 }
                 TapEvent event = JSON.readValue(line, TapEvent.class);
                 if (event == null) {
--- a/check/src/main/java/spanrill/check/TapEvent.java
+++ b/check/src/main/java/spanrill/check/TapEvent.java
@@ -31,7 +31,8 @@
     @JsonSubTypes.Type(value = TapEvent.Told.class, name = "told"),
     @JsonSubTypes.Type(value = TapEvent.FrontUp.class, name = "frontUp"),
     @JsonSubTypes.Type(value = TapEvent.FrontDown.class, name = "frontDown"),
-    @JsonSubTypes.Type(value = TapEvent.FrontStall.class, name = "frontStall")})
+    @JsonSubTypes.Type(value = TapEvent.FrontStall.class, name = "frontStall")
+})
 public sealed interface TapEvent {
     /** When. */
     double t();
@@ -43,12 +44,22 @@
      * @param places streams that a box runs at most
      * @param spareAttempts null: further attempts are free
      */
-    record Facts(double t, Map<String, ClassFacts> classes, double places, double drainGraceMs, double coldMs,
-            double coldShare, double fallMultiple, double fallMs, Double spareAttempts, Double attemptShare,
-            Double attemptWindowMs) implements TapEvent { }
+    record Facts(
+            double t,
+            Map<String, ClassFacts> classes,
+            double places,
+            double drainGraceMs,
+            double coldMs,
+            double coldShare,
+            double fallMultiple,
+            double fallMs,
+            Double spareAttempts,
+            Double attemptShare,
+            Double attemptWindowMs)
+            implements TapEvent {}
 
     /** What the rules need of a class. */
-    record ClassFacts(boolean once, int floor, int seats) { }
+    record ClassFacts(boolean once, int floor, int seats) {}
 
     /** A viewer wrote a request for a session; {@code ask} numbers it. */
     record Ask(double t, long ask, int front, String token, String cls, String title, double patienceMs)
@@ -61,19 +72,19 @@
     }
 
     /** A viewer read the head of an answer: plays, refused, failed, or none when it was never taken. */
-    record Answer(double t, long ask, int status, String answer) implements TapEvent { }
+    record Answer(double t, long ask, int status, String answer) implements TapEvent {}
 
     /** A request ended without an answer: the viewer left, or its connection was lost. */
-    record AskLost(double t, long ask, boolean viewerLeft) implements TapEvent { }
+    record AskLost(double t, long ask, boolean viewerLeft) implements TapEvent {}
 
     /** A viewer's patience with a request was up, a little later than stated; it went away then. */
-    record NoAnswer(double t, long ask) implements TapEvent { }
+    record NoAnswer(double t, long ask) implements TapEvent {}
 
     /** A viewer wants to watch, from now on, whether or not a front can be reached. */
-    record Came(double t, String viewer, String cls) implements TapEvent { }
+    record Came(double t, String viewer, String cls) implements TapEvent {}
 
     /** A viewer does not come again; {@code why} in a word, such as watched, refused, failed, left. */
-    record Went(double t, String viewer, String why) implements TapEvent { }
+    record Went(double t, String viewer, String why) implements TapEvent {}
 
     /**
      * A playing session ended before its viewer wished it.
@@ -82,50 +93,58 @@
      *     no more patience with a segment
      * @param why the front's word for it, or null
      */
-    record Broke(double t, String token, int front, int status, String why) implements TapEvent { }
+    record Broke(double t, String token, int front, int status, String why) implements TapEvent {}
 
     /** A viewer read a segment whole. */
-    record Segment(double t, String token, int front, int rung, long bytes, double tookMs)
-            implements TapEvent { }
+    record Segment(double t, String token, int front, int rung, long bytes, double tookMs) implements TapEvent {}
 
     /** A box read a set-up. */
-    record SetUp(double t, String box, int front, String token, String key, String cls, String title,
+    record SetUp(
+            double t,
+            String box,
+            int front,
+            String token,
+            String key,
+            String cls,
+            String title,
             int rung,
-            boolean spends, String continues) implements TapEvent { }
+            boolean spends,
+            String continues)
+            implements TapEvent {}
 
     /** A box wrote its answer to a set-up. */
-    record SetUpAnswer(double t, String key, int status, String reason) implements TapEvent { }
+    record SetUpAnswer(double t, String key, int status, String reason) implements TapEvent {}
 
     /** A box began to run a session, whether or not its answer went out. */
-    record Ran(double t, String key) implements TapEvent { }
+    record Ran(double t, String key) implements TapEvent {}
 
     /** A box wrote its answer to a call-off: whether the attempt ran there; if not, it never will. */
-    record CallOffAnswer(double t, String key, boolean ran) implements TapEvent { }
+    record CallOffAnswer(double t, String key, boolean ran) implements TapEvent {}
 
     /** A box read a release or call-off, or saw an attempt's connection end, or ended a session itself. */
-    record End(double t, String key, String why) implements TapEvent { }
+    record End(double t, String key, String why) implements TapEvent {}
 
     /** A box read a rung. */
-    record Rung(double t, String key, int rung) implements TapEvent { }
+    record Rung(double t, String key, int rung) implements TapEvent {}
 
     /** A box's process began to listen; {@code cold} unless it was long warm. */
-    record BoxStart(double t, String box, boolean cold) implements TapEvent { }
+    record BoxStart(double t, String box, boolean cold) implements TapEvent {}
 
     /** A box's process ended. */
-    record BoxDown(double t, String box, String why) implements TapEvent { }
+    record BoxDown(double t, String box, String why) implements TapEvent {}
 
     /** A box neither reads nor writes: to all, or, where {@code from} names a hall, to the fronts there. */
-    record BoxMute(double t, String box, boolean on, String from) implements TapEvent { }
+    record BoxMute(double t, String box, boolean on, String from) implements TapEvent {}
 
     /** The registry wrote to a front what a box's state is. */
-    record Told(double t, int front, String box, String state, double startedAt) implements TapEvent { }
+    record Told(double t, int front, String box, String state, double startedAt) implements TapEvent {}
 
     /** A front's process began. */
-    record FrontUp(double t, int front) implements TapEvent { }
+    record FrontUp(double t, int front) implements TapEvent {}
 
     /** A front's process ended. */
-    record FrontDown(double t, int front) implements TapEvent { }
+    record FrontDown(double t, int front) implements TapEvent {}
 
     /** A front's process stood still. */
-    record FrontStall(double t, int front, double ms) implements TapEvent { }
+    record FrontStall(double t, int front, double ms) implements TapEvent {}
 }
--- a/check/src/main/java/spanrill/check/TermsRule.java
+++ b/check/src/main/java/spanrill/check/TermsRule.java
@@ -28,8 +28,7 @@
         return verdict;
     }
 
-    private static void floors(Verdict verdict, TapEvent.Facts facts, List<TapEvent> events,
-            Attempts attempts) {
+    private static void floors(Verdict verdict, TapEvent.Facts facts, List<TapEvent> events, Attempts attempts) {
         Map<String, String> classes = new HashMap<>();
         for (TapEvent event : events) {
             if (event instanceof TapEvent.Ask ask) {
@@ -37,18 +36,28 @@
             } else if (event instanceof TapEvent.SetUp setUp) {
                 floor(verdict, facts, setUp.t(), setUp.cls(), setUp.rung(), "set-up " + setUp.key());
             } else if (event instanceof TapEvent.Rung rung && attempts.byKey(rung.key()) != null) {
-                floor(verdict, facts, rung.t(), attempts.byKey(rung.key()).setUp.cls(), rung.rung(),
+                floor(
+                        verdict,
+                        facts,
+                        rung.t(),
+                        attempts.byKey(rung.key()).setUp.cls(),
+                        rung.rung(),
                         "attempt " + rung.key());
-            } else if (event instanceof TapEvent.Segment segment && segment.rung() >= 0
+            } else if (event instanceof TapEvent.Segment segment
+                    && segment.rung() >= 0
                     && classes.containsKey(segment.token())) {
-                floor(verdict, facts, segment.t(), classes.get(segment.token()), segment.rung(),
+                floor(
+                        verdict,
+                        facts,
+                        segment.t(),
+                        classes.get(segment.token()),
+                        segment.rung(),
                         "a segment of " + segment.token());
             }
         }
     }
 
-    private static void floor(Verdict verdict, TapEvent.Facts facts, double t, String cls, int rung,
-            String what) {
+    private static void floor(Verdict verdict, TapEvent.Facts facts, double t, String cls, int rung, String what) {
         verdict.judged();
         if (rung < facts.classes().get(cls).floor()) {
             verdict.broken(t, what + " of " + cls + " is at rung " + rung + ", below the floor");
@@ -63,16 +72,19 @@
             if (seats == 0) {
                 continue;
             }
-            List<Attempt> others = held.computeIfAbsent(s.front() + " " + s.cls() + " " + s.title(),
-                    k -> new ArrayList<>());
-            others.removeIf(o -> o.endedAt <= s.t() || o.setUp.token().equals(s.token())
+            List<Attempt> others =
+                    held.computeIfAbsent(s.front() + " " + s.cls() + " " + s.title(), k -> new ArrayList<>());
+            others.removeIf(o -> o.endedAt <= s.t()
+                    || o.setUp.token().equals(s.token())
                     || attempts.away(s.front(), o.setUp.t(), s.t()) > 0);
             others.add(attempt);
             verdict.judged();
             if (others.size() > seats) {
-                verdict.broken(s.t(), "front " + s.front() + " holds " + others.size() + " sessions of "
-                        + s.title()
-                        + " and " + s.cls() + ", seats " + seats);
+                verdict.broken(
+                        s.t(),
+                        "front " + s.front() + " holds " + others.size() + " sessions of "
+                                + s.title()
+                                + " and " + s.cls() + ", seats " + seats);
             }
         }
     }
@@ -91,8 +103,7 @@
                     knowing.put(start.box(), new HashSet<>(users.getOrDefault(start.box(), Set.of())));
                 }
                 users.remove(start.box());
-            } else if (event instanceof TapEvent.Told told && knowing.containsKey(told.box())
-                    && told.startedAt() > 0) {
+            } else if (event instanceof TapEvent.Told told && knowing.containsKey(told.box()) && told.startedAt() > 0) {
                 knowing.get(told.box()).add(told.front());
             } else if (event instanceof TapEvent.FrontUp up) {
                 knowing.values().forEach(set -> set.add(up.front()));
@@ -106,21 +117,27 @@
         }
     }
 
-    private static void cold(Verdict verdict, TapEvent.Facts facts, TapEvent.SetUp setUp, double began,
-            ArrayDeque<TapEvent.SetUp> window, Set<Integer> knowing) {
+    private static void cold(
+            Verdict verdict,
+            TapEvent.Facts facts,
+            TapEvent.SetUp setUp,
+            double began,
+            ArrayDeque<TapEvent.SetUp> window,
+            Set<Integer> knowing) {
         verdict.judged();
         window.add(setUp);
         while (window.peek().t() <= setUp.t() - facts.fallMs()) {
             window.poll();
         }
         double share = facts.coldShare() + (1 - facts.coldShare()) * (setUp.t() - began) / facts.coldMs();
-        double budget = facts.fallMultiple() * facts.places() / facts.coldMs() * share * facts.fallMs()
-                + SLACK;
+        double budget = facts.fallMultiple() * facts.places() / facts.coldMs() * share * facts.fallMs() + SLACK;
         long known = window.stream().filter(s -> knowing.contains(s.front())).count();
         if (window.size() > budget && known * 2 > window.size()) {
-            verdict.broken(setUp.t(), String.format("cold %s got %d set-ups in %.0f ms, budget %.1f",
-                    setUp.box(),
-                    window.size(), facts.fallMs(), budget));
+            verdict.broken(
+                    setUp.t(),
+                    String.format(
+                            "cold %s got %d set-ups in %.0f ms, budget %.1f",
+                            setUp.box(), window.size(), facts.fallMs(), budget));
         }
     }
 }
--- a/check/src/main/java/spanrill/check/Tickets.java
+++ b/check/src/main/java/spanrill/check/Tickets.java
@@ -22,9 +22,17 @@
  * @param failedUnknown requests answered "failed" though no box ran anything for their token
  * @param failedRan requests answered "failed" whose token a box did run
  */
-public record Tickets(long requests, long excused, long tokens, long leastAnswers, long mostAnswers,
+public record Tickets(
+        long requests,
+        long excused,
+        long tokens,
+        long leastAnswers,
+        long mostAnswers,
         long mostSpends,
-        long spent, long joined, long failedUnknown, long failedRan) {
+        long spent,
+        long joined,
+        long failedUnknown,
+        long failedRan) {
 
     /** True when every request had exactly one answer and no token was spent twice. */
     public boolean held() {
@@ -50,7 +58,7 @@
             switch (request.fate()) {
                 case PLAYS -> plays.merge(request.ask().token(), 1, Integer::sum);
                 case FAILED -> failed.add(request.ask().token());
-                default -> { }
+                default -> {}
             }
             if (request.answers() == 0 && !request.owed()) {
                 excused++;
@@ -69,9 +77,16 @@
             }
         }
         long failedRan = failed.stream().filter(ran::contains).count();
-        return new Tickets(requests, excused, tokens.size(), least == Long.MAX_VALUE ? 0 : least,
+        return new Tickets(
+                requests,
+                excused,
+                tokens.size(),
+                least == Long.MAX_VALUE ? 0 : least,
                 most,
-                spends.values().stream().mapToInt(i -> i).max().orElse(0), spends.size(),
-                plays.values().stream().mapToLong(n -> n - 1).sum(), failed.size() - failedRan, failedRan);
+                spends.values().stream().mapToInt(i -> i).max().orElse(0),
+                spends.size(),
+                plays.values().stream().mapToLong(n -> n - 1).sum(),
+                failed.size() - failedRan,
+                failedRan);
     }
 }
--- a/check/src/main/java/spanrill/check/Viewers.java
+++ b/check/src/main/java/spanrill/check/Viewers.java
@@ -42,8 +42,8 @@
      * @param waitMsP50 half of those who played did so within this time; NaN when nobody played
      * @param waitMsP99 and 99% of them within this
      */
-    public record Group(long came, long played, long gaveUp, long left, long still, double waitMsP50,
-            double waitMsP99) {
+    public record Group(
+            long came, long played, long gaveUp, long left, long still, double waitMsP50, double waitMsP99) {
         /** True when each is counted once. */
         public boolean addsUp() {
             return came == played + gaveUp + left + still;
@@ -65,7 +65,7 @@
 
     private final List<Viewer> viewers = new ArrayList<>();
 
-    private Viewers() { }
+    private Viewers() {}
 
     /** Follows all viewers of a run. */
     public static Viewers of(List<TapEvent> records) {
@@ -90,8 +90,8 @@
             }
         }
         Viewers viewers = new Viewers();
-        all.forEach((name, seen) -> viewers.viewers.add(new Viewer(name, seen.cls, seen.cameAt,
-                seen.playedAt - seen.cameAt, seen.asks, seen.went)));
+        all.forEach((name, seen) -> viewers.viewers.add(
+                new Viewer(name, seen.cls, seen.cameAt, seen.playedAt - seen.cameAt, seen.asks, seen.went)));
         return viewers;
     }
 
@@ -109,7 +109,8 @@
     public Map<String, Group> byClass() {
         Map<String, Group> groups = new TreeMap<>();
         for (String cls : new TreeSet<>(viewers.stream().map(Viewer::cls).toList())) {
-            groups.put(cls, group(viewers.stream().filter(v -> v.cls().equals(cls)).toList()));
+            groups.put(
+                    cls, group(viewers.stream().filter(v -> v.cls().equals(cls)).toList()));
         }
         return groups;
     }
@@ -117,22 +118,30 @@
     /** What became of those who never played, by the word that they went with. */
     public Map<String, Long> wentWithoutPlaying() {
         Map<String, Long> counts = new TreeMap<>();
-        viewers.stream().filter(v -> !v.played() && v.went() != null)
+        viewers.stream()
+                .filter(v -> !v.played() && v.went() != null)
                 .forEach(v -> counts.merge(v.went(), 1L, Long::sum));
         return counts;
     }
 
     private static Group group(List<Viewer> of) {
-        double[] waits = of.stream().filter(Viewer::played).mapToDouble(Viewer::waitMs).toArray();
+        double[] waits =
+                of.stream().filter(Viewer::played).mapToDouble(Viewer::waitMs).toArray();
         Arrays.sort(waits);
-        long left = of.stream().filter(v -> !v.played() && "left".equals(v.went())).count();
+        long left =
+                of.stream().filter(v -> !v.played() && "left".equals(v.went())).count();
         long still = of.stream().filter(v -> !v.played() && v.went() == null).count();
-        return new Group(of.size(), waits.length, of.size() - waits.length - left - still, left, still,
-                percentile(waits, 0.5), percentile(waits, 0.99));
+        return new Group(
+                of.size(),
+                waits.length,
+                of.size() - waits.length - left - still,
+                left,
+                still,
+                percentile(waits, 0.5),
+                percentile(waits, 0.99));
     }
 
     private static double percentile(double[] sorted, double part) {
-        return sorted.length == 0 ? Double.NaN
-                : sorted[(int) Math.max(0, Math.ceil(sorted.length * part) - 1)];
+        return sorted.length == 0 ? Double.NaN : sorted[(int) Math.max(0, Math.ceil(sorted.length * part) - 1)];
     }
 }
--- a/check/src/test/java/spanrill/check/CheckerTest.java
+++ b/check/src/test/java/spanrill/check/CheckerTest.java
@@ -35,9 +35,18 @@
     private final List<TapEvent> events = new ArrayList<>(List.of(facts(null)));
 
     private static TapEvent.Facts facts(Double spare) {
-        return new TapEvent.Facts(0, Map.of("free", new TapEvent.ClassFacts(false, 0, 0),
-                "paid", new TapEvent.ClassFacts(true, 1, 2)), 20, 250, 10_000, 0.5, 2, 1500, spare,
-                spare == null ? null : 0.1, spare == null ? null : 10_000.0);
+        return new TapEvent.Facts(
+                0,
+                Map.of("free", new TapEvent.ClassFacts(false, 0, 0), "paid", new TapEvent.ClassFacts(true, 1, 2)),
+                20,
+                250,
+                10_000,
+                0.5,
+                2,
+                1500,
+                spare,
+                spare == null ? null : 0.1,
+                spare == null ? null : 10_000.0);
     }
 
     private CheckerTest add(TapEvent... more) {
@@ -50,8 +59,7 @@
     }
 
     private CheckerTest setUp(double t, String box, String token, int attempt, String cls) {
-        return add(new SetUp(t, box, 0, token, token + "." + attempt, cls, "title", 1, cls.equals("paid"),
-                null));
+        return add(new SetUp(t, box, 0, token, token + "." + attempt, cls, "title", 1, cls.equals("paid"), null));
     }
 
     private CheckerTest runs(double t, String key) {
@@ -69,19 +77,27 @@
     private void brokenIs(int... rules) {
         // The records' end: whatever was still owed is overdue by then.
         add(new BoxDown(1e6, "nowhere", "end"));
-        List<Integer> broken = Checker.judge(events).stream().filter(v -> !v.held()).map(Verdict::rule)
+        List<Integer> broken = Checker.judge(events).stream()
+                .filter(v -> !v.held())
+                .map(Verdict::rule)
                 .toList();
         assertEquals(java.util.Arrays.stream(rules).boxed().toList(), broken);
     }
 
     private CheckerTest paidThatPlays() {
-        return ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").turnedAway(25, "t.1")
-                .setUp(30, "b", "t", 2, "paid").runs(60, "t.2").answer(65, 1, "plays");
+        return ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .turnedAway(25, "t.1")
+                .setUp(30, "b", "t", 2, "paid")
+                .runs(60, "t.2")
+                .answer(65, 1, "plays");
     }
 
     @Test
     void aRunThatKeepsAllRules() {
-        paidThatPlays().add(new Segment(100, "t", 0, 2, 10, 5), new End(500, "t.2", "released")).brokenIs();
+        paidThatPlays()
+                .add(new Segment(100, "t", 0, 2, 10, 5), new End(500, "t.2", "released"))
+                .brokenIs();
     }
 
     @Test
@@ -110,24 +126,35 @@
 
     @Test
     void aFrontThatStoodStillHasThatMuchMoreTime() {
-        ask(10, 1, "t", "free").answer(3900, 1, "plays").add(new FrontStall(500, 0, 1000)).brokenIs();
+        ask(10, 1, "t", "free")
+                .answer(3900, 1, "plays")
+                .add(new FrontStall(500, 0, 1000))
+                .brokenIs();
     }
 
     @Test
     void aFrontThatStoodStillOwesTheAnswerByAsMuchLater() {
         // Stood 3 s of the 3 s: nobody waits any more when it runs again.
-        ask(10, 1, "t", "free").add(new FrontStall(500, 0, 3000), new NoAnswer(3210, 1)).brokenIs();
+        ask(10, 1, "t", "free")
+                .add(new FrontStall(500, 0, 3000), new NoAnswer(3210, 1))
+                .brokenIs();
         // Stood 100 ms: the viewer that waited 200 ms more than its time should have had its answer.
         events.removeIf(e -> !(e instanceof TapEvent.Facts));
-        ask(10, 1, "t", "free").add(new FrontStall(500, 0, 100), new NoAnswer(3210, 1)).brokenIs(1);
+        ask(10, 1, "t", "free")
+                .add(new FrontStall(500, 0, 100), new NoAnswer(3210, 1))
+                .brokenIs(1);
         assertEquals(1, Tally.of(events).unanswered());
         assertEquals(0, Tally.of(events).excused());
     }
 
     @Test
     void aRequestThatItsDeadFrontTookIsCountedOnce() {
-        ask(10, 1, "t", "free").ask(20, 2, "u", "free").ask(30, 3, "v", "free").answer(60, 1, "plays")
-                .add(new FrontDown(70, 0), new AskLost(72, 2, false)).brokenIs();
+        ask(10, 1, "t", "free")
+                .ask(20, 2, "u", "free")
+                .ask(30, 3, "v", "free")
+                .answer(60, 1, "plays")
+                .add(new FrontDown(70, 0), new AskLost(72, 2, false))
+                .brokenIs();
         Tally tally = Tally.of(events);
         assertEquals(new Tally(3, 1, 0, 0, 0, 0, 0, 0, 2), tally);
         assertTrue(tally.addsUp());
@@ -135,73 +162,121 @@
 
     @Test
     void aPaidSetUpSentAgainAfterATimeOutIsCaught() {
-        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
-                .setUp(1001, "b", "t", 2, "paid").runs(1030, "t.2").answer(1040, 1, "plays").brokenIs(2);
+        ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .add(new End(1000, "t.1", "called off"))
+                .setUp(1001, "b", "t", 2, "paid")
+                .runs(1030, "t.2")
+                .answer(1040, 1, "plays")
+                .brokenIs(2);
     }
 
     @Test
     void aCallOffThatCameBeforeTheBeginningIsProof() {
-        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new CallOffAnswer(100, "t.1", false))
-                .setUp(110, "b", "t", 2, "paid").runs(160, "t.2").answer(165, 1, "plays").brokenIs();
+        ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .add(new CallOffAnswer(100, "t.1", false))
+                .setUp(110, "b", "t", 2, "paid")
+                .runs(160, "t.2")
+                .answer(165, 1, "plays")
+                .brokenIs();
         add(new Ran(150, "t.1")).brokenIs(2);
     }
 
     @Test
     void aProofThatCameAfterTheNextSetUpIsNone() {
-        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(90, "t.1", "called off"))
-                .setUp(110, "b", "t", 2, "paid").add(new CallOffAnswer(120, "t.1", false)).runs(160, "t.2")
-                .answer(165, 1, "plays").brokenIs(2);
+        ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .add(new End(90, "t.1", "called off"))
+                .setUp(110, "b", "t", 2, "paid")
+                .add(new CallOffAnswer(120, "t.1", false))
+                .runs(160, "t.2")
+                .answer(165, 1, "plays")
+                .brokenIs(2);
     }
 
     @Test
     void aRefusalOfAPaidOneThatMayHaveRunIsCaught() {
-        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
-                .answer(1040, 1, "refused").brokenIs(2);
+        ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .add(new End(1000, "t.1", "called off"))
+                .answer(1040, 1, "refused")
+                .brokenIs(2);
     }
 
     @Test
     void aFailureOfAPaidOneThatMayHaveRunIsRight() {
-        ask(10, 1, "t", "paid").setUp(20, "a", "t", 1, "paid").add(new End(1000, "t.1", "called off"))
-                .answer(1040, 1, "failed").brokenIs();
+        ask(10, 1, "t", "paid")
+                .setUp(20, "a", "t", 1, "paid")
+                .add(new End(1000, "t.1", "called off"))
+                .answer(1040, 1, "failed")
+                .brokenIs();
     }
 
     @Test
     void goingOnWithoutASessionThatPlayedIsCaught() {
-        ask(10, 1, "t", "paid").add(new SetUp(20, "a", 0, "t", "t.1", "paid", "title", 1, false, "t.0"))
-                .runs(30, "t.1").answer(40, 1, "plays").brokenIs(2);
+        ask(10, 1, "t", "paid")
+                .add(new SetUp(20, "a", 0, "t", "t.1", "paid", "title", 1, false, "t.0"))
+                .runs(30, "t.1")
+                .answer(40, 1, "plays")
+                .brokenIs(2);
     }
 
     @Test
     void aMoveThatGoesOnWithOneThatPlayedIsRight() {
-        paidThatPlays().add(new End(900, "t.2", "released"),
-                new SetUp(950, "c", 0, "t", "t.3", "paid", "title", 1, false, "t.2")).runs(990, "t.3")
+        paidThatPlays()
+                .add(
+                        new End(900, "t.2", "released"),
+                        new SetUp(950, "c", 0, "t", "t.3", "paid", "title", 1, false, "t.2"))
+                .runs(990, "t.3")
                 .brokenIs();
     }
 
     @Test
     void twoAttemptsOutAtOnceAreCaught() {
-        ask(10, 1, "t", "free").setUp(20, "a", "t", 1, "free").setUp(30, "b", "t", 2, "free").runs(60, "t.2")
-                .answer(65, 1, "plays").add(new End(400, "t.1", "called off")).brokenIs(3);
+        ask(10, 1, "t", "free")
+                .setUp(20, "a", "t", 1, "free")
+                .setUp(30, "b", "t", 2, "free")
+                .runs(60, "t.2")
+                .answer(65, 1, "plays")
+                .add(new End(400, "t.1", "called off"))
+                .brokenIs(3);
     }
 
     @Test
     void anEndThatABoxWithoutALineCanNotSeeIsNotJudged() {
-        ask(10, 1, "t", "free").add(new BoxMute(15, "a", true, null)).setUp(20, "a", "t", 1, "free")
-                .setUp(700, "b", "t", 2, "free").runs(760, "t.2").answer(765, 1, "plays").brokenIs();
+        ask(10, 1, "t", "free")
+                .add(new BoxMute(15, "a", true, null))
+                .setUp(20, "a", "t", 1, "free")
+                .setUp(700, "b", "t", 2, "free")
+                .runs(760, "t.2")
+                .answer(765, 1, "plays")
+                .brokenIs();
     }
 
     @Test
     void aSetUpAfterADrainWasHeardIsCaught() {
-        add(new Told(100, 0, "a", "draining", 0)).ask(310, 1, "t", "free").setUp(349, "a", "t", 1, "free")
-                .runs(380, "t.1").answer(390, 1, "plays").brokenIs();
-        ask(400, 2, "u", "free").setUp(420, "a", "u", 1, "free").runs(440, "u.1").answer(450, 2, "plays")
+        add(new Told(100, 0, "a", "draining", 0))
+                .ask(310, 1, "t", "free")
+                .setUp(349, "a", "t", 1, "free")
+                .runs(380, "t.1")
+                .answer(390, 1, "plays")
+                .brokenIs();
+        ask(400, 2, "u", "free")
+                .setUp(420, "a", "u", 1, "free")
+                .runs(440, "u.1")
+                .answer(450, 2, "plays")
                 .brokenIs(4);
     }
 
     @Test
     void aBoxThatIsListedReadyAgainMayBeUsed() {
-        add(new Told(100, 0, "a", "gone", 0), new Told(800, 0, "a", "ready", 700)).ask(900, 1, "t", "free")
-                .setUp(950, "a", "t", 1, "free").runs(980, "t.1").answer(990, 1, "plays").brokenIs();
+        add(new Told(100, 0, "a", "gone", 0), new Told(800, 0, "a", "ready", 700))
+                .ask(900, 1, "t", "free")
+                .setUp(950, "a", "t", 1, "free")
+                .runs(980, "t.1")
+                .answer(990, 1, "plays")
+                .brokenIs();
     }
 
     /** 2 x 20 places / 10 s x half warm x 1.5 s and two more: nine are too many, if the front was told. */
@@ -211,8 +286,9 @@
             add(new Told(150, 0, "a", "ready", 100));
         }
         for (int i = 0; i < many; i++) {
-            ask(200 + i, i, "t" + i, "free").setUp(210 + i, "a", "t" + i, 1, "free").runs(230 + i, "t" + i
-                    + ".1")
+            ask(200 + i, i, "t" + i, "free")
+                    .setUp(210 + i, "a", "t" + i, 1, "free")
+                    .runs(230 + i, "t" + i + ".1")
                     .answer(240 + i, i, "plays");
         }
         return this;
@@ -236,15 +312,19 @@
         events.removeIf(e -> e instanceof Segment);
         add(new Rung(100, "t.2", 0)).brokenIs(5);
         events.removeIf(e -> e instanceof Rung);
-        ask(110, 2, "u", "paid").add(new SetUp(120, "b", 0, "u", "u.1", "paid", "title", 0, true, null))
-                .turnedAway(130, "u.1").answer(140, 2, "refused").brokenIs(5);
+        ask(110, 2, "u", "paid")
+                .add(new SetUp(120, "b", 0, "u", "u.1", "paid", "title", 0, true, null))
+                .turnedAway(130, "u.1")
+                .answer(140, 2, "refused")
+                .brokenIs(5);
     }
 
     @Test
     void moreThanTheSeatsAreCaught() {
         for (int i = 0; i < 3; i++) {
-            ask(i * 100, i, "t" + i, "paid").setUp(10 + i * 100, "a", "t" + i, 1, "paid").runs(30 + i * 100,
-                    "t" + i + ".1")
+            ask(i * 100, i, "t" + i, "paid")
+                    .setUp(10 + i * 100, "a", "t" + i, 1, "paid")
+                    .runs(30 + i * 100, "t" + i + ".1")
                     .answer(40 + i * 100, i, "plays");
         }
         brokenIs(5);
@@ -253,9 +333,15 @@
 
     @Test
     void aSetUpThatWaitedAtASilentBoxIsNotNewWhenItIsRead() {
-        ask(10, 1, "t", "free").add(new Told(100, 0, "a", "draining", 0), new BoxMute(50, "a", true, "east"),
-                new BoxMute(600, "a", false, "east")).setUp(601, "a", "t", 1, "free").turnedAway(602, "t.1")
-                .answer(610, 1, "refused").brokenIs();
+        ask(10, 1, "t", "free")
+                .add(
+                        new Told(100, 0, "a", "draining", 0),
+                        new BoxMute(50, "a", true, "east"),
+                        new BoxMute(600, "a", false, "east"))
+                .setUp(601, "a", "t", 1, "free")
+                .turnedAway(602, "t.1")
+                .answer(610, 1, "refused")
+                .brokenIs();
         events.removeIf(e -> e instanceof BoxDown);
         setUp(900, "a", "t", 2, "free").turnedAway(902, "t.2").brokenIs(4);
     }
@@ -264,9 +350,12 @@
     void moreAttemptsThanTheBudgetAreCaught() {
         events.set(0, facts(1.0));
         for (int i = 0; i < 2; i++) {
-            ask(i * 100, i, "t" + i, "free").setUp(10 + i * 100, "a", "t" + i, 1, "free")
-                    .turnedAway(12 + i * 100, "t" + i + ".1").setUp(15 + i * 100, "b", "t" + i, 2, "free")
-                    .runs(30 + i * 100, "t" + i + ".2").answer(40 + i * 100, i, "plays");
+            ask(i * 100, i, "t" + i, "free")
+                    .setUp(10 + i * 100, "a", "t" + i, 1, "free")
+                    .turnedAway(12 + i * 100, "t" + i + ".1")
+                    .setUp(15 + i * 100, "b", "t" + i, 2, "free")
+                    .runs(30 + i * 100, "t" + i + ".2")
+                    .answer(40 + i * 100, i, "plays");
         }
         brokenIs(6);
         events.set(0, facts(2.0));
@@ -280,12 +369,19 @@
     void aRequestAtTheEdgeOfTheWindowCountsAndAnOlderOneDoesNot() {
         // Spare 0.9, and a tenth of the requests in 10 s: one further attempt needs one request.
         events.set(0, facts(0.95));
-        ask(1000, 1, "t", "free").setUp(10_980, "a", "t", 1, "free").turnedAway(10_990, "t.1")
-                .setUp(11_030, "b", "t", 2, "free").runs(11_040, "t.2").brokenIs(1);
-        events.removeIf(e -> e instanceof SetUp || e instanceof Ran || e instanceof SetUpAnswer
-                || e instanceof BoxDown);
-        setUp(10_980, "a", "t", 1, "free").turnedAway(10_990, "t.1").setUp(11_200, "b", "t", 2, "free")
-                .runs(11_210, "t.2").brokenIs(1, 6);
+        ask(1000, 1, "t", "free")
+                .setUp(10_980, "a", "t", 1, "free")
+                .turnedAway(10_990, "t.1")
+                .setUp(11_030, "b", "t", 2, "free")
+                .runs(11_040, "t.2")
+                .brokenIs(1);
+        events.removeIf(
+                e -> e instanceof SetUp || e instanceof Ran || e instanceof SetUpAnswer || e instanceof BoxDown);
+        setUp(10_980, "a", "t", 1, "free")
+                .turnedAway(10_990, "t.1")
+                .setUp(11_200, "b", "t", 2, "free")
+                .runs(11_210, "t.2")
+                .brokenIs(1, 6);
     }
 
     /**
@@ -294,13 +390,19 @@
     @Test
     void aMoveIsARequestOfItsOwn() {
         events.set(0, facts(0.85));
-        ask(10, 1, "t", "free").setUp(20, "a", "t", 1, "free").runs(40, "t.1").answer(45, 1, "plays")
-                .add(new End(500, "t.1", "released"),
+        ask(10, 1, "t", "free")
+                .setUp(20, "a", "t", 1, "free")
+                .runs(40, "t.1")
+                .answer(45, 1, "plays")
+                .add(
+                        new End(500, "t.1", "released"),
                         new SetUp(520, "b", 0, "t", "t-1.2", "free", "title", 1, false, "t.1"),
-                        new SetUpAnswer(522, "t-1.2", 503, "places")).brokenIs();
+                        new SetUpAnswer(522, "t-1.2", 503, "places"))
+                .brokenIs();
         events.removeIf(e -> e instanceof BoxDown);
-        add(new SetUp(530, "c", 0, "t", "t-1.3", "free", "title", 1, false, "t.1")).runs(550,
-                "t-1.3").brokenIs();
+        add(new SetUp(530, "c", 0, "t", "t-1.3", "free", "title", 1, false, "t.1"))
+                .runs(550, "t-1.3")
+                .brokenIs();
         events.set(0, facts(0.75));
         events.removeIf(e -> e instanceof BoxDown);
         brokenIs(6);
@@ -308,9 +410,13 @@
 
     @Test
     void ticketsAreCountedAndPlantedFaultsCaught() {
-        paidThatPlays().ask(12, 2, "t", "paid").answer(66, 2, "plays").ask(300, 3, "u", "paid")
-                .setUp(310, "a", "u", 1, "paid").add(new End(900, "u.1", "called off")).answer(950, 3,
-                "failed")
+        paidThatPlays()
+                .ask(12, 2, "t", "paid")
+                .answer(66, 2, "plays")
+                .ask(300, 3, "u", "paid")
+                .setUp(310, "a", "u", 1, "paid")
+                .add(new End(900, "u.1", "called off"))
+                .answer(950, 3, "failed")
                 .add(new BoxDown(1e6, "nowhere", "end"));
         assertEquals(new Tickets(3, 0, 2, 1, 1, 1, 1, 1, 1, 0), Tickets.of(events));
         assertTrue(Tickets.of(events).held());
@@ -337,21 +443,22 @@
     @Test
     void badRecordsAreToldWithTheirLine(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("tap.jsonl");
-        for (String bad : List.of("{", "{\"kind\":\"wonder\"}", "null", "[]",
-                "{\"kind\":\"ask\",\"t\":\"x\"}")) {
-            Files.writeString(file, "{\"kind\":\"boxDown\",\"t\":1,\"box\":\"a\",\"why\":\"w\"}\n" + bad
-                    + "\n");
+        for (String bad : List.of("{", "{\"kind\":\"wonder\"}", "null", "[]", "{\"kind\":\"ask\",\"t\":\"x\"}")) {
+            Files.writeString(file, "{\"kind\":\"boxDown\",\"t\":1,\"box\":\"a\",\"why\":\"w\"}\n" + bad + "\n");
             String told = assertThrows(IOException.class, () -> Tap.read(file)).getMessage();
             assertTrue(told.contains("tap.jsonl:2: is no record"), told);
         }
         Files.write(file, new byte[] {(byte) 0xff, (byte) 0xfe});
-        assertTrue(assertThrows(IOException.class, () -> Tap.read(file)).getMessage().contains("UTF-8"));
+        assertTrue(assertThrows(IOException.class, () -> Tap.read(file))
+                .getMessage()
+                .contains("UTF-8"));
     }
 
     @Test
     void recordsWithoutFactsAreNotJudged() {
         assertThrows(IllegalArgumentException.class, () -> Checker.judge(List.of(new FrontDown(1, 0))));
-        assertThrows(IllegalArgumentException.class, () -> Checker.judge(List.of(facts(null),
-                new Ask(1, 1, 0, "t", "nobody", "title", 100))));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Checker.judge(List.of(facts(null), new Ask(1, 1, 0, "t", "nobody", "title", 100))));
     }
 }
--- a/check/src/test/java/spanrill/check/TallyTest.java
+++ b/check/src/test/java/spanrill/check/TallyTest.java
@@ -17,9 +17,8 @@
 
 /** Counts of requests, viewers and early ends, whatever the records say. */
 class TallyTest {
-    private static final TapEvent.Facts FACTS = new TapEvent.Facts(0,
-            Map.of("free", new TapEvent.ClassFacts(false, 0, 0)), 20, 250, 10_000, 0.5, 2, 1500, null, null,
-            null);
+    private static final TapEvent.Facts FACTS = new TapEvent.Facts(
+            0, Map.of("free", new TapEvent.ClassFacts(false, 0, 0)), 20, 250, 10_000, 0.5, 2, 1500, null, null, null);
 
     /** Records in any order: answers to nothing, losses after answers, fronts that die, stand and return. */
     @Provide
@@ -28,21 +27,35 @@
         Arbitrary<Integer> front = Arbitraries.integers().between(0, 2);
         Arbitrary<Long> ask = Arbitraries.longs().between(1, 30);
         Arbitrary<TapEvent> event = Arbitraries.oneOf(
-                Combinators.combine(t, ask, front).as((at, a, f) -> new TapEvent.Answer(at, a, 200,
-                        List.of("plays", "refused", "failed", "none", "unasked").get((f
-                                + a.intValue()) % 5))),
+                Combinators.combine(t, ask, front)
+                        .as((at, a, f) -> new TapEvent.Answer(
+                                at,
+                                a,
+                                200,
+                                List.of("plays", "refused", "failed", "none", "unasked")
+                                        .get((f + a.intValue()) % 5))),
                 Combinators.combine(t, ask, front).as((at, a, f) -> new TapEvent.AskLost(at, a, f == 0)),
                 Combinators.combine(t, ask).as((at, a) -> new TapEvent.NoAnswer(at, a)),
                 Combinators.combine(t, front).as((at, f) -> new TapEvent.FrontDown(at, f)),
                 Combinators.combine(t, front).as((at, f) -> new TapEvent.FrontUp(at, f)),
                 Combinators.combine(t, front).as((at, f) -> new TapEvent.FrontStall(at, f, at / 3)),
                 Combinators.combine(t, ask).as((at, a) -> new TapEvent.Went(at, "v" + a, "left")));
-        Arbitrary<List<TapEvent>> asks = Combinators.combine(t, front, Arbitraries.integers().between(1, 9))
-                .as((at, f, v) -> new double[] {at, f, v}).list().ofMaxSize(30).map(all -> {
+        Arbitrary<List<TapEvent>> asks = Combinators.combine(
+                        t, front, Arbitraries.integers().between(1, 9))
+                .as((at, f, v) -> new double[] {at, f, v})
+                .list()
+                .ofMaxSize(30)
+                .map(all -> {
                     List<TapEvent> made = new ArrayList<>();
                     for (double[] one : all) {
-                        made.add(new TapEvent.Ask(one[0], made.size() + 1, (int) one[1], "v" + (int) one[2]
-                                + ".1", "free", "title", 3000));
+                        made.add(new TapEvent.Ask(
+                                one[0],
+                                made.size() + 1,
+                                (int) one[1],
+                                "v" + (int) one[2] + ".1",
+                                "free",
+                                "title",
+                                3000));
                     }
                     return made;
                 });
@@ -74,14 +87,18 @@
 
     @Test
     void aViewerThatIsRefusedAndPlaysLaterIsNotLost() {
-        List<TapEvent> taps = List.of(new TapEvent.Came(0, "a", "free"), new TapEvent.Came(0, "b", "paid"),
-                new TapEvent.Came(10, "c", "free"), new TapEvent.Came(20, "d", "free"),
+        List<TapEvent> taps = List.of(
+                new TapEvent.Came(0, "a", "free"),
+                new TapEvent.Came(0, "b", "paid"),
+                new TapEvent.Came(10, "c", "free"),
+                new TapEvent.Came(20, "d", "free"),
                 new TapEvent.Ask(5, 1, 0, "a.1", "free", "title", 3000),
                 new TapEvent.Answer(9, 1, 503, "refused"),
                 new TapEvent.Ask(2000, 2, 0, "a.2", "free", "title", 3000),
                 new TapEvent.Answer(2040, 2, 200, "plays"),
                 new TapEvent.Ask(10, 3, 0, "b.1", "paid", "title", 3000),
-                new TapEvent.Answer(20, 3, 503, "refused"), new TapEvent.Went(20, "b", "refused"),
+                new TapEvent.Answer(20, 3, 503, "refused"),
+                new TapEvent.Went(20, "b", "refused"),
                 new TapEvent.Went(900, "d", "left"));
         Viewers viewers = Viewers.of(taps);
         assertEquals(new Viewers.Group(4, 1, 1, 1, 1, 2040, 2040), viewers.all());
@@ -91,9 +108,11 @@
     }
 
     private static EarlyEnds.Cause cause(TapEvent.Broke broke, TapEvent... more) {
-        List<TapEvent> taps = new ArrayList<>(List.of(new TapEvent.Ask(5, 1, 0, "a.1", "free", "title", 3000),
+        List<TapEvent> taps = new ArrayList<>(List.of(
+                new TapEvent.Ask(5, 1, 0, "a.1", "free", "title", 3000),
                 new TapEvent.SetUp(10, "box", 0, "a.1", "k", "free", "title", 0, false, null),
-                new TapEvent.Ran(20, "k"), broke));
+                new TapEvent.Ran(20, "k"),
+                broke));
         taps.addAll(List.of(more));
         return EarlyEnds.of(taps).get(0).cause();
     }
@@ -109,8 +128,7 @@
         assertEquals(EarlyEnds.Cause.HALL, cause(slow, new TapEvent.BoxMute(3000, "box", true, "east")));
         assertEquals(EarlyEnds.Cause.BOX, cause(slow, new TapEvent.BoxMute(3000, "box", true, null)));
         assertEquals(EarlyEnds.Cause.TOO_SLOW, cause(slow, new TapEvent.BoxDown(4900, "another", "crash")));
-        assertEquals(EarlyEnds.Cause.MOVE_REFUSED,
-                cause(new TapEvent.Broke(5000, "a.1", 0, 503, "move-refused")));
+        assertEquals(EarlyEnds.Cause.MOVE_REFUSED, cause(new TapEvent.Broke(5000, "a.1", 0, 503, "move-refused")));
         assertEquals(EarlyEnds.Cause.TAKEN_FOR_GONE, cause(new TapEvent.Broke(5000, "a.1", 0, 410, "idle")));
         assertEquals(EarlyEnds.Cause.OTHER, cause(lost));
     }
--- a/cli/src/main/java/spanrill/cli/AgreeCommand.java
+++ b/cli/src/main/java/spanrill/cli/AgreeCommand.java
@@ -20,10 +20,14 @@
 import spanrill.settings.Settings;
 
 /** Holds the emulator against sockets. */
-@Command(name = "agree", mixinStandardHelpOptions = true, description = {
-    "Plays days both ways, on sockets and in virtual time, and compares: shares of answers within 3 points,",
-    "delivered within 2 points, set-up p50 within 25%%, means over the seeds. Exit code 3 when they differ",
-    "by more. With --from, sockets' reports are read there (DAY-SEED.json), and written there when missing."})
+@Command(
+        name = "agree",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays days both ways, on sockets and in virtual time, and compares: shares of answers within 3 points,",
+            "delivered within 2 points, set-up p50 within 25%%, means over the seeds. Exit code 3 when they differ",
+            "by more. With --from, sockets' reports are read there (DAY-SEED.json), and written there when missing."
+        })
 final class AgreeCommand implements Callable<Integer> {
     private static final double ANSWERS = 0.03;
     private static final double DELIVERED = 0.02;
@@ -32,12 +36,14 @@
     @Parameters(paramLabel = "DAY", arity = "1..*", description = "day files (Jsonnet)")
     private List<Path> files;
 
-    @Option(names = "--seeds", split = ",", defaultValue = "1,2,3",
+    @Option(
+            names = "--seeds",
+            split = ",",
+            defaultValue = "1,2,3",
             description = "seeds of each day (default: ${DEFAULT-VALUE})")
     private List<Long> seeds;
 
-    @Option(names = "--from", paramLabel = "DIR",
-            description = "keep sockets' reports there, and use those kept")
+    @Option(names = "--from", paramLabel = "DIR", description = "keep sockets' reports there, and use those kept")
     private Path from;
 
     @Spec
@@ -48,13 +54,17 @@
         static Seen of(JsonNode report) {
             double all = Math.max(1, report.path("requests").asDouble());
             JsonNode answers = report.path("answers");
-            return new Seen(answers.path("plays").asDouble() / all, answers.path("refused").asDouble() / all,
-                    answers.path("failed").asDouble() / all, report.path("delivered").asDouble(),
+            return new Seen(
+                    answers.path("plays").asDouble() / all,
+                    answers.path("refused").asDouble() / all,
+                    answers.path("failed").asDouble() / all,
+                    report.path("delivered").asDouble(),
                     report.path("setupMs").path("p50").asDouble());
         }
 
         static Seen mean(List<Seen> all) {
-            return new Seen(all.stream().mapToDouble(Seen::plays).average().orElse(0),
+            return new Seen(
+                    all.stream().mapToDouble(Seen::plays).average().orElse(0),
                     all.stream().mapToDouble(Seen::refused).average().orElse(0),
                     all.stream().mapToDouble(Seen::failed).average().orElse(0),
                     all.stream().mapToDouble(Seen::delivered).average().orElse(0),
@@ -62,7 +72,8 @@
         }
 
         boolean near(Seen other) {
-            return Math.abs(plays - other.plays) <= ANSWERS && Math.abs(refused - other.refused) <= ANSWERS
+            return Math.abs(plays - other.plays) <= ANSWERS
+                    && Math.abs(refused - other.refused) <= ANSWERS
                     && Math.abs(failed - other.failed) <= ANSWERS
                     && Math.abs(delivered - other.delivered) <= DELIVERED
                     && Math.abs(setUpMs - other.setUpMs) <= SET_UP * other.setUpMs;
@@ -75,9 +86,17 @@
             throw new BadInput("--seeds must name one at least");
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, "%-24s %5s %-9s %7s %8s %7s %10s %8s%n", "day", "seed", "", "plays",
+        out.printf(
+                Locale.ROOT,
+                "%-24s %5s %-9s %7s %8s %7s %10s %8s%n",
+                "day",
+                "seed",
+                "",
+                "plays",
                 "refused",
-                "failed", "delivered", "p50 ms");
+                "failed",
+                "delivered",
+                "p50 ms");
         boolean held = true;
         for (Path file : files) {
             Day day = Settings.read(file, Day.class);
@@ -100,17 +119,18 @@
         return held ? Exit.HELD : Exit.RULE_BROKEN;
     }
 
-    private JsonNode rehearsed(Path file, Day day, long seed, PrintWriter out) throws IOException, BadInput,
-            InterruptedException {
-        Path kept = from == null ? null : from.resolve(file.getFileName().toString().replace(".jsonnet", "")
-                + "-"
-                + seed + ".json");
+    private JsonNode rehearsed(Path file, Day day, long seed, PrintWriter out)
+            throws IOException, BadInput, InterruptedException {
+        Path kept = from == null
+                ? null
+                : from.resolve(file.getFileName().toString().replace(".jsonnet", "") + "-" + seed + ".json");
         if (kept != null && Files.isRegularFile(kept)) {
             return new ObjectMapper().readTree(kept.toFile());
         }
         Path folder = Files.createTempDirectory("spanrill-agree");
-        Report report = new Rehearsal(file.toString(), day, seed, folder, null, new PrintWriter(
-                java.io.Writer.nullWriter())).run(null);
+        Report report = new Rehearsal(
+                        file.toString(), day, seed, folder, null, new PrintWriter(java.io.Writer.nullWriter()))
+                .run(null);
         if (!report.loadInTime()) {
             throw new IOException("the load on sockets came late: the machine is too busy to compare");
         }
@@ -126,15 +146,26 @@
         Emulator.Run run = Emulator.play(day, seed);
         Judgement judged = Judgement.of(run.records());
         double all = Math.max(1, judged.tally().requests());
-        return new Seen(judged.tally().plays() / all, judged.tally().refused() / all,
-                judged.tally().failed() / all, run.figures().delivered(), run.figures().setUpMs(0.5));
+        return new Seen(
+                judged.tally().plays() / all,
+                judged.tally().refused() / all,
+                judged.tally().failed() / all,
+                run.figures().delivered(),
+                run.figures().setUpMs(0.5));
     }
 
     private static void print(PrintWriter out, Path file, String seed, String how, Seen seen) {
-        out.printf(Locale.ROOT, "%-24s %5s %-9s %7.3f %8.3f %7.3f %10.3f %8.1f%n",
-                file.getFileName().toString().replace(".jsonnet", ""), seed, how, seen.plays(),
-                        seen.refused(),
-                seen.failed(), seen.delivered(), seen.setUpMs());
+        out.printf(
+                Locale.ROOT,
+                "%-24s %5s %-9s %7.3f %8.3f %7.3f %10.3f %8.1f%n",
+                file.getFileName().toString().replace(".jsonnet", ""),
+                seed,
+                how,
+                seen.plays(),
+                seen.refused(),
+                seen.failed(),
+                seen.delivered(),
+                seen.setUpMs());
         out.flush();
     }
 }
--- a/cli/src/main/java/spanrill/cli/BareRelay.java
+++ b/cli/src/main/java/spanrill/cli/BareRelay.java
@@ -24,7 +24,9 @@
 
     /** Passes on to a port, on loops of its own or shared ones. */
     BareRelay(EventLoopGroup loops, int toPort) throws InterruptedException {
-        server = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+        server = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
                 .childOption(ChannelOption.AUTO_READ, false)
@@ -33,15 +35,23 @@
                     protected void initChannel(SocketChannel viewer) {
                         connect(viewer, toPort);
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).sync().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .sync()
+                .channel();
     }
 
     private static void connect(SocketChannel viewer, int toPort) {
         // Both sides on one loop, as in a front.
-        new Bootstrap().group(viewer.eventLoop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
-                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS).handler(new Side(viewer))
-                .connect(new InetSocketAddress("127.0.0.1", toPort)).addListener(done -> {
+        new Bootstrap()
+                .group(viewer.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
+                .handler(new Side(viewer))
+                .connect(new InetSocketAddress("127.0.0.1", toPort))
+                .addListener(done -> {
                     if (!done.isSuccess()) {
                         viewer.close();
                         return;
--- a/cli/src/main/java/spanrill/cli/CheckCommand.java
+++ b/cli/src/main/java/spanrill/cli/CheckCommand.java
@@ -20,7 +20,9 @@
 import spanrill.check.Verdict;
 
 /** Judges records of a run. */
-@Command(name = "check", mixinStandardHelpOptions = true,
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
         description = "Judges the six rules from the records of a run (what rehearse --taps wrote).")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "TAPS", description = "a file of records, or a folder with .jsonl files")
@@ -40,7 +42,9 @@
             if (Files.isDirectory(taps)) {
                 List<Path> files;
                 try (Stream<Path> found = Files.list(taps)) {
-                    files = found.filter(f -> f.toString().endsWith(".jsonl")).sorted().toList();
+                    files = found.filter(f -> f.toString().endsWith(".jsonl"))
+                            .sorted()
+                            .toList();
                 }
                 if (files.isEmpty()) {
                     throw new BadInput(taps + ": has no .jsonl file");
@@ -57,8 +61,7 @@
         }
         PrintWriter out = spec.commandLine().getOut();
         if (json) {
-            out.println(new ObjectMapper().writerWithDefaultPrettyPrinter()
-                    .writeValueAsString(Report.rules(verdicts)));
+            out.println(new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(Report.rules(verdicts)));
         } else {
             Report.rulesTable(out, verdicts);
         }
--- a/cli/src/main/java/spanrill/cli/ConfigCommand.java
+++ b/cli/src/main/java/spanrill/cli/ConfigCommand.java
@@ -8,12 +8,15 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import spanrill.day.Day;
 import spanrill.front.FrontSettings;
 import spanrill.settings.Settings;
-import spanrill.day.Day;
 
 /** Checks settings. */
-@Command(name = "config", mixinStandardHelpOptions = true, description = "Settings.",
+@Command(
+        name = "config",
+        mixinStandardHelpOptions = true,
+        description = "Settings.",
         subcommands = {ConfigCommand.Check.class, CommandLine.HelpCommand.class})
 final class ConfigCommand implements Runnable {
     @Spec
@@ -25,16 +28,23 @@
     }
 
     /** Checks one file. */
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells whether a file can be used, or the line, field and reason why not.")
     static final class Check implements Callable<Integer> {
         /** What a file may be. */
-        enum Sort { FRONT, DAY }
+        enum Sort {
+            FRONT,
+            DAY
+        }
 
         @Parameters(paramLabel = "FILE", description = "a Jsonnet file")
         private Path file;
 
-        @Option(names = "--as", defaultValue = "FRONT",
+        @Option(
+                names = "--as",
+                defaultValue = "FRONT",
                 description = "what it is: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE})")
         private Sort sort;
 
--- a/cli/src/main/java/spanrill/cli/Exit.java
+++ b/cli/src/main/java/spanrill/cli/Exit.java
@@ -7,5 +7,5 @@
     static final int RULE_BROKEN = 3;
     static final int COULD_NOT_RUN = 4;
 
-    private Exit() { }
+    private Exit() {}
 }
--- a/cli/src/main/java/spanrill/cli/FrontProcesses.java
+++ b/cli/src/main/java/spanrill/cli/FrontProcesses.java
@@ -73,8 +73,7 @@
             try {
                 fronts.get(i).listening.get(START_MS, TimeUnit.MILLISECONDS);
             } catch (ExecutionException | TimeoutException e) {
-                throw new IOException("front " + i + " did not start; see " + folder.resolve("front-" + i
-                        + ".log"));
+                throw new IOException("front " + i + " did not start; see " + folder.resolve("front-" + i + ".log"));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 throw new IOException("interrupted");
@@ -93,9 +92,14 @@
             // Thirty optimizing compilers at once leave no machine for the rehearsal.
             command.add("-XX:TieredStopAtLevel=1");
         }
-        command.addAll(List.of("-Dspanrill.log=System.out", "-Dlogback.configurationFile=logback.xml", "-cp",
+        command.addAll(List.of(
+                "-Dspanrill.log=System.out",
+                "-Dlogback.configurationFile=logback.xml",
+                "-cp",
                 System.getProperty("java.class.path"),
-                Main.class.getName(), "serve", file.toString()));
+                Main.class.getName(),
+                "serve",
+                file.toString()));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         front.process = process;
         worker.execute(() -> follow(number, front, process));
@@ -105,10 +109,10 @@
     private void follow(int number, Front front, Process process) {
         ObjectMapper json = new ObjectMapper();
         Path log = folder.resolve("front-" + number + ".log");
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
-                StandardCharsets.UTF_8));
-                BufferedWriter out = Files.newBufferedWriter(log, StandardOpenOption.CREATE,
-                        StandardOpenOption.APPEND)) {
+        try (BufferedReader in =
+                        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+                BufferedWriter out =
+                        Files.newBufferedWriter(log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 out.write(line);
                 out.newLine();
@@ -163,13 +167,13 @@
         worker.execute(() -> {
             try {
                 double before = tap.now();
-                new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(front.process.pid())).start()
+                new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(front.process.pid()))
+                        .start()
                         .waitFor();
                 if (on) {
                     front.stalledAt = before;
                 } else {
-                    tap.put(new TapEvent.FrontStall(front.stalledAt, number, tap.now() - front.stalledAt
-                            + 20));
+                    tap.put(new TapEvent.FrontStall(front.stalledAt, number, tap.now() - front.stalledAt + 20));
                 }
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
--- a/cli/src/main/java/spanrill/cli/HealedHall.java
+++ b/cli/src/main/java/spanrill/cli/HealedHall.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import spanrill.check.TapEvent;
-import spanrill.model.trouble.Effect;
 import spanrill.day.Day;
+import spanrill.model.trouble.Effect;
 
 /**
  * What became of the viewers of a hall that was cut off, after it healed: those who had asked before and
@@ -21,8 +21,7 @@
  * @param refused of their first answers
  * @param unanswered those without one
  */
-record HealedHall(String hall, int returned, double answeredMsP99, long plays, long refused,
-        long unanswered) {
+record HealedHall(String hall, int returned, double answeredMsP99, long plays, long refused, long unanswered) {
     static final int WITHIN_MS = 1000;
 
     /** All healings of a day. {@code began}: start of the day on the records' clock. */
@@ -44,24 +43,28 @@
         for (TapEvent event : events) {
             if (event instanceof TapEvent.Ask ask) {
                 String viewer = ask.viewer();
-                if (ask.t() >= healed && ask.t() < healed + WITHIN_MS
-                        && ask.front() % day.zones().size() == hall && !answered.containsKey(viewer)) {
+                if (ask.t() >= healed
+                        && ask.t() < healed + WITHIN_MS
+                        && ask.front() % day.zones().size() == hall
+                        && !answered.containsKey(viewer)) {
                     answered.put(viewer, Double.NaN);
                     asks.put(ask.ask(), viewer);
                 }
-            } else if (event instanceof TapEvent.Answer answer && asks.containsKey(answer.ask())
+            } else if (event instanceof TapEvent.Answer answer
+                    && asks.containsKey(answer.ask())
                     && Double.isNaN(answered.get(asks.get(answer.ask())))) {
                 answered.put(asks.get(answer.ask()), answer.t() - healed);
                 plays += answer.answer().equals("plays") ? 1 : 0;
                 refused += answer.answer().equals("refused") ? 1 : 0;
             }
         }
-        double[] times = answered.values().stream().mapToDouble(Double::doubleValue)
+        double[] times = answered.values().stream()
+                .mapToDouble(Double::doubleValue)
                 .filter(t -> !Double.isNaN(t))
                 .toArray();
         Arrays.sort(times);
         double p99 = times.length == 0 ? Double.NaN : times[(int) Math.ceil(times.length * 0.99) - 1];
-        return new HealedHall(day.zones().get(hall), answered.size(), p99, plays, refused,
-                answered.size() - times.length);
+        return new HealedHall(
+                day.zones().get(hall), answered.size(), p99, plays, refused, answered.size() - times.length);
     }
 }
--- a/cli/src/main/java/spanrill/cli/Hindrances.java
+++ b/cli/src/main/java/spanrill/cli/Hindrances.java
@@ -31,13 +31,16 @@
             days.add(each.without(day));
         }
         days.add(Hindrance.withoutAll(day));
-        double[] services = IntStream.range(0, days.size()).parallel().mapToDouble(i -> {
-            try {
-                return Emulator.play(days.get(i), seed, options).worth().service();
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
-            }
-        }).toArray();
+        double[] services = IntStream.range(0, days.size())
+                .parallel()
+                .mapToDouble(i -> {
+                    try {
+                        return Emulator.play(days.get(i), seed, options).worth().service();
+                    } catch (IOException e) {
+                        throw new UncheckedIOException(e);
+                    }
+                })
+                .toArray();
         Map<Hindrance, Double> gains = new LinkedHashMap<>();
         for (Hindrance each : Hindrance.values()) {
             gains.put(each, services[each.ordinal()] - worth.service());
@@ -47,9 +50,11 @@
     }
 
     void print(PrintWriter out) {
-        gains.forEach((each, gain) -> out.printf(Locale.ROOT, "    without %-16s %+.3f%n", each.words(),
-                gain));
-        out.printf(Locale.ROOT, "    without all of them      %+.3f (alone they sum to %+.3f)%n", together,
+        gains.forEach((each, gain) -> out.printf(Locale.ROOT, "    without %-16s %+.3f%n", each.words(), gain));
+        out.printf(
+                Locale.ROOT,
+                "    without all of them      %+.3f (alone they sum to %+.3f)%n",
+                together,
                 gains.values().stream().mapToDouble(Double::doubleValue).sum());
         out.printf(Locale.ROOT, "    rest to the bound        %+.3f%n", rest);
     }
--- a/cli/src/main/java/spanrill/cli/Judgement.java
+++ b/cli/src/main/java/spanrill/cli/Judgement.java
@@ -24,8 +24,7 @@
      * @throws IllegalArgumentException when the records can't be judged
      */
     static Judgement of(List<TapEvent> records) {
-        return new Judgement(Checker.judge(records), Tally.of(records), Viewers.of(records),
-                EarlyEnds.of(records));
+        return new Judgement(Checker.judge(records), Tally.of(records), Viewers.of(records), EarlyEnds.of(records));
     }
 
     boolean addsUp() {
@@ -41,8 +40,12 @@
         List<String> reasons = new ArrayList<>();
         for (Verdict verdict : verdicts) {
             if (!verdict.held()) {
-                reasons.add(String.format(Locale.ROOT, "rule %d (%s) was broken %d times", verdict.rule(),
-                        verdict.name(), verdict.brokenCount()));
+                reasons.add(String.format(
+                        Locale.ROOT,
+                        "rule %d (%s) was broken %d times",
+                        verdict.rule(),
+                        verdict.name(),
+                        verdict.brokenCount()));
             }
         }
         if (!tally.addsUp()) {
@@ -57,17 +60,24 @@
 
     /** Sessions that broke, those left for want of rate aside. */
     long broken() {
-        return ends.stream().filter(end -> end.cause() != EarlyEnds.Cause.TOO_SLOW).count();
+        return ends.stream()
+                .filter(end -> end.cause() != EarlyEnds.Cause.TOO_SLOW)
+                .count();
     }
 
     /** Puts all that the records say into a report. */
     void putInto(ObjectNode root) {
         root.put("held", held()).put("requests", tally.requests());
-        root.putObject("answers").put("plays", tally.plays()).put("refused", tally.refused())
-                .put("failed", tally.failed()).put("notTaken", tally.notTaken());
-        root.put("unanswered", tally.unanswered()).put("unansweredExcused", tally.excused())
-                .put("left", tally.left()).put("lostWithFront", tally.lostWithFront()).put("addsUp",
-                        addsUp());
+        root.putObject("answers")
+                .put("plays", tally.plays())
+                .put("refused", tally.refused())
+                .put("failed", tally.failed())
+                .put("notTaken", tally.notTaken());
+        root.put("unanswered", tally.unanswered())
+                .put("unansweredExcused", tally.excused())
+                .put("left", tally.left())
+                .put("lostWithFront", tally.lostWithFront())
+                .put("addsUp", addsUp());
         whyNotHeld().forEach(root.putArray("whyNotHeld")::add);
         root.set("viewers", viewersJson());
         root.set("endedEarly", endedEarlyJson());
@@ -84,11 +94,13 @@
     }
 
     private static ObjectNode put(ObjectNode node, Viewers.Group group) {
-        node.put("came", group.came()).put("played", group.played()).put("gaveUp", group.gaveUp())
-                .put("left", group.left()).put("stillTrying", group.still());
+        node.put("came", group.came())
+                .put("played", group.played())
+                .put("gaveUp", group.gaveUp())
+                .put("left", group.left())
+                .put("stillTrying", group.still());
         // JSON has no NaN: where nobody played there is no wait.
-        node.putObject("toFirstPlayMs").put("p50", known(group.waitMsP50()))
-                .put("p99", known(group.waitMsP99()));
+        node.putObject("toFirstPlayMs").put("p50", known(group.waitMsP50())).put("p99", known(group.waitMsP99()));
         return node;
     }
 
@@ -112,17 +124,33 @@
     }
 
     void printRequests(PrintWriter out) {
-        out.printf(Locale.ROOT, "  requests %d: plays %d, refused %d, failed %d, not taken %d%n",
-                tally.requests(), tally.plays(), tally.refused(), tally.failed(), tally.notTaken());
-        out.printf(Locale.ROOT,
-                "  and without an answer: %d (%d of them excused by rule 1), left %d, lost with "
-                + "their front %d%n", tally.unanswered(), tally.excused(), tally.left(),
-                        tally.lostWithFront());
+        out.printf(
+                Locale.ROOT,
+                "  requests %d: plays %d, refused %d, failed %d, not taken %d%n",
+                tally.requests(),
+                tally.plays(),
+                tally.refused(),
+                tally.failed(),
+                tally.notTaken());
+        out.printf(
+                Locale.ROOT,
+                "  and without an answer: %d (%d of them excused by rule 1), left %d, lost with " + "their front %d%n",
+                tally.unanswered(),
+                tally.excused(),
+                tally.left(),
+                tally.lostWithFront());
     }
 
     void printViewers(PrintWriter out) {
-        out.printf(Locale.ROOT, "  %-14s %7s %7s %8s %6s %6s   first play p50, p99%n", "viewers", "came",
-                "played", "gave up", "left", "still");
+        out.printf(
+                Locale.ROOT,
+                "  %-14s %7s %7s %8s %6s %6s   first play p50, p99%n",
+                "viewers",
+                "came",
+                "played",
+                "gave up",
+                "left",
+                "still");
         line(out, "all", viewers.all());
         Map<String, Viewers.Group> classes = viewers.byClass();
         if (classes.size() > 1) {
@@ -132,7 +160,8 @@
         EarlyEnds.counts(ends).forEach((cause, count) -> {
             if (count > 0) {
                 causes.append(causes.length() == 0 ? " " : ", ")
-                        .append(cause.name().toLowerCase(Locale.ROOT).replace('_', ' ')).append(' ')
+                        .append(cause.name().toLowerCase(Locale.ROOT).replace('_', ' '))
+                        .append(' ')
                         .append(count);
             }
         });
@@ -140,8 +169,17 @@
     }
 
     private static void line(PrintWriter out, String name, Viewers.Group group) {
-        out.printf(Locale.ROOT, "    %-12s %7d %7d %8d %6d %6d   %s%n", name, group.came(), group.played(),
-                group.gaveUp(), group.left(), group.still(), group.played() == 0 ? "-"
-                : String.format(Locale.ROOT, "%.0f ms, %.0f ms", group.waitMsP50(), group.waitMsP99()));
+        out.printf(
+                Locale.ROOT,
+                "    %-12s %7d %7d %8d %6d %6d   %s%n",
+                name,
+                group.came(),
+                group.played(),
+                group.gaveUp(),
+                group.left(),
+                group.still(),
+                group.played() == 0
+                        ? "-"
+                        : String.format(Locale.ROOT, "%.0f ms, %.0f ms", group.waitMsP50(), group.waitMsP99()));
     }
 }
--- a/cli/src/main/java/spanrill/cli/MeasureBench.java
+++ b/cli/src/main/java/spanrill/cli/MeasureBench.java
@@ -33,16 +33,15 @@
     final List<Entry> entries = new ArrayList<>();
     final Issuer issuer;
     final FrontProcesses fronts;
-    private final MultiThreadIoEventLoopGroup boxLoops = new MultiThreadIoEventLoopGroup(2,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup boxLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final Tap tap = new Tap(null);
 
     /** Starts all; {@code limits} are those of the front's settings. */
     MeasureBench(Map<String, Number> limits) throws IOException, InterruptedException, JOSEException {
         Path folder = Files.createTempDirectory("spanrill-measure");
         for (int i = 0; i < BOXES; i++) {
-            entries.add(new Entry("box-" + i, new PumpBox(boxLoops.next(), SEGMENT).port(), "a", "std", i,
-                    "ready", 1, 0));
+            entries.add(
+                    new Entry("box-" + i, new PumpBox(boxLoops.next(), SEGMENT).port(), "a", "std", i, "ready", 1, 0));
         }
         StandinRegistry registry = new StandinRegistry(boxLoops.next(), tap, 1);
         registry.title("title", 0, BOXES, 3_600_000, List.of(2000L), 0);
@@ -68,16 +67,25 @@
 
     private static Day day() {
         List<Double> never = List.of(0.0, 0.0);
-        return new Day(1, 60_000, 0, 1, List.of("a"), 1,
+        return new Day(
+                1,
+                60_000,
+                0,
+                1,
+                List.of("a"),
+                1,
                 new Day.Boxes(BOXES, 1, 1_000_000, 1e9, 0, 1, 0, 0, 0, 1),
                 new Day.Titles(1, 0, List.of(BOXES, BOXES), 3_600_000, 2000, List.of(), 0),
-                Map.of("free", new Day.DayClass(1, List.of(1.0, 2.0), 1000, PATIENCE_MS, 1, false, 0, 4, 1,
-                0)),
-                new Day.Ladder(List.of(200.0, 2000.0), List.of(0.5, 1.0)), new Day.Notes(800, 3000, 6, 500),
+                Map.of("free", new Day.DayClass(1, List.of(1.0, 2.0), 1000, PATIENCE_MS, 1, false, 0, 4, 1, 0)),
+                new Day.Ladder(List.of(200.0, 2000.0), List.of(0.5, 1.0)),
+                new Day.Notes(800, 3000, 6, 500),
                 new Day.Rules(5, 2000, 0, 250, 2, 1500, null, null, null),
-                new Day.Arrivals(1, Day.Shape.STEADY, 0, 1000), List.of(), new Day.Distances(0, 0),
+                new Day.Arrivals(1, Day.Shape.STEADY, 0, 1000),
+                List.of(),
+                new Day.Distances(0, 0),
                 new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, 0, never, 0, 0, 0, 0),
-                new Day.Registry(never, never), List.of());
+                new Day.Registry(never, never),
+                List.of());
     }
 
     int port() {
@@ -96,8 +104,7 @@
         EventLoop loop = viewers.next();
         for (int i = 0; i < 200; i++) {
             CompletableFuture<String> done = new CompletableFuture<>();
-            SetUpProbe.ask(loop, address(), "title", token("r" + i), done::complete,
-                    done::completeExceptionally);
+            SetUpProbe.ask(loop, address(), "title", token("r" + i), done::complete, done::completeExceptionally);
             try {
                 if (done.handle((base, fault) -> fault == null).get(10, TimeUnit.SECONDS)) {
                     return;
--- a/cli/src/main/java/spanrill/cli/ModelCommand.java
+++ b/cli/src/main/java/spanrill/cli/ModelCommand.java
@@ -20,7 +20,10 @@
 import spanrill.settings.Settings;
 
 /** The model of a day. */
-@Command(name = "model", mixinStandardHelpOptions = true, description = "The model of players and links.",
+@Command(
+        name = "model",
+        mixinStandardHelpOptions = true,
+        description = "The model of players and links.",
         subcommands = {ModelCommand.Show.class, CommandLine.HelpCommand.class})
 final class ModelCommand implements Runnable {
     @Spec
@@ -32,9 +35,13 @@
     }
 
     /** Shows what a day would bring. */
-    @Command(name = "show", mixinStandardHelpOptions = true, description = {
-        "Prints what a day would bring, before it is run: who comes, what they want of the fleet were nobody",
-        "refused, what the fleet gives with the day's troubles on it, and where that is not enough."})
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Prints what a day would bring, before it is run: who comes, what they want of the fleet were nobody",
+                "refused, what the fleet gives with the day's troubles on it, and where that is not enough."
+            })
     static final class Show implements Callable<Integer> {
         private static final int MOST_STEPS = 600;
 
@@ -44,7 +51,10 @@
         @Option(names = "--seed", description = "another seed than the day's")
         private Long seed;
 
-        @Option(names = "--step", paramLabel = "S", defaultValue = "10",
+        @Option(
+                names = "--step",
+                paramLabel = "S",
+                defaultValue = "10",
                 description = "seconds of the day in a line (default: ${DEFAULT-VALUE})")
         private double stepS;
 
@@ -69,8 +79,14 @@
         }
 
         private void crowd(PrintWriter out, Day day, List<Arrival> arrivals) {
-            out.printf(Locale.ROOT, "%s: %d viewers in %.0f s, %d boxes in %d racks, %d fronts%n", file,
-                    arrivals.size(), day.lengthMs() / 1000, day.boxes().count(), day.boxes().racks(),
+            out.printf(
+                    Locale.ROOT,
+                    "%s: %d viewers in %.0f s, %d boxes in %d racks, %d fronts%n",
+                    file,
+                    arrivals.size(),
+                    day.lengthMs() / 1000,
+                    day.boxes().count(),
+                    day.boxes().racks(),
                     day.fronts());
             Map<String, long[]> classes = new TreeMap<>();
             for (Arrival arrival : arrivals) {
@@ -78,38 +94,70 @@
                 sums[0]++;
                 sums[1] += Math.round(arrival.traits().watchMs());
             }
-            classes.forEach((cls, sums) -> out.printf(Locale.ROOT, "  %-16s %6d, mean session %.1f s%n", cls,
-                    sums[0], sums[1] / 1000.0 / sums[0]));
+            classes.forEach((cls, sums) -> out.printf(
+                    Locale.ROOT, "  %-16s %6d, mean session %.1f s%n", cls, sums[0], sums[1] / 1000.0 / sums[0]));
         }
 
         private static void troubles(PrintWriter out, Day day, Plan plan) {
             for (int i = 0; i < day.troubles().size(); i++) {
                 Day.Trouble trouble = day.troubles().get(i);
                 long on = plan.firstActsOn(i);
-                out.printf(Locale.ROOT, "  %5.0f s  %-16s for %3.0f s%s%n", trouble.atMs() / 1000,
-                        trouble.kind().name().toLowerCase(Locale.ROOT), trouble.forMs() / 1000,
+                out.printf(
+                        Locale.ROOT,
+                        "  %5.0f s  %-16s for %3.0f s%s%n",
+                        trouble.atMs() / 1000,
+                        trouble.kind().name().toLowerCase(Locale.ROOT),
+                        trouble.forMs() / 1000,
                         on == 0 ? ", more viewers" : ", begins with " + on);
             }
-            day.flashes().forEach(flash -> out.printf(Locale.ROOT,
-                    "  %5.0f s  final whistle, title %d, %.0f a second at its peak%n", flash.atMs() / 1000,
-                    flash.title(), flash.perS()));
+            day.flashes()
+                    .forEach(flash -> out.printf(
+                            Locale.ROOT,
+                            "  %5.0f s  final whistle, title %d, %.0f a second at its peak%n",
+                            flash.atMs() / 1000,
+                            flash.title(),
+                            flash.perS()));
         }
 
         private static void fleet(PrintWriter out, Forecast forecast) {
-            out.printf(Locale.ROOT, "%n%8s %7s %9s %7s %10s %9s %10s %9s %7s%n", "from s", "come/s",
+            out.printf(
+                    Locale.ROOT,
+                    "%n%8s %7s %9s %7s %10s %9s %10s %9s %7s%n",
+                    "from s",
+                    "come/s",
                     "sessions",
-                    "places", "floor MB/s", "top MB/s", "links MB/s", "through", "fronts");
+                    "places",
+                    "floor MB/s",
+                    "top MB/s",
+                    "links MB/s",
+                    "through",
+                    "fronts");
             for (Forecast.Step step : forecast.steps()) {
                 String not = step.placesUse() > 1 ? "  too few places" : "";
                 not += step.floorUse() > 1 ? "  even floors don't fit" : "";
-                out.printf(Locale.ROOT, "%8.0f %7.1f %9d %7.0f %10.1f %9.1f %10.1f %9.1f %7d%s%n",
-                        step.fromMs() / 1000, step.perS(), step.sessions(), step.places(),
-                        step.floorKb() / 1000, step.topKb() / 1000, step.linksKb() / 1000,
-                        step.uplinksKb() / 1000, step.frontsUp(), not);
+                out.printf(
+                        Locale.ROOT,
+                        "%8.0f %7.1f %9d %7.0f %10.1f %9.1f %10.1f %9.1f %7d%s%n",
+                        step.fromMs() / 1000,
+                        step.perS(),
+                        step.sessions(),
+                        step.places(),
+                        step.floorKb() / 1000,
+                        step.topKb() / 1000,
+                        step.linksKb() / 1000,
+                        step.uplinksKb() / 1000,
+                        step.frontsUp(),
+                        not);
             }
             Forecast.Hot hot = forecast.hottest();
-            out.printf(Locale.ROOT, "%ntitle %d is wanted most: by %.0f%% of the viewers, by %d at once; its "
-                    + "holders have %.0f places%n", hot.title(), hot.share() * 100, hot.most(), hot.places());
+            out.printf(
+                    Locale.ROOT,
+                    "%ntitle %d is wanted most: by %.0f%% of the viewers, by %d at once; its "
+                            + "holders have %.0f places%n",
+                    hot.title(),
+                    hot.share() * 100,
+                    hot.most(),
+                    hot.places());
         }
     }
 }
--- a/cli/src/main/java/spanrill/cli/ModuleSource.java
+++ b/cli/src/main/java/spanrill/cli/ModuleSource.java
@@ -31,7 +31,7 @@
 final class ModuleSource {
     private static final String NAME = "spanrill.Control";
 
-    private ModuleSource() { }
+    private ModuleSource() {}
 
     /**
      * The policy of a source file.
@@ -51,12 +51,10 @@
         }
         DiagnosticCollector<JavaFileObject> found = new DiagnosticCollector<>();
         Map<String, ByteArrayOutputStream> classes = new HashMap<>();
-        JavaFileManager manager = new ForwardingJavaFileManager<>(compiler.getStandardFileManager(found,
-                null, null)) {
+        JavaFileManager manager = new ForwardingJavaFileManager<>(compiler.getStandardFileManager(found, null, null)) {
             @Override
-            public JavaFileObject getJavaFileForOutput(Location location, String name,
-                    JavaFileObject.Kind kind,
-                    FileObject sibling) {
+            public JavaFileObject getJavaFileForOutput(
+                    Location location, String name, JavaFileObject.Kind kind, FileObject sibling) {
                 return new SimpleJavaFileObject(URI.create("mem:///" + name + ".class"), kind) {
                     @Override
                     public OutputStream openOutputStream() {
@@ -65,18 +63,26 @@
                 };
             }
         };
-        JavaFileObject source = new SimpleJavaFileObject(URI.create("mem:///spanrill/Control.java"),
-                JavaFileObject.Kind.SOURCE) {
-            @Override
-            public CharSequence getCharContent(boolean ignoreEncodingErrors) {
-                return text;
-            }
-        };
-        boolean compiled = compiler.getTask(null, manager, found, List.of("-classpath",
-                System.getProperty("java.class.path"), "-proc:none"), null, List.of(source)).call();
+        JavaFileObject source =
+                new SimpleJavaFileObject(URI.create("mem:///spanrill/Control.java"), JavaFileObject.Kind.SOURCE) {
+                    @Override
+                    public CharSequence getCharContent(boolean ignoreEncodingErrors) {
+                        return text;
+                    }
+                };
+        boolean compiled = compiler.getTask(
+                        null,
+                        manager,
+                        found,
+                        List.of("-classpath", System.getProperty("java.class.path"), "-proc:none"),
+                        null,
+                        List.of(source))
+                .call();
         if (!compiled) {
             Diagnostic<?> first = found.getDiagnostics().stream()
-                    .filter(d -> d.getKind() == Diagnostic.Kind.ERROR).findFirst().orElseThrow();
+                    .filter(d -> d.getKind() == Diagnostic.Kind.ERROR)
+                    .findFirst()
+                    .orElseThrow();
             throw new BadInput(file + ":" + first.getLineNumber() + ": "
                     + first.getMessage(Locale.ROOT).split("\\R")[0]);
         }
@@ -86,8 +92,7 @@
         return policy(file, classes);
     }
 
-    private static SessionCore.Policy policy(Path file, Map<String,
-            ByteArrayOutputStream> classes) throws BadInput {
+    private static SessionCore.Policy policy(Path file, Map<String, ByteArrayOutputStream> classes) throws BadInput {
         ClassLoader loader = new ClassLoader(ModuleSource.class.getClassLoader()) {
             @Override
             protected Class<?> loadClass(String name, boolean resolve) throws ClassNotFoundException {
@@ -102,22 +107,19 @@
             }
         };
         try {
-            Constructor<?> made = loader.loadClass(NAME).getConstructor(SessionControl.Settings.class,
-                    long.class,
-                    SessionControl.Actions.class);
+            Constructor<?> made = loader.loadClass(NAME)
+                    .getConstructor(SessionControl.Settings.class, long.class, SessionControl.Actions.class);
             return (settings, seed, actions) -> {
                 try {
                     return (SessionControl) made.newInstance(settings, seed, actions);
                 } catch (InvocationTargetException e) {
-                    throw new IllegalStateException("the module of " + file + " does not start",
-                            e.getCause());
+                    throw new IllegalStateException("the module of " + file + " does not start", e.getCause());
                 } catch (ReflectiveOperationException e) {
                     throw new IllegalStateException("the module of " + file + " can't be made", e);
                 }
             };
         } catch (ReflectiveOperationException | LinkageError | ClassCastException e) {
-            throw new BadInput(file + ": its " + NAME + " is not made as this program makes one: "
-                    + e.getMessage());
+            throw new BadInput(file + ": its " + NAME + " is not made as this program makes one: " + e.getMessage());
         }
     }
 }
--- a/cli/src/main/java/spanrill/cli/MpdCommand.java
+++ b/cli/src/main/java/spanrill/cli/MpdCommand.java
@@ -14,7 +14,10 @@
 import spanrill.wire.dash.MpdValidator;
 
 /** Manifests. */
-@Command(name = "mpd", mixinStandardHelpOptions = true, description = "DASH manifests.",
+@Command(
+        name = "mpd",
+        mixinStandardHelpOptions = true,
+        description = "DASH manifests.",
         subcommands = {MpdCommand.Check.class, CommandLine.HelpCommand.class})
 final class MpdCommand implements Runnable {
     @Spec
@@ -26,9 +29,13 @@
     }
 
     /** Checks one. */
-    @Command(name = "check", mixinStandardHelpOptions = true, description = {
-        "Checks a manifest against the schema and the rules of ISO/IEC 23009-1 for recorded titles.",
-        "Exit code 3 when something is wrong with it."})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Checks a manifest against the schema and the rules of ISO/IEC 23009-1 for recorded titles.",
+                "Exit code 3 when something is wrong with it."
+            })
     static final class Check implements Callable<Integer> {
         private static final long MOST_BYTES = 4 << 20;
 
@@ -52,9 +59,8 @@
                 throw new BadInput(file + ": can't be read");
             }
             List<MpdValidator.Finding> findings = MpdValidator.check(text);
-            findings.forEach(f -> spec.commandLine().getOut().println(file + (f.line() > 0 ? ":" + f.line()
-                    : "")
-                    + ": " + f.text()));
+            findings.forEach(f ->
+                    spec.commandLine().getOut().println(file + (f.line() > 0 ? ":" + f.line() : "") + ": " + f.text()));
             if (findings.isEmpty()) {
                 spec.commandLine().getOut().println(file + ": nothing is wrong with it");
             }
--- a/cli/src/main/java/spanrill/cli/OverloadCommand.java
+++ b/cli/src/main/java/spanrill/cli/OverloadCommand.java
@@ -19,11 +19,15 @@
 import spanrill.standin.viewer.AnswerProbe.Came;
 
 /** Measures what a front does when more ask than it can set up. */
-@Command(name = "overload", mixinStandardHelpOptions = true, description = {
-    "Finds the highest rate of new sessions that one front process holds with p99 within the aim, then",
-    "offers 1, 4 and 16 times as many, open loop, and tells how many play in time, how many are told to",
-    "wait, and how soon each is answered. Exit code 3 when goodput falls below 80%% of that rate or a viewer",
-    "gets no answer. Each viewer brings a token of its own, signed by ES256. Some minutes; not for CI."})
+@Command(
+        name = "overload",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Finds the highest rate of new sessions that one front process holds with p99 within the aim, then",
+            "offers 1, 4 and 16 times as many, open loop, and tells how many play in time, how many are told to",
+            "wait, and how soon each is answered. Exit code 3 when goodput falls below 80%% of that rate or a viewer",
+            "gets no answer. Each viewer brings a token of its own, signed by ES256. Some minutes; not for CI."
+        })
 final class OverloadCommand implements Callable<Integer> {
     private static final double AIM_MS = 1000;
     private static final double MOST_PER_S = 6000;
@@ -31,17 +35,24 @@
     private static final int[] TIMES = {1, 4, 16};
     private static final double MOST_LATE_MS = 100;
 
-    @Option(names = "--seconds", defaultValue = "8", description =
-            "of each step (default: ${DEFAULT-VALUE})")
+    @Option(names = "--seconds", defaultValue = "8", description = "of each step (default: ${DEFAULT-VALUE})")
     private int seconds;
 
-    @Option(names = "--from", paramLabel = "RATE", defaultValue = "100", description =
-            "first rate that is tried, new sessions a second (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--from",
+            paramLabel = "RATE",
+            defaultValue = "100",
+            description = "first rate that is tried, new sessions a second (default: ${DEFAULT-VALUE})")
     private double from;
 
-    @Option(names = "--token-threads", paramLabel = "N", defaultValue = "1", description = {
-        "threads of the front that verify tokens (default: ${DEFAULT-VALUE}): with more it holds more, and",
-        "16 times as much is soon beyond what this machine can offer"})
+    @Option(
+            names = "--token-threads",
+            paramLabel = "N",
+            defaultValue = "1",
+            description = {
+                "threads of the front that verify tokens (default: ${DEFAULT-VALUE}): with more it holds more, and",
+                "16 times as much is soon beyond what this machine can offer"
+            })
     private int tokenThreads;
 
     @Spec
@@ -50,8 +61,8 @@
     private int runs;
 
     /** What one step came to. */
-    private record Step(double perS, AtomicLongArray came, Histogram plays, Histogram all, Histogram late,
-            int seconds) {
+    private record Step(
+            double perS, AtomicLongArray came, Histogram plays, Histogram all, Histogram late, int seconds) {
         long of(Came what) {
             return came.get(what.ordinal());
         }
@@ -79,8 +90,18 @@
             throw new BadInput("--seconds must be from 1 to 600, --from from 1 to " + (int) MOST_PER_S);
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, "%9s %9s %9s %7s %8s %6s %14s %14s %14s%n", "offered/s", "plays/s", "to wait",
-                "other", "no conn.", "none", "plays p50/p99", "all p50/p99", "load late p99");
+        out.printf(
+                Locale.ROOT,
+                "%9s %9s %9s %7s %8s %6s %14s %14s %14s%n",
+                "offered/s",
+                "plays/s",
+                "to wait",
+                "other",
+                "no conn.",
+                "none",
+                "plays p50/p99",
+                "all p50/p99",
+                "load late p99");
         try (MeasureBench bench = new MeasureBench(Map.of("idleMs", 1000, "tokenThreads", tokenThreads))) {
             // The first thousands pay for class loading and compilation.
             step(bench, from);
@@ -131,30 +152,38 @@
         int count = (int) (perS * seconds);
         int run = runs++;
         // Signed before the step begins, on all cores: the signatures of the load must not slow the front.
-        String[] targets = IntStream.range(0, count).parallel()
+        String[] targets = IntStream.range(0, count)
+                .parallel()
                 .mapToObj(i -> "/dash/title/manifest.mpd?token=" + bench.token("o" + run + "-" + i))
                 .toArray(String[]::new);
-        Step step = new Step(perS, new AtomicLongArray(Came.values().length),
-                new ConcurrentHistogram(60_000_000, 3), new ConcurrentHistogram(60_000_000, 3),
-                new ConcurrentHistogram(60_000_000, 3), seconds);
+        Step step = new Step(
+                perS,
+                new AtomicLongArray(Came.values().length),
+                new ConcurrentHistogram(60_000_000, 3),
+                new ConcurrentHistogram(60_000_000, 3),
+                new ConcurrentHistogram(60_000_000, 3),
+                seconds);
         CountDownLatch all = new CountDownLatch(count);
         long begin = System.nanoTime() + 100_000_000;
         for (int i = 0; i < count; i++) {
             long due = begin + (long) (i / perS * 1e9);
             String target = targets[i];
             EventLoop loop = bench.viewers.next();
-            loop.schedule(() -> {
-                step.late().recordValue(Math.max(0, (System.nanoTime() - due) / 1000));
-                AnswerProbe.ask(loop, bench.address(), target, (long) MeasureBench.PATIENCE_MS, what -> {
-                    long took = Math.max(1, (System.nanoTime() - due) / 1000);
-                    step.came().incrementAndGet(what.ordinal());
-                    step.all().recordValue(Math.min(60_000_000, took));
-                    if (what == Came.PLAYS) {
-                        step.plays().recordValue(Math.min(60_000_000, took));
-                    }
-                    all.countDown();
-                });
-            }, due - System.nanoTime(), TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> {
+                        step.late().recordValue(Math.max(0, (System.nanoTime() - due) / 1000));
+                        AnswerProbe.ask(loop, bench.address(), target, (long) MeasureBench.PATIENCE_MS, what -> {
+                            long took = Math.max(1, (System.nanoTime() - due) / 1000);
+                            step.came().incrementAndGet(what.ordinal());
+                            step.all().recordValue(Math.min(60_000_000, took));
+                            if (what == Came.PLAYS) {
+                                step.plays().recordValue(Math.min(60_000_000, took));
+                            }
+                            all.countDown();
+                        });
+                    },
+                    due - System.nanoTime(),
+                    TimeUnit.NANOSECONDS);
         }
         all.await();
         // What it set up is released for want of a sign of life before the next step.
@@ -163,15 +192,26 @@
     }
 
     private static void print(PrintWriter out, Step step) {
-        out.printf(Locale.ROOT, "%9.0f %9.0f %9d %7d %8d %6d %14s %14s %11.0f ms%n", step.perS(),
+        out.printf(
+                Locale.ROOT,
+                "%9.0f %9.0f %9d %7d %8d %6d %14s %14s %11.0f ms%n",
+                step.perS(),
                 step.goodput(),
-                step.of(Came.TOLD_TO_WAIT), step.of(Came.OTHER), step.of(Came.NO_CONNECTION),
-                step.of(Came.NONE), times(step.plays()), times(step.all()), step.lateMs());
+                step.of(Came.TOLD_TO_WAIT),
+                step.of(Came.OTHER),
+                step.of(Came.NO_CONNECTION),
+                step.of(Came.NONE),
+                times(step.plays()),
+                times(step.all()),
+                step.lateMs());
         out.flush();
     }
 
     private static String times(Histogram of) {
-        return String.format(Locale.ROOT, "%.0f/%.0f ms", of.getValueAtPercentile(50) / 1000.0,
+        return String.format(
+                Locale.ROOT,
+                "%.0f/%.0f ms",
+                of.getValueAtPercentile(50) / 1000.0,
                 of.getValueAtPercentile(99) / 1000.0);
     }
 }
--- a/cli/src/main/java/spanrill/cli/PlotCommand.java
+++ b/cli/src/main/java/spanrill/cli/PlotCommand.java
@@ -14,9 +14,13 @@
 import spanrill.results.ViewerRow;
 
 /** Draws what a rehearsal measured. */
-@Command(name = "plot", mixinStandardHelpOptions = true, description = {
-    "Draws the pictures of a rehearsal from the rows in its folder: offered against served, shares by",
-    "rack, answers and returns, stalls, rungs, waits for the first play, sessions that ended early."})
+@Command(
+        name = "plot",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Draws the pictures of a rehearsal from the rows in its folder: offered against served, shares by",
+            "rack, answers and returns, stalls, rungs, waits for the first play, sessions that ended early."
+        })
 final class PlotCommand implements Callable<Integer> {
     @Parameters(paramLabel = "DIR", description = "folder that 'rehearse --results DIR' wrote")
     private Path folder;
@@ -33,10 +37,14 @@
 
     /** Draws all pictures of a run's folder. */
     static void draw(Path folder) throws IOException {
-        Pictures.write(folder, Rows.read(folder.resolve(Rehearsal.SECONDS), SecondRow.class),
+        Pictures.write(
+                folder,
+                Rows.read(folder.resolve(Rehearsal.SECONDS), SecondRow.class),
                 Rows.read(folder.resolve(Rehearsal.COUNTS), CountRow.class));
         if (Files.exists(folder.resolve(Rehearsal.VIEWERS))) {
-            Pictures.viewers(folder, Rows.read(folder.resolve(Rehearsal.VIEWERS), ViewerRow.class),
+            Pictures.viewers(
+                    folder,
+                    Rows.read(folder.resolve(Rehearsal.VIEWERS), ViewerRow.class),
                     Rows.read(folder.resolve(Rehearsal.ENDS), EndRow.class));
         }
     }
--- a/cli/src/main/java/spanrill/cli/Recorder.java
+++ b/cli/src/main/java/spanrill/cli/Recorder.java
@@ -20,10 +20,23 @@
     }
 
     void second() {
-        long[] now = {stats.asks.sum(), stats.plays.sum(), stats.refused.sum(), stats.failed.sum(),
-            stats.returns.sum(), stats.stalledMs.sum()};
-        rows.add(new CountRow(++second, now[0] - before[0], now[1] - before[1], now[2] - before[2],
-                now[3] - before[3], now[4] - before[4], playing.getAsLong(), now[5] - before[5]));
+        long[] now = {
+            stats.asks.sum(),
+            stats.plays.sum(),
+            stats.refused.sum(),
+            stats.failed.sum(),
+            stats.returns.sum(),
+            stats.stalledMs.sum()
+        };
+        rows.add(new CountRow(
+                ++second,
+                now[0] - before[0],
+                now[1] - before[1],
+                now[2] - before[2],
+                now[3] - before[3],
+                now[4] - before[4],
+                playing.getAsLong(),
+                now[5] - before[5]));
         before = now;
     }
 }
--- a/cli/src/main/java/spanrill/cli/Rehearsal.java
+++ b/cli/src/main/java/spanrill/cli/Rehearsal.java
@@ -17,6 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.day.Day;
+import spanrill.day.Plan;
+import spanrill.emulator.Emulator;
 import spanrill.model.hall.HallWatch;
 import spanrill.results.CountRow;
 import spanrill.results.EndRow;
@@ -26,9 +29,6 @@
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
-import spanrill.day.Day;
-import spanrill.day.Plan;
-import spanrill.emulator.Emulator;
 import spanrill.standin.registry.StandinRegistry;
 import spanrill.standin.token.Issuer;
 import spanrill.standin.trouble.Director;
@@ -64,11 +64,12 @@
     }
 
     Report run(Path taps) throws IOException, InterruptedException {
-        MultiThreadIoEventLoopGroup boxLoops = new MultiThreadIoEventLoopGroup(1,
-                new DefaultThreadFactory("boxes", true), NioIoHandler.newFactory());
-        MultiThreadIoEventLoopGroup playerLoops = new MultiThreadIoEventLoopGroup(PLAYER_LOOPS,
-                new DefaultThreadFactory("players", true), NioIoHandler.newFactory());
-        try (Tap tap = new Tap(taps); RunRows rows = new RunRows(results)) {
+        MultiThreadIoEventLoopGroup boxLoops =
+                new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("boxes", true), NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup playerLoops = new MultiThreadIoEventLoopGroup(
+                PLAYER_LOOPS, new DefaultThreadFactory("players", true), NioIoHandler.newFactory());
+        try (Tap tap = new Tap(taps);
+                RunRows rows = new RunRows(results)) {
             tap.put(Emulator.facts(day));
             EventLoop loop = boxLoops.next();
             Receipts receipts = new Receipts();
@@ -83,16 +84,24 @@
                 FrontConfig.write(file, day, links, front, port, registryPort, seed, Map.of());
                 return file;
             };
-            try (FrontProcesses fronts = new FrontProcesses(day.fronts(), day.zones().size(),
-                    day.viewers().frontNoticeMs(), config, folder, tap)) {
+            try (FrontProcesses fronts = new FrontProcesses(
+                    day.fronts(), day.zones().size(), day.viewers().frontNoticeMs(), config, folder, tap)) {
                 fronts.startAll();
                 Plan plan = new Plan(day, seed);
                 HallWatch watch = new HallWatch(day.zones().size());
-                Crowd crowd = new Crowd(new Stage(day, fronts, issuer, tap, receipts, new CrowdStats(), watch,
-                        Long.toString(System.currentTimeMillis(), Character.MAX_RADIX)),
-                        plan.arrivals(), playerLoops);
-                Director director = new Director(day, plan.effects(), fleet, registry, fronts, watch,
-                        loop, this::say);
+                Crowd crowd = new Crowd(
+                        new Stage(
+                                day,
+                                fronts,
+                                issuer,
+                                tap,
+                                receipts,
+                                new CrowdStats(),
+                                watch,
+                                Long.toString(System.currentTimeMillis(), Character.MAX_RADIX)),
+                        plan.arrivals(),
+                        playerLoops);
+                Director director = new Director(day, plan.effects(), fleet, registry, fronts, watch, loop, this::say);
                 double began = tap.now();
                 play(loop, crowd, director, fronts, fleet, rows);
                 fronts.sampleCpu();
@@ -101,13 +110,24 @@
                 // Judged before the fronts are stopped: sessions that end with the day did not end early.
                 List<TapEvent> records = tap.events();
                 fronts.stopAll();
-                long spends = loop.submit(() -> fleet.boxes().stream().mapToLong(StandinBox::spends).sum())
+                long spends = loop.submit(() -> fleet.boxes().stream()
+                                .mapToLong(StandinBox::spends)
+                                .sum())
                         .get();
                 List<HealedHall> healed = HealedHall.of(records, plan.effects(), began, day);
                 Judgement judged = Judgement.of(records);
                 rows.viewers(judged, began);
-                return new Report(name, seed, crowd.stats(), judged, fronts.cpuMs(),
-                        spends, fleet.shapingLate(), resources, frontsKb, healed);
+                return new Report(
+                        name,
+                        seed,
+                        crowd.stats(),
+                        judged,
+                        fronts.cpuMs(),
+                        spends,
+                        fleet.shapingLate(),
+                        resources,
+                        frontsKb,
+                        healed);
             } catch (ExecutionException e) {
                 throw new IOException("the stand-ins failed: " + e.getCause(), e);
             } finally {
@@ -139,12 +159,20 @@
             if (folder != null) {
                 try (Rows<ViewerRow> viewers = new Rows<>(folder.resolve(VIEWERS), ViewerRow.class);
                         Rows<EndRow> ends = new Rows<>(folder.resolve(ENDS), EndRow.class)) {
-                    judged.viewers().each().forEach(v -> viewers.add(new ViewerRow(v.name(), v.cls(),
-                            v.cameAt() - began, v.played() ? v.waitMs() : -1, v.asks(),
-                            v.went() == null ? "" : v.went())));
-                    judged.ends().forEach(end -> ends.add(new EndRow(
-                            (int) Math.max(0, Math.ceil((end.t() - began) / 1000)), end.cls(),
-                            end.cause().name().toLowerCase(Locale.ROOT).replace('_', ' '))));
+                    judged.viewers()
+                            .each()
+                            .forEach(v -> viewers.add(new ViewerRow(
+                                    v.name(),
+                                    v.cls(),
+                                    v.cameAt() - began,
+                                    v.played() ? v.waitMs() : -1,
+                                    v.asks(),
+                                    v.went() == null ? "" : v.went())));
+                    judged.ends()
+                            .forEach(end -> ends.add(new EndRow(
+                                    (int) Math.max(0, Math.ceil((end.t() - began) / 1000)),
+                                    end.cls(),
+                                    end.cause().name().toLowerCase(Locale.ROOT).replace('_', ' '))));
                 }
             }
         }
@@ -158,8 +186,9 @@
         }
     }
 
-    private void play(EventLoop loop, Crowd crowd, Director director, FrontProcesses fronts, BoxFleet fleet,
-            RunRows rows) throws InterruptedException {
+    private void play(
+            EventLoop loop, Crowd crowd, Director director, FrontProcesses fronts, BoxFleet fleet, RunRows rows)
+            throws InterruptedException {
         CountDownLatch over = new CountDownLatch(1);
         loop.execute(() -> {
             crowd.start();
@@ -168,34 +197,49 @@
         double length = day.lengthMs() + day.tailMs();
         loop.schedule(over::countDown, (long) length, TimeUnit.MILLISECONDS);
         // Asking the system for each front's CPU time takes its while: not on the loop that shapes bytes.
-        Thread sampler = new Thread(() -> {
-            while (over.getCount() > 0) {
-                fronts.sampleCpu();
-                try {
-                    if (over.await(CPU_MS, TimeUnit.MILLISECONDS)) {
-                        return;
+        Thread sampler = new Thread(
+                () -> {
+                    while (over.getCount() > 0) {
+                        fronts.sampleCpu();
+                        try {
+                            if (over.await(CPU_MS, TimeUnit.MILLISECONDS)) {
+                                return;
+                            }
+                        } catch (InterruptedException e) {
+                            return;
+                        }
                     }
-                } catch (InterruptedException e) {
-                    return;
-                }
-            }
-        }, "sampler");
+                },
+                "sampler");
         sampler.setDaemon(true);
         sampler.start();
-        Recorder recorder = rows.counts == null ? null
-                : new Recorder(crowd.stats(), () -> playing(fleet), rows.counts);
-        var recording = loop.scheduleAtFixedRate(() -> {
-            if (recorder != null) {
-                recorder.second();
-            }
-        }, 1, 1, TimeUnit.SECONDS);
+        Recorder recorder = rows.counts == null ? null : new Recorder(crowd.stats(), () -> playing(fleet), rows.counts);
+        var recording = loop.scheduleAtFixedRate(
+                () -> {
+                    if (recorder != null) {
+                        recorder.second();
+                    }
+                },
+                1,
+                1,
+                TimeUnit.SECONDS);
         long[] passed = {0};
-        var telling = loop.scheduleAtFixedRate(() -> {
-            passed[0] += PROGRESS_MS;
-            say(String.format(Locale.ROOT, "%3d s  asked %d, plays %d, refused %d, failed %d, playing now %d",
-                    passed[0] / 1000, crowd.stats().asks.sum(), crowd.stats().plays.sum(),
-                    crowd.stats().refused.sum(), crowd.stats().failed.sum(), playing(fleet)));
-        }, PROGRESS_MS, PROGRESS_MS, TimeUnit.MILLISECONDS);
+        var telling = loop.scheduleAtFixedRate(
+                () -> {
+                    passed[0] += PROGRESS_MS;
+                    say(String.format(
+                            Locale.ROOT,
+                            "%3d s  asked %d, plays %d, refused %d, failed %d, playing now %d",
+                            passed[0] / 1000,
+                            crowd.stats().asks.sum(),
+                            crowd.stats().plays.sum(),
+                            crowd.stats().refused.sum(),
+                            crowd.stats().failed.sum(),
+                            playing(fleet)));
+                },
+                PROGRESS_MS,
+                PROGRESS_MS,
+                TimeUnit.MILLISECONDS);
         over.await();
         recording.cancel(false);
         telling.cancel(false);
--- a/cli/src/main/java/spanrill/cli/RehearseCommand.java
+++ b/cli/src/main/java/spanrill/cli/RehearseCommand.java
@@ -9,14 +9,18 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import spanrill.day.Day;
 import spanrill.settings.Settings;
 import spanrill.settings.SettingsException;
-import spanrill.day.Day;
 
 /** Plays a day on stand-ins and judges it. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
-    "Starts real fronts and stand-ins for all they meet, plays a day with its troubles, and judges the six",
-    "rules by what crossed the sockets. Ends with a table. All on loopback, on ports that the system picks."})
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Starts real fronts and stand-ins for all they meet, plays a day with its troubles, and judges the six",
+            "rules by what crossed the sockets. Ends with a table. All on loopback, on ports that the system picks."
+        })
 final class RehearseCommand implements Callable<Integer> {
     private static final int MOST_FRONTS = 64;
 
@@ -35,7 +39,9 @@
     @Option(names = "--taps", paramLabel = "DIR", description = "keep the records and the fronts' logs there")
     private Path taps;
 
-    @Option(names = "--results", paramLabel = "DIR",
+    @Option(
+            names = "--results",
+            paramLabel = "DIR",
             description = "write rows (Parquet), pictures and a page (index.html) there")
     private Path results;
 
@@ -49,16 +55,14 @@
             day = day.withFronts(fronts);
         }
         if (day.fronts() < 1 || day.fronts() > MOST_FRONTS) {
-            throw new SettingsException("a rehearsal starts a process for each front: from 1 to "
-                    + MOST_FRONTS
-                    + ", not " + day.fronts());
+            throw new SettingsException(
+                    "a rehearsal starts a process for each front: from 1 to " + MOST_FRONTS + ", not " + day.fronts());
         }
         Path folder = taps == null ? Files.createTempDirectory("spanrill-rehearsal") : taps;
         Files.createDirectories(folder);
         PrintWriter out = spec.commandLine().getOut();
-        Rehearsal rehearsal = new Rehearsal(file.toString(), day, seed == null ? day.seed() : seed,
-                folder.toAbsolutePath(),
-                results, out);
+        Rehearsal rehearsal = new Rehearsal(
+                file.toString(), day, seed == null ? day.seed() : seed, folder.toAbsolutePath(), results, out);
         Report result = rehearsal.run(taps == null ? null : folder.resolve("tap.jsonl"));
         result.print(out);
         if (report != null) {
--- a/cli/src/main/java/spanrill/cli/Report.java
+++ b/cli/src/main/java/spanrill/cli/Report.java
@@ -14,8 +14,17 @@
 import spanrill.standin.viewer.CrowdStats;
 
 /** What a rehearsal came to, as a table and as JSON (docs/operators.md has the fields). */
-record Report(String day, long seed, CrowdStats stats, Judgement judged, double frontCpuMs, long spends,
-        Histogram shapingLate, Resources resources, long frontsKb, List<HealedHall> healed) {
+record Report(
+        String day,
+        long seed,
+        CrowdStats stats,
+        Judgement judged,
+        double frontCpuMs,
+        long spends,
+        Histogram shapingLate,
+        Resources resources,
+        long frontsKb,
+        List<HealedHall> healed) {
     private static final ObjectMapper JSON = new ObjectMapper();
     /** Load that was sent later than this at the 99th percentile did not measure what it says. */
     private static final double LATE_MS = 50;
@@ -40,8 +49,11 @@
     static ArrayNode rules(List<Verdict> verdicts) {
         ArrayNode rules = JSON.createArrayNode();
         for (Verdict verdict : verdicts) {
-            ObjectNode rule = rules.addObject().put("rule", verdict.rule()).put("name", verdict.name())
-                    .put("held", verdict.held()).put("judged", verdict.judgedCount())
+            ObjectNode rule = rules.addObject()
+                    .put("rule", verdict.rule())
+                    .put("name", verdict.name())
+                    .put("held", verdict.held())
+                    .put("judged", verdict.judgedCount())
                     .put("broken", verdict.brokenCount());
             verdict.violations().forEach(rule.putArray("violations")::add);
         }
@@ -53,20 +65,27 @@
         judged.putInto(root);
         root.put("loadInTime", loadInTime()).put("connectionsLost", stats.lost.sum());
         root.putObject("setupMs").put("p50", setUp(50)).put("p99", setUp(99));
-        root.put("delivered", delivered()).put("frontCpuMsPerRequest", cpuPerRequest())
-                .put("sessionsFinished", stats.finished.sum()).put("sessionsBroken", judged.broken())
-                .put("segments", stats.segments.sum()).put("bytes", stats.bytes.sum())
-                .put("meanRung", stats.rungs.sum() / Math.max(1.0, stats.segments.sum())).put("spends",
-                spends)
+        root.put("delivered", delivered())
+                .put("frontCpuMsPerRequest", cpuPerRequest())
+                .put("sessionsFinished", stats.finished.sum())
+                .put("sessionsBroken", judged.broken())
+                .put("segments", stats.segments.sum())
+                .put("bytes", stats.bytes.sum())
+                .put("meanRung", stats.rungs.sum() / Math.max(1.0, stats.segments.sum()))
+                .put("spends", spends)
                 .put("loadLateMsP99", stats.late.getValueAtPercentile(99) / 1000.0)
                 .put("shapingLateMsP99", shapingLate.getValueAtPercentile(99) / 1000.0)
-                .put("shapingLateMsMost", shapingLate.getMaxValue() / 1000.0).put("gaveUp",
-                stats.gaveUp.sum())
-                .put("returns", stats.returns.sum()).put("stalls", stats.stalls.sum());
+                .put("shapingLateMsMost", shapingLate.getMaxValue() / 1000.0)
+                .put("gaveUp", stats.gaveUp.sum())
+                .put("returns", stats.returns.sum())
+                .put("stalls", stats.stalls.sum());
         ArrayNode halls = root.putArray("healedHalls");
-        healed.forEach(hall -> halls.addObject().put("hall", hall.hall()).put("returned", hall.returned())
-                .put("answeredMsP99", hall.answeredMsP99()).put("plays", hall.plays()).put("refused",
-                hall.refused())
+        healed.forEach(hall -> halls.addObject()
+                .put("hall", hall.hall())
+                .put("returned", hall.returned())
+                .put("answeredMsP99", hall.answeredMsP99())
+                .put("plays", hall.plays())
+                .put("refused", hall.refused())
                 .put("unanswered", hall.unanswered()));
         ObjectNode used = resources.json();
         used.put("frontsCpuMs", frontCpuMs).put("frontsResidentKb", frontsKb);
@@ -86,18 +105,31 @@
         out.printf(Locale.ROOT, "%n%s, seed %d%n", day, seed);
         judged.printRequests(out);
         judged.printViewers(out);
-        out.printf(Locale.ROOT,
+        out.printf(
+                Locale.ROOT,
                 "  sessions finished %d, broken %d; delivered %.3f of the time, mean rung %.2f%n",
-                stats.finished.sum(), judged.broken(), delivered(),
+                stats.finished.sum(),
+                judged.broken(),
+                delivered(),
                 stats.rungs.sum() / Math.max(1.0, stats.segments.sum()));
-        out.printf(Locale.ROOT,
+        out.printf(
+                Locale.ROOT,
                 "  set-up p50 %.0f ms, p99 %.0f ms; front CPU %.2f ms a request; load late p99 %.1f ms%s%n",
-                setUp(50), setUp(99), cpuPerRequest(), stats.late.getValueAtPercentile(99) / 1000.0,
+                setUp(50),
+                setUp(99),
+                cpuPerRequest(),
+                stats.late.getValueAtPercentile(99) / 1000.0,
                 loadInTime() ? "" : " (too late: this run does not count)");
-        healed.forEach(hall -> out.printf(Locale.ROOT,
+        healed.forEach(hall -> out.printf(
+                Locale.ROOT,
                 "  %s healed: %d viewers asked within 1 s, 99%% answered "
-                + "after %.0f ms (plays %d, told to wait %d, none %d)%n", hall.hall(), hall.returned(),
-                hall.answeredMsP99(), hall.plays(), hall.refused(), hall.unanswered()));
+                        + "after %.0f ms (plays %d, told to wait %d, none %d)%n",
+                hall.hall(),
+                hall.returned(),
+                hall.answeredMsP99(),
+                hall.plays(),
+                hall.refused(),
+                hall.unanswered()));
         rulesTable(out, judged.verdicts());
         judged.whyNotHeld().forEach(reason -> out.println("  NOT HELD: " + reason));
         out.flush();
@@ -105,9 +137,14 @@
 
     static void rulesTable(PrintWriter out, List<Verdict> verdicts) {
         for (Verdict verdict : verdicts) {
-            out.printf(Locale.ROOT, "  rule %d  %-36s %-6s  judged %d, broken %d%n", verdict.rule(),
+            out.printf(
+                    Locale.ROOT,
+                    "  rule %d  %-36s %-6s  judged %d, broken %d%n",
+                    verdict.rule(),
                     verdict.name(),
-                    verdict.held() ? "held" : "BROKEN", verdict.judgedCount(), verdict.brokenCount());
+                    verdict.held() ? "held" : "BROKEN",
+                    verdict.judgedCount(),
+                    verdict.brokenCount());
             verdict.violations().stream().limit(5).forEach(text -> out.println("          " + text));
         }
     }
--- a/cli/src/main/java/spanrill/cli/ReportCommand.java
+++ b/cli/src/main/java/spanrill/cli/ReportCommand.java
@@ -13,8 +13,12 @@
 import picocli.CommandLine.Spec;
 
 /** Makes the page of a run. */
-@Command(name = "report", mixinStandardHelpOptions = true, description = {
-    "Draws the pictures of a rehearsal and makes one page of them and its report: index.html in its folder."})
+@Command(
+        name = "report",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Draws the pictures of a rehearsal and makes one page of them and its report: index.html in its folder."
+        })
 final class ReportCommand implements Callable<Integer> {
     static final String REPORT = "report.json";
 
@@ -40,14 +44,14 @@
     static Path write(Path folder) throws IOException {
         Path file = folder.resolve(REPORT);
         if (!Files.isRegularFile(file)) {
-            throw new IOException(file
-                    + ": there is no such file; was the run made by 'rehearse --results'?");
+            throw new IOException(file + ": there is no such file; was the run made by 'rehearse --results'?");
         }
         JsonNode report;
         try {
             report = new ObjectMapper().readTree(file.toFile());
         } catch (JsonProcessingException e) {
-            throw new IOException(file + ": is no report: " + e.getOriginalMessage().split("\\R")[0]);
+            throw new IOException(
+                    file + ": is no report: " + e.getOriginalMessage().split("\\R")[0]);
         }
         Path page = folder.resolve("index.html");
         Files.writeString(page, new RunPage(folder, report).html());
--- a/cli/src/main/java/spanrill/cli/Resources.java
+++ b/cli/src/main/java/spanrill/cli/Resources.java
@@ -15,14 +15,22 @@
  * package of their class (what a part's own classes hold, not the strings and buffers that they point to).
  */
 final class Resources {
-    private static final Map<String, String> PACKAGES = Map.of("spanrill.model", "model",
+    private static final Map<String, String> PACKAGES = Map.of(
+            "spanrill.model",
+            "model",
             "spanrill.standin.box",
-            "boxes", "spanrill.standin.viewer", "players", "spanrill.check", "records", "io.netty", "netty");
+            "boxes",
+            "spanrill.standin.viewer",
+            "players",
+            "spanrill.check",
+            "records",
+            "io.netty",
+            "netty");
 
     private final Map<String, Double> cpuMs = new TreeMap<>();
     private final Map<String, Long> liveBytes = new TreeMap<>();
 
-    private Resources() { }
+    private Resources() {}
 
     /**
      * Takes both now; a collection runs first.
@@ -35,7 +43,8 @@
         for (long id : threads.getAllThreadIds()) {
             ThreadInfo info = threads.getThreadInfo(id);
             if (info != null) {
-                String part = info.getThreadName().startsWith("boxes") ? "boxes"
+                String part = info.getThreadName().startsWith("boxes")
+                        ? "boxes"
                         : info.getThreadName().startsWith("players") ? "players" : "others";
                 taken.cpuMs.merge(part, Math.max(0, threads.getThreadCpuTime(id)) / 1e6, Double::sum);
             }
@@ -43,9 +52,12 @@
         taken.cpuMs.put("model", modelMs);
         taken.cpuMs.merge("boxes", -modelMs, Double::sum);
         try {
-            String histogram = (String) ManagementFactory.getPlatformMBeanServer().invoke(
-                    new ObjectName("com.sun.management:type=DiagnosticCommand"), "gcClassHistogram",
-                    new Object[] {new String[0]}, new String[] {String[].class.getName()});
+            String histogram = (String) ManagementFactory.getPlatformMBeanServer()
+                    .invoke(
+                            new ObjectName("com.sun.management:type=DiagnosticCommand"),
+                            "gcClassHistogram",
+                            new Object[] {new String[0]},
+                            new String[] {String[].class.getName()});
             histogram.lines().forEach(taken::line);
         } catch (JMException e) {
             taken.liveBytes.put("not known: " + e.getMessage(), 0L);
--- a/cli/src/main/java/spanrill/cli/RunPage.java
+++ b/cli/src/main/java/spanrill/cli/RunPage.java
@@ -29,24 +29,38 @@
     }
 
     String html() throws IOException {
-        String title = report.path("day").asText("a run") + ", seed " + report.path("seed").asText("?");
+        String title = report.path("day").asText("a run") + ", seed "
+                + report.path("seed").asText("?");
         out.append("<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
                 .append(escape(title))
-                .append("</title><style>").append(STYLE).append("</style></head><body>\n<h1>")
-                .append(escape(title)).append("</h1>\n");
+                .append("</title><style>")
+                .append(STYLE)
+                .append("</style></head><body>\n<h1>")
+                .append(escape(title))
+                .append("</h1>\n");
         verdict();
         rules();
         heading("Requests");
-        fields(report, "requests", "unanswered", "unansweredExcused", "left", "lostWithFront",
-                "connectionsLost");
+        fields(report, "requests", "unanswered", "unansweredExcused", "left", "lostWithFront", "connectionsLost");
         fields(report.path("answers"));
         heading("Viewers");
         viewers();
         heading("Sessions that ended early, by cause");
         fields(report.path("endedEarly"));
         heading("Figures");
-        fields(report, "delivered", "meanRung", "sessionsFinished", "sessionsBroken", "stalls", "segments",
-                "bytes", "spends", "frontCpuMsPerRequest", "loadLateMsP99", "shapingLateMsP99");
+        fields(
+                report,
+                "delivered",
+                "meanRung",
+                "sessionsFinished",
+                "sessionsBroken",
+                "stalls",
+                "segments",
+                "bytes",
+                "spends",
+                "frontCpuMsPerRequest",
+                "loadLateMsP99",
+                "shapingLateMsP99");
         fields(report.path("setupMs"));
         heading("What it used");
         report.path("resources").fields().forEachRemaining(each -> {
@@ -66,17 +80,21 @@
         if (!report.path("loadInTime").asBoolean(true)) {
             out.append("<p class=\"no\">The load came late: this run does not count.</p>\n");
         }
-        report.path("whyNotHeld").forEach(reason -> out.append("<p class=\"no\">")
-                .append(escape(reason.asText())).append("</p>\n"));
+        report.path("whyNotHeld")
+                .forEach(reason -> out.append("<p class=\"no\">")
+                        .append(escape(reason.asText()))
+                        .append("</p>\n"));
     }
 
     private void rules() {
         out.append("<table><tr><th>rule</th><th>held</th><th>judged</th><th>broken</th></tr>\n");
         report.path("rules").forEach(rule -> {
             boolean held = rule.path("held").asBoolean();
-            row(List.of(rule.path("rule").asText() + " " + rule.path("name").asText(), held ? "held"
-                    : "BROKEN",
-                    rule.path("judged").asText(), rule.path("broken").asText()));
+            row(List.of(
+                    rule.path("rule").asText() + " " + rule.path("name").asText(),
+                    held ? "held" : "BROKEN",
+                    rule.path("judged").asText(),
+                    rule.path("broken").asText()));
         });
         out.append("</table>\n");
     }
@@ -95,10 +113,15 @@
     }
 
     private void viewerRow(String name, JsonNode group) {
-        row(List.of(name, text(group.path("came")), text(group.path("played")), text(group.path("gaveUp")),
-                text(group.path("left")), text(group.path("stillTrying")),
+        row(List.of(
+                name,
+                text(group.path("came")),
+                text(group.path("played")),
+                text(group.path("gaveUp")),
+                text(group.path("left")),
+                text(group.path("stillTrying")),
                 text(group.path("toFirstPlayMs").path("p50")),
-                        text(group.path("toFirstPlayMs").path("p99"))));
+                text(group.path("toFirstPlayMs").path("p99"))));
     }
 
     private void heading(String text) {
@@ -109,7 +132,7 @@
     private void fields(JsonNode object, String... names) {
         List<String> shown = new ArrayList<>(List.of(names));
         if (names.length == 0) {
-            for (Iterator<Map.Entry<String, JsonNode>> all = object.fields(); all.hasNext();) {
+            for (Iterator<Map.Entry<String, JsonNode>> all = object.fields(); all.hasNext(); ) {
                 shown.add(all.next().getKey());
             }
         }
@@ -140,14 +163,22 @@
         heading("Pictures");
         List<String> names;
         try (Stream<Path> files = Files.list(folder)) {
-            names = files.map(f -> f.getFileName().toString()).filter(f -> f.endsWith(".png")).sorted()
+            names = files.map(f -> f.getFileName().toString())
+                    .filter(f -> f.endsWith(".png"))
+                    .sorted()
                     .toList();
         }
-        names.forEach(name -> out.append("<p><img src=\"").append(escape(name)).append("\" alt=\"")
-                .append(escape(name.replace(".png", "").replace('-', ' '))).append("\"></p>\n"));
+        names.forEach(name -> out.append("<p><img src=\"")
+                .append(escape(name))
+                .append("\" alt=\"")
+                .append(escape(name.replace(".png", "").replace('-', ' ')))
+                .append("\"></p>\n"));
     }
 
     private static String escape(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 }
--- a/cli/src/main/java/spanrill/cli/SharesCommand.java
+++ b/cli/src/main/java/spanrill/cli/SharesCommand.java
@@ -15,10 +15,14 @@
 import spanrill.results.ShareCheck;
 
 /** Judges measured shares by the stated rule, from rows alone. */
-@Command(name = "shares", mixinStandardHelpOptions = true, description = {
-    "Recomputes from the rows of a rehearsal (seconds.parquet) what the stated rule of sharing gives each",
-    "session, and compares it with what viewers received. Exit code 3 when the median error over",
-    "session-seconds on overloaded links is 2% or more, or the 95th percentile 5% or more."})
+@Command(
+        name = "shares",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Recomputes from the rows of a rehearsal (seconds.parquet) what the stated rule of sharing gives each",
+            "session, and compares it with what viewers received. Exit code 3 when the median error over",
+            "session-seconds on overloaded links is 2% or more, or the 95th percentile 5% or more."
+        })
 final class SharesCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "seconds.parquet of 'rehearse --results DIR'")
     private Path file;
@@ -40,15 +44,24 @@
         print(out, "received against the rule, recomputed", result.rule());
         print(out, "received against the model's account", result.account());
         print(out, "the model's account against the rule", result.model());
-        out.println(result.held() ? "held" : result.rule().count() == 0
-                ? "NOT HELD: no link was overloaded, nothing was measured" : "NOT HELD");
+        out.println(
+                result.held()
+                        ? "held"
+                        : result.rule().count() == 0
+                                ? "NOT HELD: no link was overloaded, nothing was measured"
+                                : "NOT HELD");
         out.flush();
         return result.held() ? Exit.HELD : Exit.RULE_BROKEN;
     }
 
     static void print(PrintWriter out, String what, ShareCheck.Errors errors) {
-        out.printf(Locale.ROOT, "  %-40s %7d on overloaded links: median %.2f%%, p95 %.2f%%, mean %+.2f%%%n",
+        out.printf(
+                Locale.ROOT,
+                "  %-40s %7d on overloaded links: median %.2f%%, p95 %.2f%%, mean %+.2f%%%n",
                 what,
-                errors.count(), errors.median() * 100, errors.p95() * 100, errors.mean() * 100);
+                errors.count(),
+                errors.median() * 100,
+                errors.p95() * 100,
+                errors.mean() * 100);
     }
 }
--- a/cli/src/main/java/spanrill/cli/SoakCommand.java
+++ b/cli/src/main/java/spanrill/cli/SoakCommand.java
@@ -24,24 +24,36 @@
 import spanrill.soak.TrialResult;
 
 /** Plays short, dense trials of real node processes. */
-@Command(name = "soak", mixinStandardHelpOptions = true, description = {
-    "Plays short, dense trials of the front node: real processes between scripted clients, servers and",
-    "discovery, with faults drawn from each seed, judged from what crossed the sockets. Exit code 3 when a",
-    "rule was broken or a trial is void."})
+@Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays short, dense trials of the front node: real processes between scripted clients, servers and",
+            "discovery, with faults drawn from each seed, judged from what crossed the sockets. Exit code 3 when a",
+            "rule was broken or a trial is void."
+        })
 final class SoakCommand implements Callable<Integer> {
-    @Option(names = "--seeds", paramLabel = "FROM-TO", defaultValue = "1-5",
+    @Option(
+            names = "--seeds",
+            paramLabel = "FROM-TO",
+            defaultValue = "1-5",
             description = "seeds to play (default: ${DEFAULT-VALUE})")
     private String seeds;
 
-    @Option(names = "--kind", paramLabel = "KIND",
-            description = "${COMPLETION-CANDIDATES}; by turns where not given")
+    @Option(names = "--kind", paramLabel = "KIND", description = "${COMPLETION-CANDIDATES}; by turns where not given")
     private TrialKind kind;
 
-    @Option(names = "--home", paramLabel = "DIR", defaultValue = ".",
+    @Option(
+            names = "--home",
+            paramLabel = "DIR",
+            defaultValue = ".",
             description = "checkout whose deploy/balancer.toml says how a node is run, built before")
     private Path home;
 
-    @Option(names = "--at-once", paramLabel = "N", defaultValue = "1",
+    @Option(
+            names = "--at-once",
+            paramLabel = "N",
+            defaultValue = "1",
             description = "trials side by side (default: ${DEFAULT-VALUE})")
     private int atOnce;
 
@@ -65,14 +77,15 @@
         }
         Path folder = logs == null ? Files.createTempDirectory("spanrill-soak") : logs;
         PrintWriter out = spec.commandLine().getOut();
-        Soak soak = new Soak(RunCommand.of(home.toAbsolutePath().normalize()), folder.toAbsolutePath(),
-                line -> print(out, line));
+        Soak soak = new Soak(
+                RunCommand.of(home.toAbsolutePath().normalize()), folder.toAbsolutePath(), line -> print(out, line));
         List<TrialResult> results = soak.play(trials, atOnce);
         print(out, Soak.table(results));
         if (report != null) {
             write(results);
         }
-        List<TrialResult> failed = results.stream().filter(r -> !r.violations().isEmpty()).toList();
+        List<TrialResult> failed =
+                results.stream().filter(r -> !r.violations().isEmpty()).toList();
         if (shrink && !failed.isEmpty()) {
             print(out, "smallest trial that still fails: " + soak.shrink(failed.get(0)));
         }
@@ -93,7 +106,8 @@
             long to = Long.parseLong(ends[ends.length - 1]);
             if (ends.length <= 2 && from <= to && to - from < 10_000) {
                 return LongStream.rangeClosed(from, to)
-                        .mapToObj(seed -> kind == null ? TrialDraw.of(seed) : TrialDraw.of(seed, kind)).toList();
+                        .mapToObj(seed -> kind == null ? TrialDraw.of(seed) : TrialDraw.of(seed, kind))
+                        .toList();
             }
         } catch (NumberFormatException e) {
             // said below
@@ -105,14 +119,20 @@
         ObjectMapper mapper = new ObjectMapper();
         ArrayNode all = mapper.createArrayNode();
         for (TrialResult result : results) {
-            ObjectNode one = all.addObject().put("seed", result.trial().seed())
+            ObjectNode one = all.addObject()
+                    .put("seed", result.trial().seed())
                     .put("kind", result.trial().kind().name().toLowerCase(Locale.ROOT))
                     .put("requests", result.count(EventKind.CLIENT_SENT))
                     .put("faults", result.trial().faults().size())
-                    .put("void", result.voidReason()).put("lagMs", result.mostLagMs());
+                    .put("void", result.voidReason())
+                    .put("lagMs", result.mostLagMs());
             ArrayNode broken = one.putArray("broken");
-            result.violations().forEach(v -> broken.addObject().put("rule", v.rule().name()).put("ms", v.ms())
-                    .put("request", Long.toHexString(v.session())).put("text", v.text()));
+            result.violations()
+                    .forEach(v -> broken.addObject()
+                            .put("rule", v.rule().name())
+                            .put("ms", v.ms())
+                            .put("request", Long.toHexString(v.session()))
+                            .put("text", v.text()));
         }
         mapper.writerWithDefaultPrettyPrinter().writeValue(report.toFile(), all);
     }
--- a/cli/src/main/java/spanrill/cli/StandinCommand.java
+++ b/cli/src/main/java/spanrill/cli/StandinCommand.java
@@ -19,22 +19,26 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import spanrill.check.Tap;
+import spanrill.day.Day;
 import spanrill.settings.Settings;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.Receipts;
-import spanrill.day.Day;
 import spanrill.standin.registry.Entry;
 import spanrill.standin.registry.StandinRegistry;
 import spanrill.standin.token.Issuer;
 import spanrill.standin.token.IssuerService;
 
 /** Runs single stand-ins by hand, beside a front that is served by hand. */
-@Command(name = "standin", mixinStandardHelpOptions = true,
-        description =
-                "Runs a stand-in until it is stopped. Start boxes first, then the registry by their list.",
-        subcommands = {StandinCommand.Boxes.class, StandinCommand.Registry.class,
-        StandinCommand.Issuing.class,
-            CommandLine.HelpCommand.class})
+@Command(
+        name = "standin",
+        mixinStandardHelpOptions = true,
+        description = "Runs a stand-in until it is stopped. Start boxes first, then the registry by their list.",
+        subcommands = {
+            StandinCommand.Boxes.class,
+            StandinCommand.Registry.class,
+            StandinCommand.Issuing.class,
+            CommandLine.HelpCommand.class
+        })
 final class StandinCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -65,8 +69,7 @@
         @Parameters(paramLabel = "DAY", description = "a day file")
         private Path file;
 
-        @Option(names = "--list", required = true, paramLabel = "FILE", description =
-                "write their list there")
+        @Option(names = "--list", required = true, paramLabel = "FILE", description = "write their list there")
         private Path list;
 
         @Spec
@@ -78,22 +81,20 @@
             BoxFleet fleet = new BoxFleet(day, day.seed(), loop(), new Tap(null), new Receipts(), null);
             fleet.open();
             List<Entry> entries = fleet.entries();
-            Files.writeString(list, new ObjectMapper().writerWithDefaultPrettyPrinter()
-                    .writeValueAsString(entries));
+            Files.writeString(
+                    list, new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(entries));
             say(spec, entries.size() + " boxes; list in " + list);
             return forever();
         }
     }
 
     /** The registry. */
-    @Command(name = "registry", mixinStandardHelpOptions = true, description =
-            "The registry of boxes and titles.")
+    @Command(name = "registry", mixinStandardHelpOptions = true, description = "The registry of boxes and titles.")
     static final class Registry implements Callable<Integer> {
         @Parameters(paramLabel = "DAY", description = "a day file")
         private Path file;
 
-        @Option(names = "--list", required = true, paramLabel = "FILE", description =
-                "what 'standin boxes' wrote")
+        @Option(names = "--list", required = true, paramLabel = "FILE", description = "what 'standin boxes' wrote")
         private Path list;
 
         @Spec
@@ -105,8 +106,8 @@
             StandinRegistry registry = new StandinRegistry(loop(), new Tap(null), day.seed());
             registry.catalogue(day, day.seed());
             try {
-                registry.begin(new ObjectMapper().readValue(Files.readString(list),
-                        new TypeReference<List<Entry>>() { }));
+                registry.begin(
+                        new ObjectMapper().readValue(Files.readString(list), new TypeReference<List<Entry>>() {}));
             } catch (IOException e) {
                 throw new BadInput(list + ": is no list of boxes");
             }
@@ -116,9 +117,13 @@
     }
 
     /** The issuer. */
-    @Command(name = "issuer", mixinStandardHelpOptions = true, description = {
-        "The issuer: GET /token?title=T&class=C&viewer=V&top=N answers with a token,",
-        "GET /keys with the JWK set that a front verifies by."})
+    @Command(
+            name = "issuer",
+            mixinStandardHelpOptions = true,
+            description = {
+                "The issuer: GET /token?title=T&class=C&viewer=V&top=N answers with a token,",
+                "GET /keys with the JWK set that a front verifies by."
+            })
     static final class Issuing implements Callable<Integer> {
         @Parameters(paramLabel = "KEYS", description = "private JWK set (spanrill token --new-keys)")
         private Path file;
--- a/cli/src/main/java/spanrill/cli/TicketsCommand.java
+++ b/cli/src/main/java/spanrill/cli/TicketsCommand.java
@@ -14,9 +14,13 @@
 import spanrill.check.Tickets;
 
 /** Counts answers and tickets of a run. */
-@Command(name = "tickets", mixinStandardHelpOptions = true, description = {
-    "Counts, from the records of viewers and boxes alone, answers to each request and how often each paid",
-    "token was spent. Exit code 3 unless every request had exactly one answer and no token was spent twice."})
+@Command(
+        name = "tickets",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Counts, from the records of viewers and boxes alone, answers to each request and how often each paid",
+            "token was spent. Exit code 3 unless every request had exactly one answer and no token was spent twice."
+        })
 final class TicketsCommand implements Callable<Integer> {
     @Parameters(paramLabel = "TAPS", description = "tap.jsonl of 'rehearse --taps DIR', or its folder")
     private Path taps;
@@ -33,14 +37,24 @@
             throw new BadInput(e.getMessage());
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, "requests %d (excused %d: left, or their front died), distinct tokens %d%n",
-                tickets.requests(), tickets.excused(), tickets.tokens());
-        out.printf(Locale.ROOT, "answers to a request: least %d, most %d%n", tickets.leastAnswers(),
+        out.printf(
+                Locale.ROOT,
+                "requests %d (excused %d: left, or their front died), distinct tokens %d%n",
+                tickets.requests(),
+                tickets.excused(),
+                tickets.tokens());
+        out.printf(
+                Locale.ROOT,
+                "answers to a request: least %d, most %d%n",
+                tickets.leastAnswers(),
                 tickets.mostAnswers());
-        out.printf(Locale.ROOT, "paid tokens spent %d, most spends of one %d%n", tickets.spent(),
-                tickets.mostSpends());
-        out.printf(Locale.ROOT, "duplicates joined %d; failed: nothing ran %d, it ran %d%n", tickets.joined(),
-                tickets.failedUnknown(), tickets.failedRan());
+        out.printf(Locale.ROOT, "paid tokens spent %d, most spends of one %d%n", tickets.spent(), tickets.mostSpends());
+        out.printf(
+                Locale.ROOT,
+                "duplicates joined %d; failed: nothing ran %d, it ran %d%n",
+                tickets.joined(),
+                tickets.failedUnknown(),
+                tickets.failedRan());
         out.println(tickets.held() ? "held" : "NOT HELD");
         out.flush();
         return tickets.held() ? Exit.HELD : Exit.RULE_BROKEN;
--- a/cli/src/main/java/spanrill/cli/TokenCommand.java
+++ b/cli/src/main/java/spanrill/cli/TokenCommand.java
@@ -10,9 +10,13 @@
 import spanrill.standin.token.Issuer;
 
 /** Makes a token or keys by hand. */
-@Command(name = "token", mixinStandardHelpOptions = true, description = {
-    "Makes a session token by a private JWK set, or with --new-keys the key files themselves:",
-    "PREFIX.private.json to sign by, PREFIX.public.json for a front's settings (field keys)."})
+@Command(
+        name = "token",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Makes a session token by a private JWK set, or with --new-keys the key files themselves:",
+            "PREFIX.private.json to sign by, PREFIX.public.json for a front's settings (field keys)."
+        })
 final class TokenCommand implements Callable<Integer> {
     @Option(names = "--new-keys", paramLabel = "PREFIX", description = "write a new ES256 key pair and stop")
     private Path prefix;
@@ -38,7 +42,10 @@
     @Option(names = "--id", description = "id of the token; drawn when not given")
     private String id;
 
-    @Option(names = "--valid", defaultValue = "300", paramLabel = "SECONDS",
+    @Option(
+            names = "--valid",
+            defaultValue = "300",
+            paramLabel = "SECONDS",
             description = "valid for so long (default: ${DEFAULT-VALUE})")
     private long valid;
 
@@ -60,8 +67,7 @@
             throw new BadInput("--valid must be from 1 s to a year, --top from 0");
         }
         String name = id == null ? UUID.randomUUID().toString() : id;
-        spec.commandLine().getOut().println(Issuer.read(keys).issue(name, viewer, title, cls, tenant, top,
-                valid));
+        spec.commandLine().getOut().println(Issuer.read(keys).issue(name, viewer, title, cls, tenant, top, valid));
         return Exit.HELD;
     }
 }
--- a/cli/src/test/java/spanrill/cli/CommandsTest.java
+++ b/cli/src/test/java/spanrill/cli/CommandsTest.java
@@ -19,6 +19,7 @@
 
     @TempDir
     Path folder;
+
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
@@ -55,8 +56,7 @@
         Path file = folder.resolve("front.jsonnet");
         Files.writeString(file, "{\n  me: 0,\n  fronts: 'three' }");
         assertEquals(2, run("config", "check", file));
-        assertTrue(err.toString().contains("front.jsonnet:3: field fronts: must be a number"),
-                err.toString());
+        assertTrue(err.toString().contains("front.jsonnet:3: field fronts: must be a number"), err.toString());
         assertFalse(err.toString().contains("\tat "));
         assertEquals(2, run("serve", file));
         assertEquals(2, run("rehearse", file));
@@ -68,8 +68,7 @@
     void keysAndTokensAreMadeByHand() throws Exception {
         assertEquals(0, run("token", "--new-keys", folder.resolve("k")));
         assertTrue(!Files.readString(folder.resolve("k.public.json")).contains("\"d\""));
-        assertEquals(0, run("token", "--keys", folder.resolve("k.private.json"), "--title", "t", "--class",
-                "free"));
+        assertEquals(0, run("token", "--keys", folder.resolve("k.private.json"), "--title", "t", "--class", "free"));
         assertEquals(3, out.toString().trim().split("\\.").length);
         assertEquals(2, run("token", "--keys", folder.resolve("k.private.json")));
         assertEquals(4, run("token", "--keys", folder.resolve("none"), "--title", "t", "--class", "c"));
@@ -78,9 +77,18 @@
     @Test
     void checkTellsHeldBrokenAndBad() throws Exception {
         Path file = folder.resolve("tap.jsonl");
-        TapEvent.Facts facts = new TapEvent.Facts(0, java.util.Map.of("free", new TapEvent.ClassFacts(false,
-                0, 0)),
-                20, 250, 0, 1, 2, 1500, null, null, null);
+        TapEvent.Facts facts = new TapEvent.Facts(
+                0,
+                java.util.Map.of("free", new TapEvent.ClassFacts(false, 0, 0)),
+                20,
+                250,
+                0,
+                1,
+                2,
+                1500,
+                null,
+                null,
+                null);
         try (Tap tap = new Tap(file)) {
             tap.put(facts);
             tap.put(new TapEvent.Ask(1, 1, 0, "t", "free", "title", 100));
--- a/cli/src/test/java/spanrill/cli/LogLinesTest.java
+++ b/cli/src/test/java/spanrill/cli/LogLinesTest.java
@@ -23,16 +23,16 @@
 
 /** Log lines as the program's own configuration writes them, read by a strict reader. */
 class LogLinesTest {
-    private static final ObjectMapper STRICT = new ObjectMapper()
-            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
+    private static final ObjectMapper STRICT = new ObjectMapper().enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION);
 
     private static List<JsonNode> lines(Runnable logging) throws Exception {
         LoggerContext configured = new LoggerContext();
         JoranConfigurator configurator = new JoranConfigurator();
         configurator.setContext(configured);
-        configurator.doConfigure(Path.of("src", "main", "resources", "logback.xml").toUri().toURL());
-        Encoder<ILoggingEvent> encoder = ((ConsoleAppender<ILoggingEvent>) configured.getLogger("ROOT")
-                .getAppender("console")).getEncoder();
+        configurator.doConfigure(
+                Path.of("src", "main", "resources", "logback.xml").toUri().toURL());
+        Encoder<ILoggingEvent> encoder =
+                ((ConsoleAppender<ILoggingEvent>) configured.getLogger("ROOT").getAppender("console")).getEncoder();
         Logger logger = (Logger) LoggerFactory.getLogger("spanrill.front");
         ListAppender<ILoggingEvent> kept = new ListAppender<>();
         kept.start();
@@ -63,11 +63,14 @@
             EventLog.info("module", "text", "avoiding s1");
             EventLog.info("bare");
         });
-        assertEquals(List.of("session.plays", "list.failed", "core.fault", "module", "bare"),
+        assertEquals(
+                List.of("session.plays", "list.failed", "core.fault", "module", "bare"),
                 lines.stream().map(line -> line.path("event").asText()).toList());
         assertEquals("free", lines.get(0).path("class").asText());
         assertEquals(12, lines.get(0).path("ms").asInt());
-        assertEquals("a {} brace and a \" quote\nand a line", lines.get(1).path("reason").asText());
+        assertEquals(
+                "a {} brace and a \" quote\nand a line",
+                lines.get(1).path("reason").asText());
         assertTrue(lines.get(2).path("stack_trace").asText().contains("IllegalStateException"));
         assertEquals("OVER", lines.get(2).path("phase").asText());
     }
--- a/cli/src/test/java/spanrill/cli/SoakTest.java
+++ b/cli/src/test/java/spanrill/cli/SoakTest.java
@@ -19,6 +19,7 @@
 /** A short soak of real node processes, one trial of each kind. */
 class SoakTest {
     private static final int TRIES = 3;
+
     @TempDir
     private Path folder;
 
@@ -32,7 +33,8 @@
             // A trial whose own peers were late says nothing: it is played again, alone.
             for (int i = 1; i < TRIES && !last.voidReason().isEmpty(); i++) {
                 last = new Soak(command, folder.resolve("again" + i), System.out::println)
-                        .play(List.of(result.trial()), 1).get(0);
+                        .play(List.of(result.trial()), 1)
+                        .get(0);
             }
             assertTrue(last.passed(), Soak.report(last));
         }
--- a/cli/src/test/java/spanrill/path/HardCasesTest.java
+++ b/cli/src/test/java/spanrill/path/HardCasesTest.java
@@ -37,6 +37,7 @@
 class HardCasesTest {
     @TempDir
     Path folder;
+
     private PathBench bench;
 
     @BeforeEach
@@ -52,7 +53,9 @@
     private Mpd play(String cls) throws Exception {
         HttpResponse<String> response = bench.ask(bench.token(cls));
         assertEquals("plays", answer(response), response.body());
-        assertEquals("application/dash+xml", response.headers().firstValue("content-type").orElse(""));
+        assertEquals(
+                "application/dash+xml",
+                response.headers().firstValue("content-type").orElse(""));
         return MpdParser.parse(response.body());
     }
 
@@ -61,37 +64,47 @@
         Mpd mpd = play("paid");
         assertEquals("1", mpd.representations().get(0).id(), "the floor of the class");
         int top = mpd.rungInForce();
-        ScriptedBox box = bench.boxes.stream().filter(b -> !b.setUps.isEmpty()).findFirst().orElseThrow();
+        ScriptedBox box = bench.boxes.stream()
+                .filter(b -> !b.setUps.isEmpty())
+                .findFirst()
+                .orElseThrow();
         assertEquals("1", box.setUp().head().headers().get("spanrill-spends"));
         List<String> targets = new ArrayList<>();
         box.onSegment = x -> {
             targets.add(x.head().target().replaceAll("/attempt/[^/]+", "") + " "
                     + x.head().headers().get("range"));
-            x.respond(x.head().headers().get("range") == null ? 200 : 206, Headers.of("content-range",
-                    "bytes 1-2/9"),
+            x.respond(
+                    x.head().headers().get("range") == null ? 200 : 206,
+                    Headers.of("content-range", "bytes 1-2/9"),
                     new byte[] {1, 2});
         };
         assertEquals(200, bench.get(bench.uri(mpd.baseUrl() + "v/init.mp4")).statusCode());
         // Above the rung in force and below the floor: served at what is allowed, and said so.
         HttpResponse<String> high = bench.get(bench.uri(mpd.baseUrl() + "v/9/3.m4s"));
-        assertEquals(Integer.toString(top), high.headers().firstValue("spanrill-rung").orElse(""));
+        assertEquals(
+                Integer.toString(top),
+                high.headers().firstValue("spanrill-rung").orElse(""));
         bench.get(bench.uri(mpd.baseUrl() + "v/0/4.m4s"));
-        HttpResponse<String> part = bench.client.send(HttpRequest.newBuilder(bench.uri(mpd.baseUrl()
-                + "v/1/5.m4s"))
-                .header("range", "bytes=1-2").build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> part = bench.client.send(
+                HttpRequest.newBuilder(bench.uri(mpd.baseUrl() + "v/1/5.m4s"))
+                        .header("range", "bytes=1-2")
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
         assertEquals(206, part.statusCode());
         assertEquals("bytes 1-2/9", part.headers().firstValue("content-range").orElse(""));
-        assertEquals(List.of("/init.mp4 null", "/" + top + "/3.m4s null", "/1/4.m4s null",
-                "/1/5.m4s bytes=1-2"),
-                targets);
+        assertEquals(
+                List.of("/init.mp4 null", "/" + top + "/3.m4s null", "/1/4.m4s null", "/1/5.m4s bytes=1-2"), targets);
         HttpResponse<String> again = bench.get(bench.uri(mpd.location()));
         assertEquals(top, MpdParser.parse(again.body()).rungInForce());
         String session = mpd.baseUrl().substring(0, mpd.baseUrl().length() - 1);
         HttpRequest end = HttpRequest.newBuilder(bench.uri(session)).DELETE().build();
-        assertEquals(204, bench.client.send(end, HttpResponse.BodyHandlers.discarding()).statusCode());
+        assertEquals(
+                204,
+                bench.client.send(end, HttpResponse.BodyHandlers.discarding()).statusCode());
         assertTrue(box.heard().startsWith("DELETE"));
         assertEquals(410, bench.get(bench.uri(mpd.baseUrl() + "v/1/6.m4s")).statusCode());
-        assertEquals(404, bench.get(bench.uri("/s/AAAAAAAAAAAAAAAAAAAAAA/v/1/6.m4s")).statusCode());
+        assertEquals(
+                404, bench.get(bench.uri("/s/AAAAAAAAAAAAAAAAAAAAAA/v/1/6.m4s")).statusCode());
         assertEquals(0, bench.sessions());
     }
 
@@ -102,14 +115,22 @@
         assertEquals("plays", answer(response), response.body());
         assertEquals(List.of(), MpdValidator.check(response.body()));
         Mpd mpd = MpdParser.parse(response.body());
-        assertEquals(new Timeline(List.of(new Timeline.Run(1, 2000), new Timeline.Run(1, 1900),
-                new Timeline.Run(1, 2000), new Timeline.Run(1, 1100))), mpd.video().timeline());
+        assertEquals(
+                new Timeline(List.of(
+                        new Timeline.Run(1, 2000),
+                        new Timeline.Run(1, 1900),
+                        new Timeline.Run(1, 2000),
+                        new Timeline.Run(1, 1100))),
+                mpd.video().timeline());
         assertEquals(mpd.video().timeline(), mpd.audio().timeline());
         assertEquals("ja", mpd.audio().lang());
         long audio = mpd.audio().representations().get(0).bandwidth();
         assertEquals(24 * 8000, audio);
         assertEquals(200 * 8000 - audio, mpd.representations().get(0).bandwidth(), "audio is in the rate");
-        ScriptedBox box = bench.boxes.stream().filter(b -> !b.setUps.isEmpty()).findFirst().orElseThrow();
+        ScriptedBox box = bench.boxes.stream()
+                .filter(b -> !b.setUps.isEmpty())
+                .findFirst()
+                .orElseThrow();
         List<String> targets = new ArrayList<>();
         box.onSegment = x -> {
             targets.add(x.head().target().replaceAll("/attempt/[^/]+", ""));
@@ -117,9 +138,14 @@
         };
         String path = mpd.audio().path(mpd.audio().representations().get(0), 4);
         assertEquals(200, bench.get(bench.uri(mpd.baseUrl() + path)).statusCode());
-        assertEquals(200, bench.get(bench.uri(mpd.baseUrl() + mpd.audio().initialization())).statusCode());
-        HttpResponse<String> head = bench.client.send(HttpRequest.newBuilder(bench.uri(mpd.baseUrl() + path))
-                .method("HEAD", HttpRequest.BodyPublishers.noBody()).build(),
+        assertEquals(
+                200,
+                bench.get(bench.uri(mpd.baseUrl() + mpd.audio().initialization()))
+                        .statusCode());
+        HttpResponse<String> head = bench.client.send(
+                HttpRequest.newBuilder(bench.uri(mpd.baseUrl() + path))
+                        .method("HEAD", HttpRequest.BodyPublishers.noBody())
+                        .build(),
                 HttpResponse.BodyHandlers.ofString());
         assertEquals(200, head.statusCode());
         assertEquals("", head.body());
@@ -190,20 +216,20 @@
     void paidFailsWhenItsBoxSaysThatItRanOrKnowsTooLittle() throws Exception {
         assertEquals("failed", afterALostAnswer("spanrill-ran", "1", "spanrill-up-ms", "60000"));
         // Three boxes, and one that lost an answer is left alone for a while: so three cases.
-        assertEquals("failed", afterALostAnswer("spanrill-ran", "0", "spanrill-up-ms", "10"),
-                "a younger process");
+        assertEquals("failed", afterALostAnswer("spanrill-ran", "0", "spanrill-up-ms", "10"), "a younger process");
         assertEquals("failed", afterALostAnswer("spanrill-ran", "0"));
     }
 
     @Test
     void aFrontThatIsKilledRemembersPaidTokens() throws Exception {
-        bench.boxes.forEach(box -> box.onSetUp = x -> { });
+        bench.boxes.forEach(box -> box.onSetUp = x -> {});
         String during = bench.token("paid");
         // A plain socket: the JDK's client asks again by itself when its connection is lost.
         try (Socket viewer = new Socket("127.0.0.1", bench.port())) {
-            viewer.getOutputStream().write(("GET " + bench.manifest(during).getRawPath() + "?"
-                    + bench.manifest(during).getRawQuery() + " HTTP/1.1\r\nHost: a\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            viewer.getOutputStream()
+                    .write(("GET " + bench.manifest(during).getRawPath() + "?"
+                                    + bench.manifest(during).getRawQuery() + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             someBoxWithASetUp();
             bench.restart(true);
         }
@@ -231,8 +257,8 @@
         bench.boxes.forEach(box -> box.setUps.clear());
         // The module leaves boxes that turned a set-up away alone for as long as notes are late.
         HttpResponse<String> again = bench.ask(token);
-        for (long end = System.nanoTime() + 5_000_000_000L; answer(again).equals("refused")
-                && System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + 5_000_000_000L;
+                answer(again).equals("refused") && System.nanoTime() < end; ) {
             again = bench.ask(token);
         }
         assertEquals("plays", answer(again));
@@ -247,32 +273,34 @@
 
     @Test
     void aSilentBoxIsAnsweredInTime() throws Exception {
-        bench.boxes.forEach(box -> box.onSetUp = x -> { });
+        bench.boxes.forEach(box -> box.onSetUp = x -> {});
         long begin = System.nanoTime();
         assertEquals("failed", answer(bench.ask(bench.token("paid"))));
         long tookMs = (System.nanoTime() - begin) / 1_000_000;
         assertTrue(tookMs < 1500, "the viewer's patience is 1500 ms, the answer took " + tookMs);
         assertEquals(1, bench.allSetUps());
-        ScriptedBox box = bench.boxes.stream().filter(b -> !b.setUps.isEmpty()).findFirst().orElseThrow();
+        ScriptedBox box = bench.boxes.stream()
+                .filter(b -> !b.setUps.isEmpty())
+                .findFirst()
+                .orElseThrow();
         List<String> heard = List.of(box.heard(), box.heard());
-        assertTrue(heard.contains("closed") && heard.stream().anyMatch(h -> h.startsWith("DELETE")),
-                heard.toString());
+        assertTrue(heard.contains("closed") && heard.stream().anyMatch(h -> h.startsWith("DELETE")), heard.toString());
     }
 
     @Test
     void aViewerThatLeavesDuringSetUpLeavesNothingBehind() throws Exception {
-        bench.boxes.forEach(box -> box.onSetUp = x -> { });
+        bench.boxes.forEach(box -> box.onSetUp = x -> {});
         String token = bench.token("paid");
         ScriptedBox box;
         try (Socket viewer = new Socket("127.0.0.1", bench.port())) {
-            viewer.getOutputStream().write(("GET " + bench.manifest(token).getRawPath() + "?"
-                    + bench.manifest(token).getRawQuery() + " HTTP/1.1\r\nHost: a\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            viewer.getOutputStream()
+                    .write(("GET " + bench.manifest(token).getRawPath() + "?"
+                                    + bench.manifest(token).getRawQuery() + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             box = someBoxWithASetUp();
         }
         List<String> heard = List.of(box.heard(), box.heard());
-        assertTrue(heard.contains("closed") && heard.stream().anyMatch(h -> h.startsWith("DELETE")),
-                heard.toString());
+        assertTrue(heard.contains("closed") && heard.stream().anyMatch(h -> h.startsWith("DELETE")), heard.toString());
         assertEquals(0, bench.sessions());
         // It may have run: the token can only fail from now on.
         assertEquals("failed", answer(bench.ask(token)));
@@ -280,7 +308,7 @@
     }
 
     private ScriptedBox someBoxWithASetUp() throws InterruptedException {
-        for (long end = System.nanoTime() + 5_000_000_000L; System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + 5_000_000_000L; System.nanoTime() < end; ) {
             for (ScriptedBox box : bench.boxes) {
                 if (!box.setUps.isEmpty()) {
                     return box;
@@ -296,12 +324,12 @@
         List<Exchange> held = new ArrayList<>();
         bench.boxes.forEach(box -> box.onSetUp = held::add);
         String token = bench.token("paid");
-        HttpClient other = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+        HttpClient other =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
         HttpRequest request = HttpRequest.newBuilder(bench.manifest(token)).build();
-        CompletableFuture<HttpResponse<String>> a = bench.client.sendAsync(request,
-                HttpResponse.BodyHandlers.ofString());
-        CompletableFuture<HttpResponse<String>> b = other.sendAsync(request,
-                HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<HttpResponse<String>> a =
+                bench.client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<HttpResponse<String>> b = other.sendAsync(request, HttpResponse.BodyHandlers.ofString());
         ScriptedBox box = someBoxWithASetUp();
         Exchange setUp = box.setUp();
         setUp.channel().eventLoop().schedule(() -> ScriptedBox.plays(setUp), 100, TimeUnit.MILLISECONDS);
@@ -367,8 +395,9 @@
         try (Socket viewer = new Socket()) {
             viewer.setReceiveBufferSize(64 * 1024);
             viewer.connect(new java.net.InetSocketAddress("127.0.0.1", bench.port()));
-            viewer.getOutputStream().write(("GET " + mpd.baseUrl() + "v/1/1.m4s HTTP/1.1\r\nHost: a\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            viewer.getOutputStream()
+                    .write(("GET " + mpd.baseUrl() + "v/1/1.m4s HTTP/1.1\r\nHost: a\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             long stopped = held.get(20, TimeUnit.SECONDS);
             assertTrue(stopped < 24L << 20, "the front and the sockets took " + stopped);
             long read = 0;
@@ -383,13 +412,18 @@
     }
 
     private static void quiet(Exchange x, AtomicLong written, long before, CompletableFuture<Long> held) {
-        x.channel().eventLoop().schedule(() -> {
-            if (written.get() == before) {
-                held.complete(before);
-            } else {
-                quiet(x, written, written.get(), held);
-            }
-        }, 300, TimeUnit.MILLISECONDS);
+        x.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (written.get() == before) {
+                                held.complete(before);
+                            } else {
+                                quiet(x, written, written.get(), held);
+                            }
+                        },
+                        300,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Test
@@ -430,8 +464,7 @@
                 // A reset: it dripped into a connection that was closed already.
                 answer = new byte[0];
             }
-            assertTrue(answer.length == 0 || new String(answer, StandardCharsets.US_ASCII)
-                    .equals("HTTP/1.1 408"));
+            assertTrue(answer.length == 0 || new String(answer, StandardCharsets.US_ASCII).equals("HTTP/1.1 408"));
             letGo++;
             socket.close();
         }
@@ -445,42 +478,57 @@
     void badTokensNeverReachTheModule() throws Exception {
         assertEquals(401, bench.ask("").statusCode());
         assertEquals(401, bench.ask("x.y.z").statusCode());
-        assertEquals(403, bench.get(bench.uri("/dash/other/manifest.mpd?token=" + bench.token("free")))
-                .statusCode());
+        assertEquals(
+                403,
+                bench.get(bench.uri("/dash/other/manifest.mpd?token=" + bench.token("free")))
+                        .statusCode());
         HttpResponse<String> response = bench.ask(bench.token("vip"));
         assertEquals(403, response.statusCode());
         assertEquals("none", answer(response));
-        assertEquals("application/problem+json", response.headers().firstValue("content-type").orElse(""));
+        assertEquals(
+                "application/problem+json",
+                response.headers().firstValue("content-type").orElse(""));
         assertEquals(0, bench.allSetUps());
         HttpRequest bearer = HttpRequest.newBuilder(bench.uri("/dash/title/manifest.mpd"))
-                .header("authorization", "Bearer " + bench.token("free")).build();
+                .header("authorization", "Bearer " + bench.token("free"))
+                .build();
         assertEquals("plays", answer(bench.client.send(bearer, HttpResponse.BodyHandlers.ofString())));
     }
 
     @Test
     void playersInPagesAndConditionalRequests() throws Exception {
         Mpd mpd = play("free");
-        HttpRequest.Builder segment = HttpRequest.newBuilder(bench.uri(mpd.baseUrl()
-                + "v/0/1.m4s?CMCD=bs%2Cbl%3D0"));
-        HttpResponse<String> first = bench.client.send(segment.copy().header("origin",
-                "http://player.example")
-                .build(), HttpResponse.BodyHandlers.ofString());
-        assertEquals("http://player.example", first.headers().firstValue("access-control-allow-origin")
-                .orElse(""));
+        HttpRequest.Builder segment = HttpRequest.newBuilder(bench.uri(mpd.baseUrl() + "v/0/1.m4s?CMCD=bs%2Cbl%3D0"));
+        HttpResponse<String> first = bench.client.send(
+                segment.copy().header("origin", "http://player.example").build(), HttpResponse.BodyHandlers.ofString());
+        assertEquals(
+                "http://player.example",
+                first.headers().firstValue("access-control-allow-origin").orElse(""));
         String tag = first.headers().firstValue("etag").orElse("");
-        HttpResponse<String> again = bench.client.send(segment.copy().header("if-none-match", "\"x\", " + tag)
-                .header("origin", "http://other.example").build(), HttpResponse.BodyHandlers.ofString());
+        HttpResponse<String> again = bench.client.send(
+                segment.copy()
+                        .header("if-none-match", "\"x\", " + tag)
+                        .header("origin", "http://other.example")
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
         assertEquals(304, again.statusCode());
         assertTrue(again.headers().firstValue("access-control-allow-origin").isEmpty());
         HttpRequest preflight = HttpRequest.newBuilder(bench.uri("/dash/title/manifest.mpd"))
-                .method("OPTIONS", HttpRequest.BodyPublishers.noBody()).header("origin",
-                "http://player.example")
-                .header("access-control-request-method", "GET").build();
+                .method("OPTIONS", HttpRequest.BodyPublishers.noBody())
+                .header("origin", "http://player.example")
+                .header("access-control-request-method", "GET")
+                .build();
         HttpResponse<String> allowed = bench.client.send(preflight, HttpResponse.BodyHandlers.ofString());
         assertEquals(204, allowed.statusCode());
-        assertTrue(allowed.headers().firstValue("access-control-allow-headers").orElse("").contains("range"));
-        HttpResponse<Void> head = bench.client.send(segment.copy().method("HEAD",
-                HttpRequest.BodyPublishers.noBody()).build(), HttpResponse.BodyHandlers.discarding());
+        assertTrue(allowed.headers()
+                .firstValue("access-control-allow-headers")
+                .orElse("")
+                .contains("range"));
+        HttpResponse<Void> head = bench.client.send(
+                segment.copy()
+                        .method("HEAD", HttpRequest.BodyPublishers.noBody())
+                        .build(),
+                HttpResponse.BodyHandlers.discarding());
         assertEquals("1000", head.headers().firstValue("content-length").orElse(""));
     }
 
@@ -488,8 +536,11 @@
     void otherPathsAndMethodsAreTold() throws Exception {
         assertEquals(404, bench.get(bench.uri("/nothing")).statusCode());
         HttpRequest post = HttpRequest.newBuilder(bench.manifest(bench.token("free")))
-                .POST(HttpRequest.BodyPublishers.noBody()).build();
-        assertEquals(405, bench.client.send(post, HttpResponse.BodyHandlers.discarding()).statusCode());
+                .POST(HttpRequest.BodyPublishers.noBody())
+                .build();
+        assertEquals(
+                405,
+                bench.client.send(post, HttpResponse.BodyHandlers.discarding()).statusCode());
     }
 
     @Test
--- a/cli/src/test/java/spanrill/path/PathBench.java
+++ b/cli/src/test/java/spanrill/path/PathBench.java
@@ -27,9 +27,9 @@
     final List<ScriptedBox> boxes = new ArrayList<>();
     final Tap tap;
     final Issuer issuer;
-    final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Path folder;
     private final StandinRegistry registry;
     private final int registryPort;
@@ -61,18 +61,28 @@
     }
 
     private FrontSettings settings() {
-        return new FrontSettings(0, 1, "a", 1, new FrontSettings.Address("127.0.0.1", 0),
-                new FrontSettings.Address("127.0.0.1", registryPort), "keys.json", "state",
-                Map.of("free", new FrontSettings.ClassSettings(300, 1500, 1, false, 0, 4, 1, 0),
-                        "paid", new FrontSettings.ClassSettings(300, 1500, 3, true, 1, 4, 1, 0)), Map.of(),
+        return new FrontSettings(
+                0,
+                1,
+                "a",
+                1,
+                new FrontSettings.Address("127.0.0.1", 0),
+                new FrontSettings.Address("127.0.0.1", registryPort),
+                "keys.json",
+                "state",
+                Map.of(
+                        "free",
+                        new FrontSettings.ClassSettings(300, 1500, 1, false, 0, 4, 1, 0),
+                        "paid",
+                        new FrontSettings.ClassSettings(300, 1500, 3, true, 1, 4, 1, 0)),
+                Map.of(),
                 Map.of("std", new FrontSettings.KindSettings(24)),
-                new FrontSettings.Ladder(List.of(200.0, 350.0, 600.0, 1000.0, 1700.0),
-                        List.of(0.2, 0.4, 0.6, 0.8, 1.0)),
+                new FrontSettings.Ladder(
+                        List.of(200.0, 350.0, 600.0, 1000.0, 1700.0), List.of(0.2, 0.4, 0.6, 0.8, 1.0)),
                 new FrontSettings.Fleet(boxes.size(), 1, 40_000, 10_000, 30_000),
                 new FrontSettings.Notes(800, 3000, 6, 500),
                 new FrontSettings.Rules(5, 2000, 0, 1, 250, 0, 0.5, 2, 1500, null, null, null),
-                new FrontSettings.Limits(150, 5000, 32, 32, 250, 8000, 1500, 100, 300, 250, 1000, 2, 100,
-                100),
+                new FrontSettings.Limits(150, 5000, 32, 32, 250, 8000, 1500, 100, 300, 250, 1000, 2, 100, 100),
                 new FrontSettings.Web(List.of("http://player.example")));
     }
 
@@ -102,7 +112,8 @@
     }
 
     void change(ScriptedBox box, String state) throws Exception {
-        group.next().submit(() -> registry.change(box.entry(state), List.of(0.0, 0.0)))
+        group.next()
+                .submit(() -> registry.change(box.entry(state), List.of(0.0, 0.0)))
                 .get(5, TimeUnit.SECONDS);
     }
 
--- a/cli/src/test/java/spanrill/path/ScriptedBox.java
+++ b/cli/src/test/java/spanrill/path/ScriptedBox.java
@@ -29,7 +29,7 @@
     ScriptedBox(EventLoop loop, int cell) throws IOException {
         id = "box-" + cell;
         this.cell = cell;
-        server = Net.listen(loop, 0, channel -> { }, this::route);
+        server = Net.listen(loop, 0, channel -> {}, this::route);
     }
 
     Entry entry(String state) {
