--- a/core/src/main/java/spanrill/Control.java
+++ b/core/src/main/java/spanrill/Control.java
@@ -130,8 +130,8 @@
             if (!Double.isFinite(value) || (!Double.isNaN(figure) && measured < at)) {
                 return;
             }
-            double old = Double.isNaN(figure) || measured - at > STALE_MS ? value
-                    : figure + since(at) - since(measured);
+            double old =
+                    Double.isNaN(figure) || measured - at > STALE_MS ? value : figure + since(at) - since(measured);
             figure = Math.max(0, old + weight * (value - old));
             at = measured;
             news++;
@@ -208,7 +208,7 @@
     }
 
     /** What is remembered of a session on the move: the holder it left. */
-    private record Left(Holder holder, double at) { }
+    private record Left(Holder holder, double at) {}
 
     /** One front's decisions; randomness comes from the seed alone. */
     public Control(Settings settings, long seed, Actions actions) {
@@ -246,7 +246,8 @@
             holder.rack = racks[Math.floorMod(server.cell(), racks.length)];
             double began = server.startedAt();
             if (!Double.isNaN(began) && began != before) {
-                holder.coldUntil = Math.max(holder.coldUntil, began + set.rules().coldMs());
+                holder.coldUntil =
+                        Math.max(holder.coldUntil, began + set.rules().coldMs());
                 holder.coldFrom = now + random.nextDouble() * coldWindow(holder);
                 // A process that started anew carries nothing over: neither its figures nor its failures.
                 holder.failures = 0;
@@ -263,21 +264,23 @@
         for (Holder holder : holders.values()) {
             Server s = holder.server;
             if (kind != ListKind.CHANGES && !named.contains(s.id())) {
-                holder.server = new Server(s.id(), s.zone(), s.kind(), s.cell(), ServerState.GONE, s.weight(),
-                        s.startedAt());
+                holder.server =
+                        new Server(s.id(), s.zone(), s.kind(), s.cell(), ServerState.GONE, s.weight(), s.startedAt());
             }
         }
         arrange();
     }
 
-
     /** Sorts the servers by cell and sets the capacity of links and uplinks from the settings. */
     private void arrange() {
         cells.clear();
         List<Holder> listed = new ArrayList<>(holders.values());
         listed.removeIf(holder -> holder.server.state() == ServerState.GONE);
         boolean even = listed.stream().mapToDouble(Control::weight).distinct().count() <= 1;
-        double places = listed.stream().mapToDouble(h -> placesOf(h.server.kind())).average().orElse(1);
+        double places = listed.stream()
+                .mapToDouble(h -> placesOf(h.server.kind()))
+                .average()
+                .orElse(1);
         Arrays.stream(racks).forEach(rack -> rack.links = 0);
         double total = 1;
         for (Holder holder : listed) {
@@ -300,7 +303,10 @@
     }
 
     private double placesOf(String kind) {
-        return set.kinds().stream().filter(k -> k.name().equals(kind)).mapToDouble(Kind::places).findFirst()
+        return set.kinds().stream()
+                .filter(k -> k.name().equals(kind))
+                .mapToDouble(Kind::places)
+                .findFirst()
                 .orElse(set.kinds().stream().mapToDouble(Kind::places).min().orElse(1));
     }
 
@@ -336,7 +342,10 @@
      */
     private double tenantWorth(double now, Request request, int asked) {
         Tenant tenant = request.tenant() == null ? null : tenants.get(request.tenant());
-        double quota = set.tenants().stream().mapToDouble(Tenant::quotaPerS).filter(q -> q > 0).sum();
+        double quota = set.tenants().stream()
+                .mapToDouble(Tenant::quotaPerS)
+                .filter(q -> q > 0)
+                .sum();
         if (tenant == null || quota == 0) {
             return 1;
         }
@@ -421,8 +430,7 @@
                     // Guards against figures that stay out: an uplink unheard counts as full.
                     Pool uplink = holder.rack.uplink;
                     double known = now - uplink.at > 2 * set.tellMs() + set.seeMs() ? 1 : uplink.use(now, 0);
-                    Pool pool = holder.link.fresh(now) && known > holder.link.use(now, 0) ? uplink
-                            : holder.link;
+                    Pool pool = holder.link.fresh(now) && known > holder.link.use(now, 0) ? uplink : holder.link;
                     pool.heard(measured, Math.max(1 / Math.max(value, 0.2), pool.figure), FIGURE_WEIGHT);
                 }
             }
@@ -444,7 +452,7 @@
                 case OK -> well(now, holder);
                 case FULL -> holder.fullUntil = now + set.seeMs();
                 case TIMEOUT, CONNECT_FAILED, RESET, ERROR -> failed(now, holder);
-                default -> { }
+                default -> {}
             }
         }
         if (session == null) {
@@ -496,8 +504,10 @@
     /** Sends the session to the holder with the smallest index, or gives its final answer. */
     private void place(double now, Session session) {
         ServiceClass type = session.type;
-        if (now > session.deadline - ANSWER_MARGIN_MS || session.attempts >= set.maxAttempts()
-                || (session.attempts > 0 && !mayGoFurther(now)) || seatsTaken(session)) {
+        if (now > session.deadline - ANSWER_MARGIN_MS
+                || session.attempts >= set.maxAttempts()
+                || (session.attempts > 0 && !mayGoFurther(now))
+                || seatsTaken(session)) {
             giveUp(session);
             return;
         }
@@ -514,8 +524,7 @@
                 turn = Math.min(turn, wait);
                 continue;
             }
-            double pi = index(now, holder, session)
-                    + (holder.link.fresh(now) ? 0 : -random.nextDouble() * SPREAD);
+            double pi = index(now, holder, session) + (holder.link.fresh(now) ? 0 : -random.nextDouble() * SPREAD);
             if (pi < bestPi) {
                 bestPi = pi;
                 best = holder;
@@ -551,7 +560,8 @@
 
     /** PI of a holder for a session: load, set-up delay with the price of crossing zones, title weight. */
     private double index(double now, Holder holder, Session session) {
-        double sl = use(now, holder) + holder.link.scar(now)
+        double sl = use(now, holder)
+                + holder.link.scar(now)
                 + share(now, holder, kb(session.type, set.rungKb().size() / 2));
         double delay = Double.isNaN(holder.delay) ? 0 : holder.delay / session.type.aimMs();
         boolean crosses = set.zone() != null && !set.zone().equals(holder.server.zone());
@@ -585,8 +595,10 @@
     }
 
     private boolean usable(double now, Holder holder, Session session) {
-        if (holder.server.state() != ServerState.READY || session.tried.contains(holder)
-                || now < holder.fullUntil || now < holder.avoidUntil) {
+        if (holder.server.state() != ServerState.READY
+                || session.tried.contains(holder)
+                || now < holder.fullUntil
+                || now < holder.avoidUntil) {
             return false;
         }
         // A server that failed is tried again by one session at a time that may be sent elsewhere after.
@@ -598,9 +610,12 @@
         if (seats == 0) {
             return false;
         }
-        return sessions.values().stream().filter(other -> (other.out || other.playing)
-                && other.type == session.type
-                && Objects.equals(other.request.title(), session.request.title())).count() >= seats;
+        return sessions.values().stream()
+                        .filter(other -> (other.out || other.playing)
+                                && other.type == session.type
+                                && Objects.equals(other.request.title(), session.request.title()))
+                        .count()
+                >= seats;
     }
 
     // ---- set-up and its outcomes
@@ -624,7 +639,8 @@
             holder.coldSends.add(now);
         }
         // An attempt that may be sent again is given up early; one paid for has only this chance.
-        double until = session.type.once() ? session.deadline
+        double until = session.type.once()
+                ? session.deadline
                 : Math.min(session.deadline, now + ATTEMPT_SHARE * session.type.aimMs());
         act.send(session.request.id(), until, holder.server.id());
     }
@@ -685,14 +701,20 @@
     /** Steps of use above the mark that a rung is worth keeping: by the worth per kB of the step up to it. */
     private double level(Session session, int rung) {
         int floor = session.type.floor();
-        double worth = (rung > floor ? stepWorth(rung) : set.rungWorth().get(floor) / set.rungKb().get(floor))
-                * session.value / session.type.scale();
+        double worth = (rung > floor
+                        ? stepWorth(rung)
+                        : set.rungWorth().get(floor) / set.rungKb().get(floor))
+                * session.value
+                / session.type.scale();
         return Math.max(0, Math.log(worth / stepWorth(set.rungKb().size() - 1)) / ladderStep);
     }
 
     private int top(Session session) {
-        return Math.max(session.type.floor(), Math.min(session.request.top(),
-                Math.min(session.type.top(), set.rungKb().size() - 1)));
+        return Math.max(
+                session.type.floor(),
+                Math.min(
+                        session.request.top(),
+                        Math.min(session.type.top(), set.rungKb().size() - 1)));
     }
 
     /** The use up to which a level is kept: one step for each level above the mark, up to the most. */
@@ -729,8 +751,12 @@
             s.judged = s.holder.news();
             // Guards against see-saws: room just made by steps down is not given away again at once.
             boolean held = now - Math.max(s.changedAt, Math.max(link.downAt, uplink.downAt)) < RUNG_EVERY_MS;
-            if (!held && now - s.playingAt >= set.seeMs() && link.fresh(now) && uplink.fresh(now)
-                    && s.holder.failures == 0 && s.holder.server.state() == ServerState.READY) {
+            if (!held
+                    && now - s.playingAt >= set.seeMs()
+                    && link.fresh(now)
+                    && uplink.fresh(now)
+                    && s.holder.failures == 0
+                    && s.holder.server.state() == ServerState.READY) {
                 step(now, s, true);
             }
         }
@@ -806,8 +832,8 @@
             failed(now, holder);
         }
         double missing = now - holder.missingAt < 2500 ? holder.missing : 0;
-        boolean lost = holder.server.state() != ServerState.READY || (holder.failures > 0
-                && now - holder.heardAt > SILENT_TELLS * set.tellMs() + set.seeMs());
+        boolean lost = holder.server.state() != ServerState.READY
+                || (holder.failures > 0 && now - holder.heardAt > SILENT_TELLS * set.tellMs() + set.seeMs());
         double part = SWEEP_MS / Y_MS;
         holder.missingMean += part * ((lost ? 1 : missing) - holder.missingMean);
         holder.movedKb *= 1 - SWEEP_MS / (Y_MS + Z_MS);
@@ -829,15 +855,15 @@
             others.removeIf(o -> o != holder && (!usable(now, o, session) || coldWait(now, o) > 0));
             others.sort(Comparator.comparingDouble(o -> index(now, o, session)));
             Holder target = others.stream().filter(o -> o != holder).findFirst().orElse(null);
-            if (target == null
-                    || ccq <= M * index(now, others.get(Math.min(1, others.size() - 1)), session)) {
+            if (target == null || ccq <= M * index(now, others.get(Math.min(1, others.size() - 1)), session)) {
                 session.overSince = Double.NaN;
                 continue;
             }
             if (Double.isNaN(session.overSince)) {
                 session.overSince = now + random.nextDouble() * Z_MS / 2;
             }
-            double floorUse = use(now, target) + target.link.scar(now)
+            double floorUse = use(now, target)
+                    + target.link.scar(now)
                     + share(now, target, kb(session.type, session.type.floor()));
             if (now - session.overSince < Z_MS || holder.movedKb >= clears || floorUse > MARK) {
                 continue;
@@ -923,8 +949,13 @@
     /** This front's part of the set-ups that a cold server bears within the time stated. */
     private double coldPart(Holder holder) {
         Rules rules = set.rules();
-        return COLD_SAFETY * rules.fallMultiple() * rules.coldShare() * placesOf(holder.server.kind())
-                / rules.coldMs() * rules.fallMs() / Math.max(1, set.fronts());
+        return COLD_SAFETY
+                * rules.fallMultiple()
+                * rules.coldShare()
+                * placesOf(holder.server.kind())
+                / rules.coldMs()
+                * rules.fallMs()
+                / Math.max(1, set.fronts());
     }
 
     private double coldWindow(Holder holder) {
--- a/core/src/main/java/spanrill/SessionControl.java
+++ b/core/src/main/java/spanrill/SessionControl.java
@@ -45,10 +45,19 @@
     }
 
     /** What the list says of a server. */
-    enum ServerState { READY, DRAINING, GONE }
+    enum ServerState {
+        READY,
+        DRAINING,
+        GONE
+    }
 
     /** What kind of list came: changes only, the whole, the whole as last kept, or none (a failed call). */
-    enum ListKind { CHANGES, WHOLE, KEPT, FAILED }
+    enum ListKind {
+        CHANGES,
+        WHOLE,
+        KEPT,
+        FAILED
+    }
 
     /** What a note about a playing session tells. */
     enum NoteKind {
@@ -74,8 +83,8 @@
      * @param scale its rates over those of the ladder
      * @param seats sessions of one title that this front may hold; 0: no cap
      */
-    record ServiceClass(String name, double aimMs, double worth, boolean once, int floor, int top,
-            double scale, int seats) { }
+    record ServiceClass(
+            String name, double aimMs, double worth, boolean once, int floor, int top, double scale, int seats) {}
 
     /**
      * A tenant.
@@ -84,7 +93,7 @@
      * @param share its share of the service
      * @param quotaPerS new sessions a second, over all fronts, within its share; NaN: not limited
      */
-    record Tenant(String name, double share, double quotaPerS) { }
+    record Tenant(String name, double share, double quotaPerS) {}
 
     /**
      * A kind of server.
@@ -92,7 +101,7 @@
      * @param name its name
      * @param places streams that it runs at most
      */
-    record Kind(String name, double places) { }
+    record Kind(String name, double places) {}
 
     /**
      * The figures of the rules.
@@ -105,8 +114,14 @@
      * @param attemptShare and further attempts allowed for each request taken
      * @param attemptWindowMs both counted over this time
      */
-    record Rules(double coldMs, double coldShare, double fallMultiple, double fallMs, double spareAttempts,
-            double attemptShare, double attemptWindowMs) { }
+    record Rules(
+            double coldMs,
+            double coldShare,
+            double fallMultiple,
+            double fallMs,
+            double spareAttempts,
+            double attemptShare,
+            double attemptWindowMs) {}
 
     /**
      * The settings of one front, all known at its start.
@@ -134,11 +149,29 @@
      * @param overShareWorth worth of a session beyond its tenant's share
      * @param rules the figures of the rules
      */
-    record Settings(int me, int fronts, String zone, List<ServiceClass> classes, List<Tenant> tenants,
-            List<Kind> kinds, List<Double> rungKb, List<Double> rungWorth, int cells, int racks,
-            double linksKb, double weightKb, double uplinkKb, double stall, double changeCostMs,
-            double seeMs, double tellMs, int maxAttempts, double maxRetryAfterMs, double crossZonePrice,
-            double overShareWorth, Rules rules) { }
+    record Settings(
+            int me,
+            int fronts,
+            String zone,
+            List<ServiceClass> classes,
+            List<Tenant> tenants,
+            List<Kind> kinds,
+            List<Double> rungKb,
+            List<Double> rungWorth,
+            int cells,
+            int racks,
+            double linksKb,
+            double weightKb,
+            double uplinkKb,
+            double stall,
+            double changeCostMs,
+            double seeMs,
+            double tellMs,
+            int maxAttempts,
+            double maxRetryAfterMs,
+            double crossZonePrice,
+            double overShareWorth,
+            Rules rules) {}
 
     /**
      * A server as the list shows it.
@@ -151,8 +184,7 @@
      * @param weight its size as listed
      * @param startedAt time of its last start; NaN: long ago
      */
-    record Server(String id, String zone, String kind, int cell, ServerState state, double weight,
-            double startedAt) { }
+    record Server(String id, String zone, String kind, int cell, ServerState state, double weight, double startedAt) {}
 
     /**
      * A viewer's request for a session, or a session that was under way when the front started.
@@ -169,8 +201,18 @@
      * @param moved true when it comes back from a move of this front
      * @param returning true when it is not the viewer's first try
      */
-    record Request(String id, String className, String tenant, String key, String title, double leftMs,
-            int home, int copies, int top, boolean moved, boolean returning) { }
+    record Request(
+            String id,
+            String className,
+            String tenant,
+            String key,
+            String title,
+            double leftMs,
+            int home,
+            int copies,
+            int top,
+            boolean moved,
+            boolean returning) {}
 
     /**
      * A load report of a server.
@@ -179,7 +221,7 @@
      * @param link what is asked of its link over what the link gives
      * @param uplink the same of its rack's uplink
      */
-    record Load(double inflight, double link, double uplink) { }
+    record Load(double inflight, double link, double uplink) {}
 
     /** What the module asks of the front. */
     interface Actions {
--- a/core/src/main/java/spanrill/setup/SetupReader.java
+++ b/core/src/main/java/spanrill/setup/SetupReader.java
@@ -28,8 +28,7 @@
     /** A load report from its values by name; what is absent is NaN. */
     public static Load load(Map<String, Double> values) {
         double link = values.getOrDefault("x0", values.getOrDefault("util", Double.NaN));
-        return new Load(values.getOrDefault("inflight", Double.NaN), link,
-                values.getOrDefault("x1", Double.NaN));
+        return new Load(values.getOrDefault("inflight", Double.NaN), link, values.getOrDefault("x1", Double.NaN));
     }
 
     /** A load report from values in the order of {@code names}. */
@@ -47,21 +46,39 @@
      * @throws SetupFault naming the first setting that is missing or wrong
      */
     public Settings settings() {
-        return new Settings(pairs.integer("me"), pairs.integer("balancers"), pairs.text("az"), classes(),
-                tenants(), kinds(), pairs.numbers("family_info.level_kb"),
-                pairs.numbers("family_info.worth_by_rung"), pairs.integer("family_info.cells"),
-                pairs.integer("family_info.racks"), pairs.number("family_info.links_kb"),
-                pairs.number("family_info.weight_kb"), pairs.number("family_info.rack_kb"),
-                pairs.number("family_info.stall"), pairs.number("family_info.change_costs_s") * 1000,
-                pairs.number("family_info.told_late"), pairs.number("family_info.tell"),
-                pairs.integer("limits.max_attempts"), pairs.number("limits.max_retry_after"),
-                pairs.number("penalties.cross_zone"), pairs.number("over_share_worth"), rules());
+        return new Settings(
+                pairs.integer("me"),
+                pairs.integer("balancers"),
+                pairs.text("az"),
+                classes(),
+                tenants(),
+                kinds(),
+                pairs.numbers("family_info.level_kb"),
+                pairs.numbers("family_info.worth_by_rung"),
+                pairs.integer("family_info.cells"),
+                pairs.integer("family_info.racks"),
+                pairs.number("family_info.links_kb"),
+                pairs.number("family_info.weight_kb"),
+                pairs.number("family_info.rack_kb"),
+                pairs.number("family_info.stall"),
+                pairs.number("family_info.change_costs_s") * 1000,
+                pairs.number("family_info.told_late"),
+                pairs.number("family_info.tell"),
+                pairs.integer("limits.max_attempts"),
+                pairs.number("limits.max_retry_after"),
+                pairs.number("penalties.cross_zone"),
+                pairs.number("over_share_worth"),
+                rules());
     }
 
     private Rules rules() {
-        return new Rules(pairs.number("safety.cold"), pairs.number("safety.cold_share"),
-                pairs.number("safety.tip_multiple"), pairs.number("safety.fall"),
-                pairs.optional("safety.spare_attempts"), pairs.optional("safety.resend_ratio"),
+        return new Rules(
+                pairs.number("safety.cold"),
+                pairs.number("safety.cold_share"),
+                pairs.number("safety.tip_multiple"),
+                pairs.number("safety.fall"),
+                pairs.optional("safety.spare_attempts"),
+                pairs.optional("safety.resend_ratio"),
                 pairs.optional("safety.resend_span"));
     }
 
@@ -74,7 +91,10 @@
         int count = pairs.integer("classes.count");
         for (int i = 0; i < count; i++) {
             Pairs one = pairs.at("classes." + i + ".");
-            classes.add(new ServiceClass(one.text("name"), one.number("target"), one.number("value"),
+            classes.add(new ServiceClass(
+                    one.text("name"),
+                    one.number("target"),
+                    one.number("value"),
                     !one.text("effect").equals("repeatable"),
                     (int) pairs.item("family_info.class_floor", floors, i),
                     (int) pairs.item("family_info.class_top", tops, i),
--- a/core/src/test/java/spanrill/ControlTest.java
+++ b/core/src/test/java/spanrill/ControlTest.java
@@ -29,7 +29,8 @@
     @Test
     void theModuleIsShortEnoughToRead() throws Exception {
         long lines = Files.readAllLines(Path.of("src/main/java/spanrill/Control.java")).stream()
-                .filter(line -> !line.isBlank()).count();
+                .filter(line -> !line.isBlank())
+                .count();
         assertTrue(lines <= 1000, lines + " lines");
     }
 
@@ -54,8 +55,8 @@
             use(0.94, "r1", "r2");
         }
         front.ask("r3", "free");
-        assertTrue(front.said.contains("rate r3 1") || !front.said.toString().contains("rate r3"),
-                front.said.toString());
+        assertTrue(
+                front.said.contains("rate r3 1") || !front.said.toString().contains("rate r3"), front.said.toString());
     }
 
     @Test
@@ -91,8 +92,9 @@
         assertEquals(1, front.count("move r1"));
         front.control.ended(front.now, "r1", true, Outcome.CANCELLED, left, null);
         SessionControl.Request old = front.request("r2", "free", 3000);
-        front.control.request(front.now, new SessionControl.Request("r2", "free", null, "kr1", "title",
-                old.leftMs(), 0, 4, 4, true, true));
+        front.control.request(
+                front.now,
+                new SessionControl.Request("r2", "free", null, "kr1", "title", old.leftMs(), 0, 4, 4, true, true));
         assertNotEquals(left, front.sentTo("r2"));
         assertNotNull(front.sentTo("r2"));
     }
@@ -183,8 +185,8 @@
 
     @Test
     void furtherAttemptsKeepTheBudgetWhereOneIsStated() {
-        ScriptedFront f = new ScriptedFront(ScriptedFront.settings(3, 5,
-                new Rules(12_000, 0.4, 2, 1500, 1, 0.1, 10_000)));
+        ScriptedFront f =
+                new ScriptedFront(ScriptedFront.settings(3, 5, new Rules(12_000, 0.4, 2, 1500, 1, 0.1, 10_000)));
         f.list(ListKind.KEPT, ServerState.READY, Double.NaN, 0, 1, 2, 3);
         f.run(15_000);
         for (int i = 0; i < 6; i++) {
@@ -192,8 +194,12 @@
             f.control.ended(f.now, "r" + i, false, Outcome.FULL, server, null);
             f.run(2000);
         }
-        long further = f.count("send ") - f.said.stream().filter(s -> s.startsWith("send "))
-                .map(s -> s.split(" ")[1]).distinct().count();
+        long further = f.count("send ")
+                - f.said.stream()
+                        .filter(s -> s.startsWith("send "))
+                        .map(s -> s.split(" ")[1])
+                        .distinct()
+                        .count();
         assertTrue(further >= 1 && further <= 2, further + " further attempts");
     }
 
@@ -209,15 +215,16 @@
 
     @Test
     void aTenantWhoseRoundedQuotaIsZeroIsHeldToItsShare() {
-        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(List.of(
-                new SessionControl.Tenant("big", 0.7, 1), new SessionControl.Tenant("small", 0.3, 0))));
+        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(
+                List.of(new SessionControl.Tenant("big", 0.7, 1), new SessionControl.Tenant("small", 0.3, 0))));
         f.list(ListKind.KEPT, ServerState.READY, Double.NaN, 0, 1, 2, 3);
         f.run(15_000);
         f.play("r0", "free");
         f.run(1500);
         for (int i = 0; i < 20; i++) {
-            f.control.request(f.now, new SessionControl.Request("s" + i, "free", "small", null, "title", 3000,
-                    0, 4, 4, false, false));
+            f.control.request(
+                    f.now,
+                    new SessionControl.Request("s" + i, "free", "small", null, "title", 3000, 0, 4, 4, false, false));
             String server = f.sentTo("s" + i);
             f.control.ended(f.now, "s" + i, false, Outcome.ERROR, server, null);
             f.control.gone(f.now, "s" + i);
@@ -227,10 +234,10 @@
             f.control.note(f.now, "r0", f.sentTo("r0"), NoteKind.UPLINK_USE, 0.91);
         }
         f.said.clear();
-        f.control.request(f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4,
-                false, false));
-        f.control.request(f.now, new SessionControl.Request("s", "free", "small", null, "title", 3000, 0, 4,
-                4, false, false));
+        f.control.request(
+                f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4, false, false));
+        f.control.request(
+                f.now, new SessionControl.Request("s", "free", "small", null, "title", 3000, 0, 4, 4, false, false));
         assertEquals(1, f.count("send b "));
         assertEquals(0, f.count("rate b 0"));
         assertEquals(1, f.count("refuse s ") + (f.count("send s ") - f.count("rate s ")), f.said.toString());
@@ -238,20 +245,22 @@
 
     @Test
     void sessionsTakenOverAreNoAskingOfTheirTenant() {
-        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(List.of(
-                new SessionControl.Tenant("big", 0.7, 2), new SessionControl.Tenant("small", 0.3, 1))));
+        ScriptedFront f = new ScriptedFront(ScriptedFront.withTenants(
+                List.of(new SessionControl.Tenant("big", 0.7, 2), new SessionControl.Tenant("small", 0.3, 1))));
         f.list(ListKind.KEPT, ServerState.READY, Double.NaN, 0, 1, 2, 3);
         for (int i = 0; i < 40; i++) {
-            f.control.takenOver(f.now, new SessionControl.Request("o" + i, "free", "big", null, "title", 0, 0,
-                    4, 4, false, false), "s" + i % 4);
+            f.control.takenOver(
+                    f.now,
+                    new SessionControl.Request("o" + i, "free", "big", null, "title", 0, 0, 4, 4, false, false),
+                    "s" + i % 4);
         }
         f.run(4000);
         for (int i = 0; i < 4; i++) {
             f.control.note(f.now, "o" + i, "s" + i, NoteKind.UPLINK_USE, 0.90);
         }
         f.said.clear();
-        f.control.request(f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4,
-                false, false));
+        f.control.request(
+                f.now, new SessionControl.Request("b", "free", "big", null, "title", 3000, 0, 4, 4, false, false));
         assertEquals(1, f.count("send b "));
     }
 
--- a/core/src/test/java/spanrill/HostileEventsTest.java
+++ b/core/src/test/java/spanrill/HostileEventsTest.java
@@ -63,13 +63,15 @@
                     request.answers++;
                     request.over = true;
                 }
-                case "rate" -> assertTrue(Integer.parseInt(parts[2]) >= (request.paid ? 1 : 0)
-                        && Integer.parseInt(parts[2]) <= 4);
+                case "rate" ->
+                    assertTrue(Integer.parseInt(parts[2]) >= (request.paid ? 1 : 0) && Integer.parseInt(parts[2]) <= 4);
                 case "move" -> assertTrue(request.playing, "moved while not playing: " + parts[1]);
-                default -> { }
+                default -> {}
             }
         }
-        long paid = seen.values().stream().filter(s -> s.paid && (s.out || s.playing)).count();
+        long paid = seen.values().stream()
+                .filter(s -> s.paid && (s.out || s.playing))
+                .count();
         assertTrue(paid <= 2, "seats: " + paid);
     }
 
@@ -93,16 +95,22 @@
                 Seen request = new Seen();
                 request.paid = random.nextInt(3) == 0;
                 seen.put("r" + step, request);
-                front.control.request(front.now, front.request("r" + step, request.paid ? "paid" : "free",
-                        500 + random.nextInt(2500)));
+                front.control.request(
+                        front.now,
+                        front.request("r" + step, request.paid ? "paid" : "free", 500 + random.nextInt(2500)));
             } else if (what == 3) {
                 int cell = random.nextInt(4);
                 ServerState state = ServerState.values()[random.nextInt(3)];
                 open[cell] = state == ServerState.READY;
                 front.list(ListKind.CHANGES, state, random.nextInt(2) == 0 ? Double.NaN : front.now, cell);
             } else if (what == 4) {
-                front.control.ended(front.now, "r" + random.nextInt(2000) + "x", false,
-                        outcomes[random.nextInt(outcomes.length)], "s" + random.nextInt(4), null);
+                front.control.ended(
+                        front.now,
+                        "r" + random.nextInt(2000) + "x",
+                        false,
+                        outcomes[random.nextInt(outcomes.length)],
+                        "s" + random.nextInt(4),
+                        null);
             } else if (!held.isEmpty()) {
                 String id = held.get(random.nextInt(held.size()));
                 Seen request = seen.get(id);
@@ -113,8 +121,13 @@
                     request.playing = false;
                     request.over = true;
                     Outcome end = random.nextBoolean() ? Outcome.OK : Outcome.RESET;
-                    front.control.ended(front.now, id, true, end, request.server, new Load(Double.NaN,
-                            random.nextDouble() * 1.3, Double.NaN));
+                    front.control.ended(
+                            front.now,
+                            id,
+                            true,
+                            end,
+                            request.server,
+                            new Load(Double.NaN, random.nextDouble() * 1.3, Double.NaN));
                 } else if (request.out && random.nextBoolean()) {
                     request.out = false;
                     request.playing = true;
--- a/core/src/test/java/spanrill/ScriptedFront.java
+++ b/core/src/test/java/spanrill/ScriptedFront.java
@@ -20,7 +20,7 @@
     double now = 100_000;
     private final List<Due> timers = new ArrayList<>();
 
-    private record Due(double at, String token) { }
+    private record Due(double at, String token) {}
 
     ScriptedFront(Settings settings) {
         this(settings, 7);
@@ -33,21 +33,59 @@
 
     /** Four servers of one rack, long started, the given front's list still fresh. */
     static Settings settings(int fronts, int maxAttempts, Rules rules) {
-        return new Settings(0, fronts, "a",
-                List.of(new ServiceClass("free", 1000, 1, false, 0, 4, 1, 0),
+        return new Settings(
+                0,
+                fronts,
+                "a",
+                List.of(
+                        new ServiceClass("free", 1000, 1, false, 0, 4, 1, 0),
                         new ServiceClass("paid", 1000, 3, true, 1, 4, 1, 2)),
-                List.of(), List.of(new Kind("std", 24)), List.of(200.0, 350.0, 600.0, 1000.0, 1700.0),
-                List.of(0.2, 0.4, 0.6, 0.8, 1.0), 4, 1, 40_000, 10_000, 30_000, 7, 500, 800, 3000,
-                maxAttempts, 2000, 0.04, 0.1, rules);
+                List.of(),
+                List.of(new Kind("std", 24)),
+                List.of(200.0, 350.0, 600.0, 1000.0, 1700.0),
+                List.of(0.2, 0.4, 0.6, 0.8, 1.0),
+                4,
+                1,
+                40_000,
+                10_000,
+                30_000,
+                7,
+                500,
+                800,
+                3000,
+                maxAttempts,
+                2000,
+                0.04,
+                0.1,
+                rules);
     }
 
     /** The same with tenants. */
     static Settings withTenants(List<SessionControl.Tenant> tenants) {
         Settings s = settings(3, 3, rules());
-        return new Settings(s.me(), s.fronts(), s.zone(), s.classes(), tenants, s.kinds(), s.rungKb(),
-                s.rungWorth(), s.cells(), s.racks(), s.linksKb(), s.weightKb(), s.uplinkKb(), s.stall(),
-                s.changeCostMs(), s.seeMs(), s.tellMs(), s.maxAttempts(), s.maxRetryAfterMs(),
-                s.crossZonePrice(), s.overShareWorth(), s.rules());
+        return new Settings(
+                s.me(),
+                s.fronts(),
+                s.zone(),
+                s.classes(),
+                tenants,
+                s.kinds(),
+                s.rungKb(),
+                s.rungWorth(),
+                s.cells(),
+                s.racks(),
+                s.linksKb(),
+                s.weightKb(),
+                s.uplinkKb(),
+                s.stall(),
+                s.changeCostMs(),
+                s.seeMs(),
+                s.tellMs(),
+                s.maxAttempts(),
+                s.maxRetryAfterMs(),
+                s.crossZonePrice(),
+                s.overShareWorth(),
+                s.rules());
     }
 
     static Rules rules() {
--- a/day/src/main/java/spanrill/day/Arrival.java
+++ b/day/src/main/java/spanrill/day/Arrival.java
@@ -9,4 +9,4 @@
  * @param number from 0
  * @param traits what it is like
  */
-public record Arrival(double atMs, int number, Traits traits) { }
+public record Arrival(double atMs, int number, Traits traits) {}
--- a/day/src/main/java/spanrill/day/Day.java
+++ b/day/src/main/java/spanrill/day/Day.java
@@ -28,14 +28,24 @@
  * @param registry lateness of the list
  * @param troubles what goes wrong
  */
-public record Day(@Default("1") long seed, @Range(min = 1000, max = 3_600_000) double lengthMs,
+public record Day(
+        @Default("1") long seed,
+        @Range(min = 1000, max = 3_600_000) double lengthMs,
         @Default("5000") @Range(min = 0, max = 600_000) double tailMs,
         @Default("0.05") @Range(min = 0.0001, max = 1) double byteScale,
-        @Range(min = 1, max = 64) List<String> zones, @Range(min = 1, max = 1000) int fronts, Boxes boxes,
-                Titles titles,
-        @Range(min = 1, max = 16) Map<String, DayClass> classes, Ladder ladder, Notes notes, Rules rules,
-        Arrivals arrivals, @Default("[]") @Range(max = 100) List<Flash> flashes,
-        @Default("{}") Distances distances, @Default("{}") Viewers viewers, @Default("{}") Registry registry,
+        @Range(min = 1, max = 64) List<String> zones,
+        @Range(min = 1, max = 1000) int fronts,
+        Boxes boxes,
+        Titles titles,
+        @Range(min = 1, max = 16) Map<String, DayClass> classes,
+        Ladder ladder,
+        Notes notes,
+        Rules rules,
+        Arrivals arrivals,
+        @Default("[]") @Range(max = 100) List<Flash> flashes,
+        @Default("{}") Distances distances,
+        @Default("{}") Viewers viewers,
+        @Default("{}") Registry registry,
         @Default("[]") @Range(max = 200) List<Trouble> troubles) {
 
     /**
@@ -52,13 +62,17 @@
      * @param coldMs warm after
      * @param coldShare share of it at the start
      */
-    public record Boxes(@Range(min = 1, max = 1000) int count, @Range(min = 1, max = 200) int racks,
-            @Range(min = 1) double places, @Range(min = 1) double linkKb,
+    public record Boxes(
+            @Range(min = 1, max = 1000) int count,
+            @Range(min = 1, max = 200) int racks,
+            @Range(min = 1) double places,
+            @Range(min = 1) double linkKb,
             @Default("0") @Range(min = 0, max = 0.9) double linkSpread,
             @Default("1") @Range(min = 0.01, max = 100) double uplinkShare,
             @Default("0") @Range(min = 0, max = 0.9) double uplinkSpread,
             @Default("40") @Range(min = 0, max = 10_000) double setUpMs,
-            @Range(min = 0, max = 600_000) double coldMs, @Range(min = 0.01, max = 1) double coldShare) { }
+            @Range(min = 0, max = 600_000) double coldMs,
+            @Range(min = 0.01, max = 1) double coldShare) {}
 
     /**
      * Titles.
@@ -71,10 +85,11 @@
      * @param patternMs lengths of segments in turn, over and over; empty: all are of {@code segmentMs}
      * @param audioKb rate of the audio that comes out of each session's rate, kB a second; 0: none of its own
      */
-    public record Titles(@Range(min = 1, max = 10_000) int count, @Default("0.8") @Range(min = 0,
-            max = 4) double zipf,
-            @Range(min = 2, max = 2) List<Integer> copies, @Default("600000")
-            @Range(min = 1000) long durationMs,
+    public record Titles(
+            @Range(min = 1, max = 10_000) int count,
+            @Default("0.8") @Range(min = 0, max = 4) double zipf,
+            @Range(min = 2, max = 2) List<Integer> copies,
+            @Default("600000") @Range(min = 1000) long durationMs,
             @Default("1000") @Range(min = 100, max = 60_000) long segmentMs,
             @Default("[]") @Range(max = 1000) List<Long> patternMs,
             @Default("0") @Range(min = 0, max = 1e6) double audioKb) {
@@ -102,28 +117,41 @@
      * @param share of new sessions
      * @param sessionMs length of a session: from, to
      */
-    public record DayClass(@Range(min = 0, max = 1) double share, @Range(min = 2,
-            max = 2) List<Double> sessionMs,
-            @Range(min = 1) double aimMs, @Range(min = 100) double patienceMs, @Range(min = 0) double worth,
-            @Default("false") boolean once, @Default("0") @Range(min = 0) int floor,
-            @Default("63") @Range(min = 0) int top, @Default("1") @Range(min = 0.001) double scale,
-            @Default("0") @Range(min = 0) int seats) { }
+    public record DayClass(
+            @Range(min = 0, max = 1) double share,
+            @Range(min = 2, max = 2) List<Double> sessionMs,
+            @Range(min = 1) double aimMs,
+            @Range(min = 100) double patienceMs,
+            @Range(min = 0) double worth,
+            @Default("false") boolean once,
+            @Default("0") @Range(min = 0) int floor,
+            @Default("63") @Range(min = 0) int top,
+            @Default("1") @Range(min = 0.001) double scale,
+            @Default("0") @Range(min = 0) int seats) {}
 
     /** The ladder of rates: kB a second, and worth. */
-    public record Ladder(@Range(min = 1, max = 64) List<Double> kb, @Range(min = 1,
-            max = 64) List<Double> worth) { }
+    public record Ladder(
+            @Range(min = 1, max = 64) List<Double> kb,
+            @Range(min = 1, max = 64) List<Double> worth) {}
 
     /** What boxes tell, as the front's settings have it. */
-    public record Notes(@Range(min = 0) double lateMs, @Range(min = 100) double tellMs,
+    public record Notes(
+            @Range(min = 0) double lateMs,
+            @Range(min = 100) double tellMs,
             @Range(min = 0) double stall,
-            @Range(min = 0) double changeCostMs) { }
+            @Range(min = 0) double changeCostMs) {}
 
     /** Figures of the rules, as the front's settings have them. */
-    public record Rules(@Default("5") int maxAttempts, @Default("2000") double maxRetryAfterMs,
-            @Default("0.04") double crossZonePrice, @Default("250") double drainGraceMs,
-            @Default("2") double fallMultiple, @Default("1500") double fallMs,
-                    @Default("null") Double spareAttempts,
-            @Default("null") Double attemptShare, @Default("null") Double attemptWindowMs) { }
+    public record Rules(
+            @Default("5") int maxAttempts,
+            @Default("2000") double maxRetryAfterMs,
+            @Default("0.04") double crossZonePrice,
+            @Default("250") double drainGraceMs,
+            @Default("2") double fallMultiple,
+            @Default("1500") double fallMs,
+            @Default("null") Double spareAttempts,
+            @Default("null") Double attemptShare,
+            @Default("null") Double attemptWindowMs) {}
 
     /**
      * New sessions.
@@ -133,12 +161,17 @@
      * @param swing of a wave: so much above and below
      * @param waveMs length of a wave
      */
-    public record Arrivals(@Range(min = 0.01, max = 1000) double perS, @Default("\"steady\"") Shape shape,
+    public record Arrivals(
+            @Range(min = 0.01, max = 1000) double perS,
+            @Default("\"steady\"") Shape shape,
             @Default("0.4") @Range(min = 0, max = 1) double swing,
-            @Default("30000") @Range(min = 1000) double waveMs) { }
+            @Default("30000") @Range(min = 1000) double waveMs) {}
 
     /** How arrivals vary. */
-    public enum Shape { STEADY, WAVE }
+    public enum Shape {
+        STEADY,
+        WAVE
+    }
 
     /**
      * What viewers do.
@@ -157,19 +190,26 @@
      * @param neverReads share that asks and reads nothing
      * @param bola share whose players choose rungs by their buffer, the others by throughput
      */
-    public record Viewers(@Default("0.9") @Range(min = 0, max = 1) double returns,
-            @Default("[1200, 2700]") @Range(min = 2, max = 2) List<Double> returnMs,
+    public record Viewers(
+            @Default("0.9") @Range(min = 0, max = 1) double returns,
+
+            @Default("[1200, 2700]") @Range(min = 2, max = 2)
+            List<Double> returnMs,
+
             @Default("3") @Range(min = 1, max = 20) int tries,
             @Default("0.6") @Range(min = 0, max = 1) double honour,
             @Default("0.02") @Range(min = 0, max = 1) double leaves,
             @Default("0.02") @Range(min = 0, max = 1) double doubles,
             @Default("0") @Range(min = 0, max = 1) double replays,
             @Default("0.25") @Range(min = 0, max = 1) double low,
-            @Default("[1100, 4000]") @Range(min = 2, max = 2) List<Double> frontNoticeMs,
+
+            @Default("[1100, 4000]") @Range(min = 2, max = 2)
+            List<Double> frontNoticeMs,
+
             @Default("0.75") @Range(min = 0, max = 1) double bearable,
             @Default("0") @Range(min = 0, max = 1) double waitForHall,
             @Default("0") @Range(min = 0, max = 1) double neverReads,
-            @Default("0.5") @Range(min = 0, max = 1) double bola) { }
+            @Default("0.5") @Range(min = 0, max = 1) double bola) {}
 
     /**
      * Lateness of the list.
@@ -177,8 +217,11 @@
      * @param noticeMs of what boxes say themselves: from, to
      * @param silentMs of boxes that went without a word: from, to
      */
-    public record Registry(@Default("[600, 2500]") @Range(min = 2, max = 2) List<Double> noticeMs,
-            @Default("[4000, 8000]") @Range(min = 2, max = 2) List<Double> silentMs) { }
+    public record Registry(
+            @Default("[600, 2500]") @Range(min = 2, max = 2) List<Double> noticeMs,
+
+            @Default("[4000, 8000]") @Range(min = 2, max = 2)
+            List<Double> silentMs) {}
 
     /**
      * Something that goes wrong.
@@ -188,9 +231,11 @@
      * @param forMs for how long
      * @param part of the boxes, fronts, halls or viewers; a multiple of arrivals for burst and hot_key
      */
-    public record Trouble(Kind kind, @Range(min = 0) double atMs, @Default("5000")
-            @Range(min = 1) double forMs,
-            @Default("0.2") @Range(min = 0, max = 20) double part) { }
+    public record Trouble(
+            Kind kind,
+            @Range(min = 0) double atMs,
+            @Default("5000") @Range(min = 1) double forMs,
+            @Default("0.2") @Range(min = 0, max = 20) double part) {}
 
     /**
      * A flash crowd at a final whistle: a jump that dies away.
@@ -200,8 +245,11 @@
      * @param fadeMs it falls to a third in this time
      * @param title number of the title that it is for
      */
-    public record Flash(@Range(min = 0) double atMs, @Range(min = 0.01, max = 10_000) double perS,
-            @Default("3000") @Range(min = 1) double fadeMs, @Default("0") @Range(min = 0) int title) { }
+    public record Flash(
+            @Range(min = 0) double atMs,
+            @Range(min = 0.01, max = 10_000) double perS,
+            @Default("3000") @Range(min = 1) double fadeMs,
+            @Default("0") @Range(min = 0) int title) {}
 
     /**
      * How far halls are from each other, one way.
@@ -209,42 +257,43 @@
      * @param sameMs within one
      * @param crossMs between two
      */
-    public record Distances(@Default("0.2") @Range(min = 0, max = 1000) double sameMs,
-            @Default("1") @Range(min = 0, max = 1000) double crossMs) { }
+    public record Distances(
+            @Default("0.2") @Range(min = 0, max = 1000) double sameMs,
+            @Default("1") @Range(min = 0, max = 1000) double crossMs) {}
 
     /** The same day with another number of fronts. */
     public Day withFronts(int number) {
-        return new Day(seed, lengthMs, tailMs, byteScale, zones, number, boxes, titles, classes, ladder,
-                notes,
-                rules, arrivals, flashes, distances, viewers, registry, troubles);
+        return new Day(
+                seed, lengthMs, tailMs, byteScale, zones, number, boxes, titles, classes, ladder, notes, rules,
+                arrivals, flashes, distances, viewers, registry, troubles);
     }
 
     /** The same day with other boxes. */
     public Day withBoxes(Boxes other) {
-        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, other, titles, classes, ladder,
-                notes,
-                rules, arrivals, flashes, distances, viewers, registry, troubles);
+        return new Day(
+                seed, lengthMs, tailMs, byteScale, zones, fronts, other, titles, classes, ladder, notes, rules,
+                arrivals, flashes, distances, viewers, registry, troubles);
     }
 
     /** The same day with other notes. */
     public Day withNotes(Notes other) {
-        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
-                other,
-                rules, arrivals, flashes, distances, viewers, registry, troubles);
+        return new Day(
+                seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder, other, rules,
+                arrivals, flashes, distances, viewers, registry, troubles);
     }
 
     /** The same day with other rules. */
     public Day withRules(Rules other) {
-        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
-                notes,
-                other, arrivals, flashes, distances, viewers, registry, troubles);
+        return new Day(
+                seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder, notes, other,
+                arrivals, flashes, distances, viewers, registry, troubles);
     }
 
     /** The same day with another registry. */
     public Day withRegistry(Registry other) {
-        return new Day(seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder,
-                notes,
-                rules, arrivals, flashes, distances, viewers, other, troubles);
+        return new Day(
+                seed, lengthMs, tailMs, byteScale, zones, fronts, boxes, titles, classes, ladder, notes, rules,
+                arrivals, flashes, distances, viewers, other, troubles);
     }
 
     /** Checks what fields must be to each other. */
--- a/day/src/main/java/spanrill/day/FleetPlan.java
+++ b/day/src/main/java/spanrill/day/FleetPlan.java
@@ -21,7 +21,7 @@
      * @param zone hall that it stands in
      * @param linkKb its link, kB a second, without troubles
      */
-    public record Box(String id, int cell, int rack, String zone, double linkKb) { }
+    public record Box(String id, int cell, int rack, String zone, double linkKb) {}
 
     /** The fleet of a day; the same day and seed, the same fleet. */
     public static FleetPlan of(Day day, long seed) {
@@ -33,7 +33,8 @@
             int rack = i % all.racks();
             double link = all.linkKb() * (1 + all.linkSpread() * (2 * random.nextDouble() - 1));
             rackLinks[rack] += link;
-            boxes.add(new Box("box-" + i, i, rack, day.zones().get(rack % day.zones().size()), link));
+            boxes.add(new Box(
+                    "box-" + i, i, rack, day.zones().get(rack % day.zones().size()), link));
         }
         List<Double> uplinks = new ArrayList<>();
         for (double links : rackLinks) {
--- a/day/src/main/java/spanrill/day/Forecast.java
+++ b/day/src/main/java/spanrill/day/Forecast.java
@@ -29,8 +29,16 @@
      * @param uplinksKb what racks let through: their uplinks, or less where their boxes' links give less
      * @param frontsUp fronts that run
      */
-    public record Step(double fromMs, double perS, int sessions, double floorKb, double topKb, double places,
-            double linksKb, double uplinksKb, int frontsUp) {
+    public record Step(
+            double fromMs,
+            double perS,
+            int sessions,
+            double floorKb,
+            double topKb,
+            double places,
+            double linksKb,
+            double uplinksKb,
+            int frontsUp) {
         /**
          * What is asked at the floor over what gets through; above 1 some must be refused, whatever is done.
          */
@@ -52,7 +60,7 @@
      * @param most sessions of it wanted at once, at most
      * @param places streams that its holders can hold together
      */
-    public record Hot(int title, double share, int most, double places) { }
+    public record Hot(int title, double share, int most, double places) {}
 
     /** Works a day out. */
     public static Forecast of(Day day, long seed, double stepMs) {
@@ -82,15 +90,25 @@
                     Day.DayClass type = day.classes().get(arrival.traits().cls());
                     sessions++;
                     floor += day.ladder().kb().get(type.floor()) * type.scale();
-                    int highest = Math.min(arrival.traits().top(), Math.min(type.top(),
-                            day.ladder().kb().size() - 1));
+                    int highest = Math.min(
+                            arrival.traits().top(),
+                            Math.min(type.top(), day.ladder().kb().size() - 1));
                     top += day.ladder().kb().get(highest) * type.scale();
                 }
             }
-            long come = arrivals.stream().filter(a -> a.atMs() >= begin && a.atMs() < to).count();
-            steps.add(new Step(from, come * 1000 / stepMs, sessions, floor, top, least.places(),
+            long come = arrivals.stream()
+                    .filter(a -> a.atMs() >= begin && a.atMs() < to)
+                    .count();
+            steps.add(new Step(
+                    from,
+                    come * 1000 / stepMs,
+                    sessions,
+                    floor,
+                    top,
+                    least.places(),
                     least.linksKb(),
-                    least.throughKb(), least.frontsUp()));
+                    least.throughKb(),
+                    least.frontsUp()));
         }
         return new Forecast(stepMs, steps, hottest(day, plan, arrivals));
     }
@@ -117,15 +135,21 @@
             now += (int) change[1];
             most = Math.max(most, now);
         }
-        return new Hot(title, arrivals.isEmpty() ? 0 : (double) asked[title] / arrivals.size(), most,
+        return new Hot(
+                title,
+                arrivals.isEmpty() ? 0 : (double) asked[title] / arrivals.size(),
+                most,
                 plan.placement().get(title)[1] * day.boxes().places());
     }
 
     /** What a fleet gives at a time. */
     private record Gives(double places, double linksKb, double throughKb, int frontsUp) {
         Gives least(Gives other) {
-            return new Gives(Math.min(places, other.places), Math.min(linksKb, other.linksKb),
-                    Math.min(throughKb, other.throughKb), Math.min(frontsUp, other.frontsUp));
+            return new Gives(
+                    Math.min(places, other.places),
+                    Math.min(linksKb, other.linksKb),
+                    Math.min(throughKb, other.throughKb),
+                    Math.min(frontsUp, other.frontsUp));
         }
     }
 
--- a/day/src/main/java/spanrill/day/Plan.java
+++ b/day/src/main/java/spanrill/day/Plan.java
@@ -48,9 +48,13 @@
 
     private List<Effect> effects(int first) {
         List<Trouble> troubles = day.troubles().subList(0, first).stream()
-                .map(t -> new Trouble(t.kind(), t.atMs(), t.forMs(), t.part())).toList();
-        return TroublePlan.of(troubles, new TroublePlan.Fleet(day.boxes().count(), day.boxes().racks(),
-                day.zones().size(), day.fronts()), seed);
+                .map(t -> new Trouble(t.kind(), t.atMs(), t.forMs(), t.part()))
+                .toList();
+        return TroublePlan.of(
+                troubles,
+                new TroublePlan.Fleet(
+                        day.boxes().count(), day.boxes().racks(), day.zones().size(), day.fronts()),
+                seed);
     }
 
     /** On how many boxes, racks, halls or fronts a trouble acts when it begins. */
@@ -64,22 +68,29 @@
     public List<Arrival> arrivals() {
         List<Arrival> all = new ArrayList<>();
         Day.Arrivals ordinary = day.arrivals();
-        crowd(all, "arrivals", ordinary.shape() == Day.Shape.WAVE
-                ? Rate.wave(ordinary.perS(), ordinary.swing(), ordinary.waveMs())
-                : Rate.steady(ordinary.perS()), -1);
+        crowd(
+                all,
+                "arrivals",
+                ordinary.shape() == Day.Shape.WAVE
+                        ? Rate.wave(ordinary.perS(), ordinary.swing(), ordinary.waveMs())
+                        : Rate.steady(ordinary.perS()),
+                -1);
         for (int i = 0; i < day.troubles().size(); i++) {
             Day.Trouble trouble = day.troubles().get(i);
             if (trouble.kind() == Kind.BURST || trouble.kind() == Kind.HOT_KEY) {
                 int hot = trouble.kind() == Kind.HOT_KEY
-                        ? Draws.of(seed, "hot" + i).nextInt(day.titles().count()) : -1;
-                crowd(all, "crowd" + i, Rate.burst(ordinary.perS() * trouble.part(), trouble.atMs(),
-                        trouble.atMs() + trouble.forMs()), hot);
+                        ? Draws.of(seed, "hot" + i).nextInt(day.titles().count())
+                        : -1;
+                crowd(
+                        all,
+                        "crowd" + i,
+                        Rate.burst(ordinary.perS() * trouble.part(), trouble.atMs(), trouble.atMs() + trouble.forMs()),
+                        hot);
             }
         }
         for (int i = 0; i < day.flashes().size(); i++) {
             Day.Flash flash = day.flashes().get(i);
-            crowd(all, "flash" + i, Rate.flashCrowd(flash.perS(), flash.atMs(), flash.fadeMs()),
-                    flash.title());
+            crowd(all, "flash" + i, Rate.flashCrowd(flash.perS(), flash.atMs(), flash.fadeMs()), flash.title());
         }
         all.sort(Comparator.comparingDouble(Arrival::atMs));
         List<Arrival> numbered = new ArrayList<>(all.size());
@@ -90,8 +101,10 @@
     /** Adds a crowd; {@code title} -1: each for a title of its own choice. */
     private void crowd(List<Arrival> all, String purpose, Rate rate, int title) {
         UniformRandomProvider random = Draws.of(seed, purpose);
-        Titles titles = new Titles(Draws.of(seed, purpose + " titles"), day.titles().count(), day.titles()
-                .zipf());
+        Titles titles = new Titles(
+                Draws.of(seed, purpose + " titles"),
+                day.titles().count(),
+                day.titles().zipf());
         for (double at : Arrivals.times(random, rate, 0, day.lengthMs())) {
             all.add(new Arrival(at, 0, traits(random, title < 0 ? titles.next() : title)));
         }
@@ -112,12 +125,22 @@
         int highest = day.ladder().kb().size() - 1;
         int top = random.nextDouble() < who.low() ? Math.max(type.floor(), highest / 2) : highest;
         double leaves = random.nextDouble() < who.leaves() ? 5 + random.nextDouble() * 400 : -1;
-        return new Traits(cls, title, random.nextInt(day.zones().size()),
-                Draws.between(random, type.sessionMs()), top, type.patienceMs(), leaves,
-                random.nextDouble() < who.doubles(), random.nextDouble() < who.replays(),
-                random.nextDouble() < who.honour(), who.returns(),
+        return new Traits(
+                cls,
+                title,
+                random.nextInt(day.zones().size()),
+                Draws.between(random, type.sessionMs()),
+                top,
+                type.patienceMs(),
+                leaves,
+                random.nextDouble() < who.doubles(),
+                random.nextDouble() < who.replays(),
+                random.nextDouble() < who.honour(),
+                who.returns(),
                 who.tries(),
-                who.bearable(), random.nextDouble() < who.neverReads(), random.nextDouble() < who.bola(),
+                who.bearable(),
+                random.nextDouble() < who.neverReads(),
+                random.nextDouble() < who.bola(),
                 random.nextLong());
     }
 }
--- a/day/src/test/java/spanrill/day/ForecastTest.java
+++ b/day/src/test/java/spanrill/day/ForecastTest.java
@@ -16,39 +16,17 @@
 
     private Day day(String more) throws Exception {
         Path file = folder.resolve("day.jsonnet");
-        Files.writeString(file, "{ seed: 3, lengthMs: 200000, tailMs: 0, zones: ['a', 'b'], fronts: 4,\n"
-               
-                       
-                               
-                                       
-                                               
-                                                       
-                
-                
-                
-                
-                
-                
-                + "  classes: { c: { share: 1, sessionMs: [10000, 10000], aimMs: 500, patienceMs: 2000,\n"
-                + "    worth: 1, scale: 2 } },\n"
-                + "  ladder: { kb: [100, 400], worth: [0.5, 1] },\n"
-                + "  notes: { lateMs: 500, tellMs: 3000, stall: 6, changeCostMs: 500 }, rules: {},\n"
-               
-                       
-                               
-                                       
-                                               
-                                                       
-                
-                
-                
-                
-                
-                
-                + "  boxes: { count: 10, racks: 2, places: 20, linkKb: 1000, uplinkShare: 0.5,\n"
-                + "    coldMs: 5000, coldShare: 0.5 },\n"
-                + "  titles: { count: 5, copies: [2, 2], zipf: 0 }, arrivals: { perS: 20 },\n"
-                + "  viewers: { low: 0 }, " + more + " }");
+        Files.writeString(
+                file,
+                "{ seed: 3, lengthMs: 200000, tailMs: 0, zones: ['a', 'b'], fronts: 4,\n"
+                        + "  classes: { c: { share: 1, sessionMs: [10000, 10000], aimMs: 500, patienceMs: 2000,\n"
+                        + "    worth: 1, scale: 2 } },\n"
+                        + "  ladder: { kb: [100, 400], worth: [0.5, 1] },\n"
+                        + "  notes: { lateMs: 500, tellMs: 3000, stall: 6, changeCostMs: 500 }, rules: {},\n"
+                        + "  boxes: { count: 10, racks: 2, places: 20, linkKb: 1000, uplinkShare: 0.5,\n"
+                        + "    coldMs: 5000, coldShare: 0.5 },\n"
+                        + "  titles: { count: 5, copies: [2, 2], zipf: 0 }, arrivals: { perS: 20 },\n"
+                        + "  viewers: { low: 0 }, " + more + " }");
         return Settings.read(file, Day.class);
     }
 
@@ -58,7 +36,8 @@
         Forecast forecast = Forecast.of(day(""), 3, 10_000);
         assertEquals(20, forecast.steps().size());
         List<Forecast.Step> full = forecast.steps().subList(1, 20);
-        assertEquals(200, full.stream().mapToInt(Forecast.Step::sessions).average().orElse(0), 12);
+        assertEquals(
+                200, full.stream().mapToInt(Forecast.Step::sessions).average().orElse(0), 12);
         for (Forecast.Step step : full) {
             assertEquals(step.sessions() * 200.0, step.floorKb(), 1e-6);
             assertEquals(step.sessions() * 800.0, step.topKb(), 1e-6);
@@ -86,7 +65,6 @@
         assertEquals(2, steps.get(10).frontsUp());
         assertEquals(4, steps.get(11).frontsUp());
         Plan plan = new Plan(day, 3);
-        assertEquals(List.of(4L, 1L, 2L), List.of(plan.firstActsOn(0), plan.firstActsOn(1),
-                plan.firstActsOn(2)));
+        assertEquals(List.of(4L, 1L, 2L), List.of(plan.firstActsOn(0), plan.firstActsOn(1), plan.firstActsOn(2)));
     }
 }
--- a/decisions/src/main/java/spanrill/decisions/AbuseLimiter.java
+++ b/decisions/src/main/java/spanrill/decisions/AbuseLimiter.java
@@ -14,6 +14,7 @@
      * found within the 3 s in which the protocol wants a flood closed.
      */
     private static final double TOKENS_PER_SECOND = 30;
+
     private static final double LARGEST_MESSAGE_BYTES = 16 * 1024;
     private static final double MS_PER_SECOND = 1000;
 
--- a/decisions/src/main/java/spanrill/decisions/Admission.java
+++ b/decisions/src/main/java/spanrill/decisions/Admission.java
@@ -41,7 +41,7 @@
      * @param again true for a new request of a token that was refused before
      * @param retryAfterMs what is left of the wait that it was told with a refusal
      */
-    public record Verdict(Kind kind, String session, boolean again, double retryAfterMs) { }
+    public record Verdict(Kind kind, String session, boolean again, double retryAfterMs) {}
 
     private static final class Entry {
         private final boolean once;
@@ -91,8 +91,8 @@
             return new Verdict(entry.after, null, false, 0);
         }
         double since = now - entry.refusedAt;
-        return since < sameMs ? new Verdict(Kind.REFUSED, null, false,
-                Math.max(0, entry.retryAfterMs - since))
+        return since < sameMs
+                ? new Verdict(Kind.REFUSED, null, false, Math.max(0, entry.retryAfterMs - since))
                 : new Verdict(Kind.NEW, null, entry.refusedBefore, 0);
     }
 
--- a/decisions/src/main/java/spanrill/decisions/BoxBook.java
+++ b/decisions/src/main/java/spanrill/decisions/BoxBook.java
@@ -23,7 +23,7 @@
      * @param host address
      * @param port port
      */
-    public record Box(Server server, String host, int port) { }
+    public record Box(Server server, String host, int port) {}
 
     /**
      * A list as it came.
@@ -34,7 +34,7 @@
      * @param version version that it leads to
      * @param boxes the boxes that it names
      */
-    public record Sheet(ListKind kind, long epoch, long base, long version, List<Box> boxes) { }
+    public record Sheet(ListKind kind, long epoch, long base, long version, List<Box> boxes) {}
 
     private final Map<String, Box> boxes = new LinkedHashMap<>();
     private final int most;
@@ -93,7 +93,9 @@
 
     /** All boxes that are not gone. */
     public List<Box> listed() {
-        return boxes.values().stream().filter(b -> b.server().state() != ServerState.GONE).toList();
+        return boxes.values().stream()
+                .filter(b -> b.server().state() != ServerState.GONE)
+                .toList();
     }
 
     /** Drops boxes that are gone and hold nothing any more. */
--- a/decisions/src/main/java/spanrill/decisions/BoxWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/BoxWatch.java
@@ -13,7 +13,7 @@
      * @param lost why the sessions of the box are lost, or null when they may live
      * @param openAfterMs open the stream again after this; negative: don't, nothing plays there
      */
-    public record Next(SessionEnd lost, double openAfterMs) { }
+    public record Next(SessionEnd lost, double openAfterMs) {}
 
     private final Backoff backoff;
     private double process = Double.NaN;
--- a/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
@@ -68,7 +68,9 @@
      * yet to ask. A node serves viewers from then on.
      */
     public boolean caughtUp(double now) {
-        return brokeOnce || now - askedAt >= ANSWER_MS || now - heardAt >= PAUSE_MS
+        return brokeOnce
+                || now - askedAt >= ANSWER_MS
+                || now - heardAt >= PAUSE_MS
                 || (Double.isNaN(heardAt) && now - answeredAt >= NOTHING_MS);
     }
 }
--- a/decisions/src/main/java/spanrill/decisions/CallOffProof.java
+++ b/decisions/src/main/java/spanrill/decisions/CallOffProof.java
@@ -14,7 +14,7 @@
     /** A process must be older than the attempt by so much: durations are read at both ends of a wire. */
     private static final double SLACK_MS = 50;
 
-    private CallOffProof() { }
+    private CallOffProof() {}
 
     /**
      * Reads the answer.
--- a/decisions/src/main/java/spanrill/decisions/ClientConnectionState.java
+++ b/decisions/src/main/java/spanrill/decisions/ClientConnectionState.java
@@ -54,8 +54,8 @@
      *     so new that its first request can't have come
      * @param written true when anything was ever written to it
      */
-    public record View(int openRequests, boolean releasesPending, boolean unflushed, boolean awaitingRequest,
-            boolean written) { }
+    public record View(
+            int openRequests, boolean releasesPending, boolean unflushed, boolean awaitingRequest, boolean written) {}
 
     /** A client that has seen the end of the output closes within a round trip; slow ones get this long. */
     private static final double LINGER_MS = 500;
--- a/decisions/src/main/java/spanrill/decisions/ConnectionTimeouts.java
+++ b/decisions/src/main/java/spanrill/decisions/ConnectionTimeouts.java
@@ -15,7 +15,7 @@
     /** Over twice the 4 s after which usual clients close a connection without a session. */
     private static final double IDLE_MS = 10_000;
 
-    private ConnectionTimeouts() { }
+    private ConnectionTimeouts() {}
 
     /**
      * A connection as it stands.
@@ -27,8 +27,8 @@
      * @param proven true when something useful came on it: a set-up that could be used, or a test
      * @param messageMs time since a message began that is not complete, 0 where there is none
      */
-    public record View(double ageMs, double quietMs, int openRequests, int standing, boolean proven,
-            double messageMs) { }
+    public record View(
+            double ageMs, double quietMs, int openRequests, int standing, boolean proven, double messageMs) {}
 
     /** Why the connection has to end now, if it has to. */
     public static Optional<CloseReason> expired(View view) {
--- a/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
+++ b/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
@@ -44,6 +44,7 @@
     private static final double ANSWER_MARGIN_MS = 200;
     /** With short deadlines, draining begins so long before the last answers: clients go elsewhere. */
     private static final double DRAIN_MARGIN_MS = 100;
+
     private static final double END_MARGIN_MS = 50;
 
     private final double killMs;
--- a/decisions/src/main/java/spanrill/decisions/LinkChoice.java
+++ b/decisions/src/main/java/spanrill/decisions/LinkChoice.java
@@ -34,7 +34,7 @@
      * @param idleMs time since its last set-up or answer
      * @param usable connected or connecting, and nothing spoilt or overdue was seen on it
      */
-    public record Link(int open, double idleMs, boolean usable) { }
+    public record Link(int open, double idleMs, boolean usable) {}
 
     /** Index of the connection to use, {@link #NEW} or {@link #NONE}. */
     public int choose(List<Link> links, boolean mayOpen) {
@@ -49,7 +49,8 @@
             if (link.open() == 0 && (free < 0 || link.idleMs() < links.get(free).idleMs())) {
                 free = i;
             }
-            if (link.open() < mostOnOne && (shared < 0 || link.open() < links.get(shared).open())) {
+            if (link.open() < mostOnOne
+                    && (shared < 0 || link.open() < links.get(shared).open())) {
                 shared = i;
             }
         }
--- a/decisions/src/main/java/spanrill/decisions/OutcomeTable.java
+++ b/decisions/src/main/java/spanrill/decisions/OutcomeTable.java
@@ -88,7 +88,7 @@
         TABLE.put(Stage.ANSWERING, answering);
     }
 
-    private OutcomeTable() { }
+    private OutcomeTable() {}
 
     /** The outcome that an event at a stage amounts to. */
     public static Outcome read(Stage stage, Event event) {
--- a/decisions/src/main/java/spanrill/decisions/OwedReleases.java
+++ b/decisions/src/main/java/spanrill/decisions/OwedReleases.java
@@ -82,7 +82,7 @@
     /** Those that are to go out now; what is too old or was sent often enough is let go. */
     public List<Owed<T>> due(double now) {
         List<Owed<T>> due = new ArrayList<>();
-        for (Iterator<Owed<T>> it = owed.values().iterator(); it.hasNext();) {
+        for (Iterator<Owed<T>> it = owed.values().iterator(); it.hasNext(); ) {
             Owed<T> one = it.next();
             if (now - one.since > keepMs || (one.sent >= tries && now - one.sentAt >= againMs)) {
                 it.remove();
--- a/decisions/src/main/java/spanrill/decisions/PoolPolicy.java
+++ b/decisions/src/main/java/spanrill/decisions/PoolPolicy.java
@@ -10,7 +10,12 @@
  */
 public record PoolPolicy(int most, int kept, int waiting) {
     /** What to do with an exchange. */
-    public enum Choice { REUSE, OPEN, WAIT, TURN_AWAY }
+    public enum Choice {
+        REUSE,
+        OPEN,
+        WAIT,
+        TURN_AWAY
+    }
 
     /** Checks the figures. */
     public PoolPolicy {
--- a/decisions/src/main/java/spanrill/decisions/RecentAnswers.java
+++ b/decisions/src/main/java/spanrill/decisions/RecentAnswers.java
@@ -8,6 +8,7 @@
 public final class RecentAnswers {
     /** What crosses within 50 ms counts as crossing by the protocol. */
     private static final double CROSSING_MS = 50;
+
     private static final int MOST = 64;
 
     private final long[] ids = new long[MOST];
--- a/decisions/src/main/java/spanrill/decisions/RecentlyOver.java
+++ b/decisions/src/main/java/spanrill/decisions/RecentlyOver.java
@@ -8,7 +8,7 @@
  * call costs a constant, taken together.
  */
 public final class RecentlyOver<T> {
-    private record Kept<T>(T what, double until) { }
+    private record Kept<T>(T what, double until) {}
 
     private final double keptMs;
     private final int most;
--- a/decisions/src/main/java/spanrill/decisions/RungGate.java
+++ b/decisions/src/main/java/spanrill/decisions/RungGate.java
@@ -6,7 +6,7 @@
  * 23009-1, bitstreamSwitching), so a player decodes what it gets whatever it asked for.
  */
 public final class RungGate {
-    private RungGate() { }
+    private RungGate() {}
 
     /** The rung to serve. */
     public static int serve(int asked, int inForce, int floor) {
--- a/decisions/src/main/java/spanrill/decisions/SegmentRetry.java
+++ b/decisions/src/main/java/spanrill/decisions/SegmentRetry.java
@@ -27,9 +27,9 @@
      * @param sessionLost true when the box doesn't know the session any more
      * @param afterMs when to look again
      */
-    public record Choice(Act act, boolean sessionLost, double afterMs) { }
+    public record Choice(Act act, boolean sessionLost, double afterMs) {}
 
-    private SegmentRetry() { }
+    private SegmentRetry() {}
 
     /**
      * Chooses.
--- a/decisions/src/main/java/spanrill/decisions/SessionState.java
+++ b/decisions/src/main/java/spanrill/decisions/SessionState.java
@@ -49,20 +49,38 @@
     }
 
     /** The final answer to a request. */
-    public enum Answer { PLAYS, REFUSED, FAILED }
+    public enum Answer {
+        PLAYS,
+        REFUSED,
+        FAILED
+    }
 
     private static final Map<Phase, Map<Event, Phase>> TABLE = new EnumMap<>(Phase.class);
 
     static {
-        row(Phase.TAKEN, Event.SEND, Phase.SETTING_UP, Event.REFUSE, Phase.OVER, Event.FAIL, Phase.OVER,
-                Event.LEAVE, Phase.OVER);
-        row(Phase.SETTING_UP, Event.PLAYS, Phase.PLAYING, Event.ATTEMPT_ENDED, Phase.TAKEN,
-                Event.LEAVE, Phase.OVER);
+        row(
+                Phase.TAKEN,
+                Event.SEND,
+                Phase.SETTING_UP,
+                Event.REFUSE,
+                Phase.OVER,
+                Event.FAIL,
+                Phase.OVER,
+                Event.LEAVE,
+                Phase.OVER);
+        row(Phase.SETTING_UP, Event.PLAYS, Phase.PLAYING, Event.ATTEMPT_ENDED, Phase.TAKEN, Event.LEAVE, Phase.OVER);
         row(Phase.PLAYING, Event.MOVE, Phase.MOVING, Event.END, Phase.OVER);
-        row(Phase.MOVING, Event.SEND, Phase.MOVING_SET_UP, Event.REFUSE, Phase.OVER, Event.FAIL, Phase.OVER,
-                Event.END, Phase.OVER);
-        row(Phase.MOVING_SET_UP, Event.PLAYS, Phase.PLAYING, Event.ATTEMPT_ENDED, Phase.MOVING,
-                Event.END, Phase.OVER);
+        row(
+                Phase.MOVING,
+                Event.SEND,
+                Phase.MOVING_SET_UP,
+                Event.REFUSE,
+                Phase.OVER,
+                Event.FAIL,
+                Phase.OVER,
+                Event.END,
+                Phase.OVER);
+        row(Phase.MOVING_SET_UP, Event.PLAYS, Phase.PLAYING, Event.ATTEMPT_ENDED, Phase.MOVING, Event.END, Phase.OVER);
         row(Phase.OVER);
     }
 
@@ -112,7 +130,7 @@
             }
             case REFUSE -> answer = answer == null ? Answer.REFUSED : answer;
             case FAIL -> answer = answer == null ? Answer.FAILED : answer;
-            default -> { }
+            default -> {}
         }
     }
 
@@ -124,8 +142,8 @@
 
     private void step(Event event) {
         if (!may(event)) {
-            throw new RuleFault(event + " of a session that is " + phase
-                    + (once && mayHaveRun ? ", paid, and may have run" : ""));
+            throw new RuleFault(
+                    event + " of a session that is " + phase + (once && mayHaveRun ? ", paid, and may have run" : ""));
         }
         phase = TABLE.get(phase).get(event);
     }
--- a/decisions/src/main/java/spanrill/decisions/TrackRates.java
+++ b/decisions/src/main/java/spanrill/decisions/TrackRates.java
@@ -9,7 +9,7 @@
 public final class TrackRates {
     private static final double MOST_AUDIO = 0.5;
 
-    private TrackRates() { }
+    private TrackRates() {}
 
     /**
      * Rate of the audio track, kB a second; 0: no track.
--- a/decisions/src/main/java/spanrill/decisions/ViewerRoom.java
+++ b/decisions/src/main/java/spanrill/decisions/ViewerRoom.java
@@ -10,7 +10,7 @@
     // A viewer's set-up follows its connection at once, but may be under way or lie unread for so long.
     private static final double YOUNG_MS = 300;
 
-    private ViewerRoom() { }
+    private ViewerRoom() {}
 
     /** What has come on a connection so far. */
     public enum Brought {
@@ -30,7 +30,7 @@
      * @param brought what came on it
      * @param quietMs time since something useful came on it, or since it was accepted
      */
-    public record Held(int waiting, int standing, Brought brought, double quietMs) { }
+    public record Held(int waiting, int standing, Brought brought, double quietMs) {}
 
     /**
      * Who makes place for a new connection. First those that have had time to ask and did not, then those
@@ -49,7 +49,9 @@
         int chosen = NONE;
         for (int i = 0; i < held.size(); i++) {
             Held one = held.get(i);
-            if (i != keep && one.waiting() == 0 && one.standing() == 0
+            if (i != keep
+                    && one.waiting() == 0
+                    && one.standing() == 0
                     && (chosen == NONE || before(one, held.get(chosen)))) {
                 chosen = i;
             }
@@ -76,7 +78,7 @@
      * @param reaches true when viewers are served on it and it can be written to
      * @param usefulAt when something useful came on it last, ms
      */
-    public record Way(boolean reaches, double usefulAt) { }
+    public record Way(boolean reaches, double usefulAt) {}
 
     /**
      * The one on which something useful came last, but not the one given last time while there is another:
@@ -94,7 +96,8 @@
             if (best == NONE || ways.get(i).usefulAt() > ways.get(best).usefulAt()) {
                 second = best;
                 best = i;
-            } else if (second == NONE || ways.get(i).usefulAt() > ways.get(second).usefulAt()) {
+            } else if (second == NONE
+                    || ways.get(i).usefulAt() > ways.get(second).usefulAt()) {
                 second = i;
             }
         }
--- a/decisions/src/main/java/spanrill/decisions/WaitingRoom.java
+++ b/decisions/src/main/java/spanrill/decisions/WaitingRoom.java
@@ -22,16 +22,16 @@
     /** Weight of a new service time in the average. */
     private static final double WEIGHT = 0.1;
 
-    private record Waiting<T>(T who, double deadline, double worth, long order) { }
+    private record Waiting<T>(T who, double deadline, double worth, long order) {}
 
     private final int most;
     private final int servers;
     private final TreeSet<Waiting<T>> byDeadline = new TreeSet<>(
             Comparator.<Waiting<T>>comparingDouble(Waiting::deadline).thenComparingLong(Waiting::order));
-    private final TreeSet<Waiting<T>> byWorth = new TreeSet<>(
-            Comparator.<Waiting<T>>comparingDouble(Waiting::worth)
-                    .thenComparing(Comparator.<Waiting<T>>comparingDouble(Waiting::deadline).reversed())
-                    .thenComparing(Comparator.<Waiting<T>>comparingLong(Waiting::order).reversed()));
+    private final TreeSet<Waiting<T>> byWorth = new TreeSet<>(Comparator.<Waiting<T>>comparingDouble(Waiting::worth)
+            .thenComparing(
+                    Comparator.<Waiting<T>>comparingDouble(Waiting::deadline).reversed())
+            .thenComparing(Comparator.<Waiting<T>>comparingLong(Waiting::order).reversed()));
     private final Map<T, Waiting<T>> all = new HashMap<>();
     private double serviceMs;
     private long orders;
--- a/decisions/src/test/java/spanrill/decisions/ClientConnectionStateTest.java
+++ b/decisions/src/test/java/spanrill/decisions/ClientConnectionStateTest.java
@@ -85,15 +85,31 @@
     }
 
     /** What may happen to a connection. */
-    enum Kind { REQUEST, ANSWER, CANCEL, DRAIN, PEER_CLOSES, STALLS, RECOVERS, TIME }
+    enum Kind {
+        REQUEST,
+        ANSWER,
+        CANCEL,
+        DRAIN,
+        PEER_CLOSES,
+        STALLS,
+        RECOVERS,
+        TIME
+    }
 
-    record Happens(Kind kind, CloseReason reason, double ms) { }
+    record Happens(Kind kind, CloseReason reason, double ms) {}
 
     @Provide
     Arbitrary<List<Happens>> histories() {
-        Arbitrary<Happens> one = Combinators.combine(Arbitraries.of(Kind.values()),
-                Arbitraries.of(CloseReason.SHUTDOWN, CloseReason.IDLE, CloseReason.EVICTED, CloseReason.ABUSE,
-                        CloseReason.UNREADABLE), Arbitraries.doubles().between(0, 400)).as(Happens::new);
+        Arbitrary<Happens> one = Combinators.combine(
+                        Arbitraries.of(Kind.values()),
+                        Arbitraries.of(
+                                CloseReason.SHUTDOWN,
+                                CloseReason.IDLE,
+                                CloseReason.EVICTED,
+                                CloseReason.ABUSE,
+                                CloseReason.UNREADABLE),
+                        Arbitraries.doubles().between(0, 400))
+                .as(Happens::new);
         return one.list().ofMinSize(5).ofMaxSize(80);
     }
 
@@ -130,10 +146,11 @@
             switch (happens.kind()) {
                 case REQUEST -> request();
                 case ANSWER -> open.stream().findFirst().ifPresent(this::answer);
-                case CANCEL -> open.stream().findFirst().ifPresent(id -> {
-                    open.remove(id);
-                    cancelled.add(id);
-                });
+                case CANCEL ->
+                    open.stream().findFirst().ifPresent(id -> {
+                        open.remove(id);
+                        cancelled.add(id);
+                    });
                 case DRAIN -> drain(happens.reason());
                 case PEER_CLOSES -> close(CloseReason.PEER_CLOSED);
                 case STALLS -> stalled = true;
@@ -182,7 +199,7 @@
                     assertTrue(open.isEmpty() || notRead, "closed under open requests");
                     close(state.reason());
                 }
-                default -> { }
+                default -> {}
             }
         }
 
--- a/decisions/src/test/java/spanrill/decisions/ConnectionLimitsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/ConnectionLimitsTest.java
@@ -11,28 +11,46 @@
 class ConnectionLimitsTest {
     @Test
     void whoSendsNothingUsefulIsClosedWellWithinThreeSeconds() {
-        assertEquals(Optional.of(CloseReason.NOTHING_USEFUL),
-                ConnectionTimeouts.expired(new View(1500, 1500, 0, 0, false, 0)), "silent");
-        assertEquals(Optional.of(CloseReason.MESSAGE_INCOMPLETE),
-                ConnectionTimeouts.expired(new View(9000, 9000, 0, 1, true, 2500)), "half a message");
-        assertEquals(Optional.of(CloseReason.NOTHING_USEFUL),
-                ConnectionTimeouts.expired(new View(2500, 2500, 0, 0, false, 10)), "halves");
-        assertEquals(Optional.of(CloseReason.IDLE),
-                ConnectionTimeouts.expired(new View(60_000, 10_000, 0, 0, true, 0)), "held for good");
+        assertEquals(
+                Optional.of(CloseReason.NOTHING_USEFUL),
+                ConnectionTimeouts.expired(new View(1500, 1500, 0, 0, false, 0)),
+                "silent");
+        assertEquals(
+                Optional.of(CloseReason.MESSAGE_INCOMPLETE),
+                ConnectionTimeouts.expired(new View(9000, 9000, 0, 1, true, 2500)),
+                "half a message");
+        assertEquals(
+                Optional.of(CloseReason.NOTHING_USEFUL),
+                ConnectionTimeouts.expired(new View(2500, 2500, 0, 0, false, 10)),
+                "halves");
+        assertEquals(
+                Optional.of(CloseReason.IDLE),
+                ConnectionTimeouts.expired(new View(60_000, 10_000, 0, 0, true, 0)),
+                "held for good");
     }
 
     @Test
     void whoIsServedAsksOrWritesSlowlyStays() {
-        assertEquals(Optional.empty(),
-                ConnectionTimeouts.expired(new View(9000, 9000, 1, 0, false, 9000)), "an answer is owed");
-        assertEquals(Optional.empty(),
-                ConnectionTimeouts.expired(new View(60_000, 4000, 0, 0, true, 0)), "between two set-ups");
-        assertEquals(Optional.empty(),
-                ConnectionTimeouts.expired(new View(60_000, 30_000, 0, 1, true, 0)), "its session plays");
-        assertEquals(Optional.empty(),
-                ConnectionTimeouts.expired(new View(60_000, 9000, 0, 0, true, 50)), "its next set-up comes");
-        assertEquals(Optional.empty(),
-                ConnectionTimeouts.expired(new View(2400, 2400, 0, 0, false, 2400)), "it comes slowly");
+        assertEquals(
+                Optional.empty(),
+                ConnectionTimeouts.expired(new View(9000, 9000, 1, 0, false, 9000)),
+                "an answer is owed");
+        assertEquals(
+                Optional.empty(),
+                ConnectionTimeouts.expired(new View(60_000, 4000, 0, 0, true, 0)),
+                "between two set-ups");
+        assertEquals(
+                Optional.empty(),
+                ConnectionTimeouts.expired(new View(60_000, 30_000, 0, 1, true, 0)),
+                "its session plays");
+        assertEquals(
+                Optional.empty(),
+                ConnectionTimeouts.expired(new View(60_000, 9000, 0, 0, true, 50)),
+                "its next set-up comes");
+        assertEquals(
+                Optional.empty(),
+                ConnectionTimeouts.expired(new View(2400, 2400, 0, 0, false, 2400)),
+                "it comes slowly");
     }
 
     @Test
--- a/decisions/src/test/java/spanrill/decisions/EdgesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/EdgesTest.java
@@ -52,7 +52,8 @@
     @Test
     void aSegmentIsAskedForAgainOnlyBeforeItsFirstByte() {
         assertEquals(SegmentRetry.Act.CUT, SegmentRetry.of(true, 0, 1).act());
-        assertEquals(SegmentRetry.Act.NO_SUCH_RANGE, SegmentRetry.of(false, 416, 1).act());
+        assertEquals(
+                SegmentRetry.Act.NO_SUCH_RANGE, SegmentRetry.of(false, 416, 1).act());
         assertEquals(SegmentRetry.Act.AGAIN, SegmentRetry.of(false, 0, 2).act());
         assertTrue(SegmentRetry.of(false, 0, 2).afterMs() > 0);
         assertEquals(SegmentRetry.Act.GIVE_UP, SegmentRetry.of(false, 0, 3).act());
--- a/decisions/src/test/java/spanrill/decisions/EndsAndTimesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/EndsAndTimesTest.java
@@ -42,8 +42,8 @@
 
     /** Beside a plain map: kept for its time and no longer, the newest are those that stay. */
     @Property(tries = 300, seed = "20261201")
-    void whatIsOverIsKeptForItsTime(@ForAll List<@IntRange(min = 0, max = 9) Integer> ids,
-            @ForAll @IntRange(min = 1, max = 5) int most) {
+    void whatIsOverIsKeptForItsTime(
+            @ForAll List<@IntRange(min = 0, max = 9) Integer> ids, @ForAll @IntRange(min = 1, max = 5) int most) {
         RecentlyOver<Integer> kept = new RecentlyOver<>(100, most);
         Map<String, double[]> plain = new HashMap<>();
         double now = 0;
@@ -55,7 +55,8 @@
             assertTrue(kept.size() <= most);
             for (Map.Entry<String, double[]> each : plain.entrySet()) {
                 double at = each.getValue()[1];
-                long newer = plain.values().stream().filter(other -> other[1] > at).count();
+                long newer =
+                        plain.values().stream().filter(other -> other[1] > at).count();
                 boolean there = each.getValue()[0] + 100 > now && newer < most;
                 assertEquals(there ? (Integer) (int) at : null, kept.get(now, each.getKey()));
             }
--- a/decisions/src/test/java/spanrill/decisions/GracefulShutdownTest.java
+++ b/decisions/src/test/java/spanrill/decisions/GracefulShutdownTest.java
@@ -3,12 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 import spanrill.decisions.GracefulShutdown.Step;
 import spanrill.decisions.GracefulShutdown.View;
@@ -70,7 +70,8 @@
 
     /** Whatever comes: drained once, ended before the kill, and not under requests while time is left. */
     @Property(tries = 500)
-    void endsBeforeTheKillAndNotUnderOpenRequests(@ForAll @DoubleRange(min = 100, max = 6000) double deadline,
+    void endsBeforeTheKillAndNotUnderOpenRequests(
+            @ForAll @DoubleRange(min = 100, max = 6000) double deadline,
             @ForAll @IntRange(min = 5, max = 60) int tick,
             @ForAll @Size(400) List<@IntRange(min = 0, max = 3) Integer> open) {
         GracefulShutdown any = new GracefulShutdown(deadline);
--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -7,10 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import spanrill.decisions.ViewerRoom.Brought;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.LinkChoice.Link;
 import spanrill.decisions.SilenceWatch.Step;
+import spanrill.decisions.ViewerRoom.Brought;
 
 /** The choices that a front node makes itself. */
 class NodeChoicesTest {
@@ -115,8 +115,8 @@
         ViewerRoom.Held testedLongAgo = new ViewerRoom.Held(0, 0, Brought.LITTLE, 8000);
         ViewerRoom.Held silent = new ViewerRoom.Held(0, 0, Brought.NOTHING, 300);
         ViewerRoom.Held young = new ViewerRoom.Held(0, 0, Brought.NOTHING, 299);
-        List<ViewerRoom.Held> all = new ArrayList<>(List.of(waits, stands, young, idle, recent, tested,
-                testedLongAgo, silent));
+        List<ViewerRoom.Held> all =
+                new ArrayList<>(List.of(waits, stands, young, idle, recent, tested, testedLongAgo, silent));
         for (ViewerRoom.Held next : List.of(silent, testedLongAgo, tested, idle, young)) {
             int chosen = ViewerRoom.toClose(all);
             assertEquals(next, all.get(chosen));
@@ -127,8 +127,8 @@
 
     @Test
     void whatIsOwedGoesWhereSomethingUsefulCameLastAndThenElsewhere() {
-        List<ViewerRoom.Way> ways = List.of(new ViewerRoom.Way(true, 5), new ViewerRoom.Way(false, 9),
-                new ViewerRoom.Way(true, 7));
+        List<ViewerRoom.Way> ways =
+                List.of(new ViewerRoom.Way(true, 5), new ViewerRoom.Way(false, 9), new ViewerRoom.Way(true, 7));
         assertEquals(2, ViewerRoom.toTell(ways, ViewerRoom.NONE));
         assertEquals(0, ViewerRoom.toTell(ways, 2));
         assertEquals(2, ViewerRoom.toTell(ways, 0));
--- a/decisions/src/test/java/spanrill/decisions/OutcomeTableTest.java
+++ b/decisions/src/test/java/spanrill/decisions/OutcomeTableTest.java
@@ -35,16 +35,24 @@
     @EnumSource(Event.class)
     void afterAByteIsWrittenOnlyTheBoxsOwnWordIsProof(Event event) {
         boolean word = event == Event.TURNED_AWAY || event == Event.SETTLED_UNSEEN;
-        assertEquals(word, OutcomeTable.read(Stage.WRITTEN, event).neverRan(),
-                event.name());
+        assertEquals(word, OutcomeTable.read(Stage.WRITTEN, event).neverRan(), event.name());
         assertFalse(OutcomeTable.read(Stage.ANSWERING, event).neverRan(), event.name());
     }
 
     @ParameterizedTest
-    @CsvSource({"CONNECTING,CONNECT_REFUSED,CONNECT_FAILED", "WRITTEN,RESET,RESET", "WRITTEN,CLOSED,RESET",
-        "WRITTEN,TIMED_OUT,TIMEOUT", "CONNECTING,TIMED_OUT,CONNECT_FAILED", "WRITTEN,TURNED_AWAY,FULL",
-        "ANSWERING,CLOSED,RESET", "WRITTEN,MALFORMED,ERROR", "CONNECTING,NO_ROOM,FULL",
-        "WRITTEN,TOMBSTONED,ERROR", "CONNECTED,RESET,CONNECT_FAILED"})
+    @CsvSource({
+        "CONNECTING,CONNECT_REFUSED,CONNECT_FAILED",
+        "WRITTEN,RESET,RESET",
+        "WRITTEN,CLOSED,RESET",
+        "WRITTEN,TIMED_OUT,TIMEOUT",
+        "CONNECTING,TIMED_OUT,CONNECT_FAILED",
+        "WRITTEN,TURNED_AWAY,FULL",
+        "ANSWERING,CLOSED,RESET",
+        "WRITTEN,MALFORMED,ERROR",
+        "CONNECTING,NO_ROOM,FULL",
+        "WRITTEN,TOMBSTONED,ERROR",
+        "CONNECTED,RESET,CONNECT_FAILED"
+    })
     void namesTheOutcome(Stage stage, Event event, Outcome outcome) {
         assertEquals(outcome, OutcomeTable.read(stage, event));
     }
--- a/decisions/src/test/java/spanrill/decisions/SessionStateTest.java
+++ b/decisions/src/test/java/spanrill/decisions/SessionStateTest.java
@@ -18,7 +18,9 @@
 class SessionStateTest {
     /** Whatever is thrown at it, in any order: what it lets through keeps the rules. */
     @Property(tries = 100_000, seed = "20261201")
-    void anySequenceKeepsTheRules(@ForAll boolean once, @ForAll @Size(max = 40) List<Event> events,
+    void anySequenceKeepsTheRules(
+            @ForAll boolean once,
+            @ForAll @Size(max = 40) List<Event> events,
             @ForAll @Size(min = 40, max = 40) List<Outcome> outcomes) {
         SessionState state = new SessionState(once);
         Answer first = null;
--- a/decisions/src/test/java/spanrill/decisions/SmallDecisionsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/SmallDecisionsTest.java
@@ -52,8 +52,14 @@
     @Test
     void theBookIsBounded() {
         BoxBook book = new BoxBook(2);
-        List<Server> told = book.take(sheet(ListKind.WHOLE, 1, -1, 1, box("a", ServerState.READY),
-                box("b", ServerState.GONE), box("c", ServerState.READY)));
+        List<Server> told = book.take(sheet(
+                ListKind.WHOLE,
+                1,
+                -1,
+                1,
+                box("a", ServerState.READY),
+                box("b", ServerState.GONE),
+                box("c", ServerState.READY)));
         assertEquals(2, told.size());
         assertEquals(1, book.listed().size());
         book.forget("b");
@@ -103,8 +109,10 @@
     }
 
     @Property(tries = 200, seed = "20261201")
-    void aSegmentIsNeverAboveTheRungInForceNorBelowTheFloor(@ForAll @IntRange(max = 9) int asked,
-            @ForAll @IntRange(max = 9) int floor, @ForAll @IntRange(max = 9) int above) {
+    void aSegmentIsNeverAboveTheRungInForceNorBelowTheFloor(
+            @ForAll @IntRange(max = 9) int asked,
+            @ForAll @IntRange(max = 9) int floor,
+            @ForAll @IntRange(max = 9) int above) {
         int inForce = floor + above;
         int served = RungGate.serve(asked, inForce, floor);
         assertTrue(served >= floor && served <= inForce);
--- a/decisions/src/test/java/spanrill/decisions/WaitingRoomTest.java
+++ b/decisions/src/test/java/spanrill/decisions/WaitingRoomTest.java
@@ -24,7 +24,8 @@
         room.come(0, "late", 300, 1);
         room.come(0, "early", 100, 1);
         room.come(0, "middle", 200, 3);
-        assertEquals(List.of("early", "middle", "late"),
+        assertEquals(
+                List.of("early", "middle", "late"),
                 List.of(room.next(0, shed), room.next(0, shed), room.next(0, shed)));
         assertNull(room.next(0, shed));
         assertEquals(List.of(), shed);
--- a/emulator/src/main/java/spanrill/emulator/Box.java
+++ b/emulator/src/main/java/spanrill/emulator/Box.java
@@ -75,8 +75,13 @@
         double seenAt;
         private boolean toldShort;
 
-        private Playing(BoxSide.Order order, Front front, BoxProcess process, Day.DayClass type,
-                LinkNetwork.Flow flow, double now) {
+        private Playing(
+                BoxSide.Order order,
+                Front front,
+                BoxProcess process,
+                Day.DayClass type,
+                LinkNetwork.Flow flow,
+                double now) {
             key = order.key();
             token = order.request().tokenId();
             worth = type.worth();
@@ -117,8 +122,14 @@
         Day day = world.day();
         hall = day.zones().indexOf(plan.zone());
         Day.Boxes all = day.boxes();
-        rules = new BoxRules(all.places(), all.setUpMs(), all.coldMs(), all.coldShare(),
-                day.rules().fallMultiple(), day.rules().fallMs(), TURNED_AWAY_AT);
+        rules = new BoxRules(
+                all.places(),
+                all.setUpMs(),
+                all.coldMs(),
+                all.coldShare(),
+                day.rules().fallMultiple(),
+                day.rules().fallMs(),
+                TURNED_AWAY_AT);
         random = Draws.of(seed, plan.id());
     }
 
@@ -213,7 +224,9 @@
         } else {
             cut.remove(from);
         }
-        world.tap().put(new TapEvent.BoxMute(world.now(), plan.id(), on, world.day().zones().get(from)));
+        world.tap()
+                .put(new TapEvent.BoxMute(
+                        world.now(), plan.id(), on, world.day().zones().get(from)));
         unpark(on);
     }
 
@@ -260,9 +273,18 @@
         double now = world.now();
         String key = order.key();
         String cls = order.request().className();
-        world.tap().put(new TapEvent.SetUp(now, plan.id(), front.number(), order.request().tokenId(), key,
-                cls,
-                order.request().title(), order.rung(), order.spends(), order.continues()));
+        world.tap()
+                .put(new TapEvent.SetUp(
+                        now,
+                        plan.id(),
+                        front.number(),
+                        order.request().tokenId(),
+                        key,
+                        cls,
+                        order.request().title(),
+                        order.rung(),
+                        order.spends(),
+                        order.continues()));
         BoxProcess.Reply does = life.setUp(now, key, network.linkUse(plan.cell()), slow);
         if (does instanceof BoxProcess.Reply.PushedOver) {
             die("pushed over");
@@ -298,8 +320,8 @@
         wire.onClosed = null;
         wires.remove(wire);
         Day.DayClass type = world.day().classes().get(order.request().className());
-        Playing session = new Playing(order, front, life, type,
-                network.join(now, plan.cell(), rate(order.rung(), type.scale())), now);
+        Playing session = new Playing(
+                order, front, life, type, network.join(now, plan.cell(), rate(order.rung(), type.scale())), now);
         sessions.put(order.key(), session);
         spends += order.spends() ? 1 : 0;
         world.tap().put(new TapEvent.Ran(now, order.key()));
@@ -328,7 +350,7 @@
     }
 
     /** What a call-off is answered with: whether it ran, and how long this process is up. */
-    record CallOff(boolean ran, double upMs, Load load) { }
+    record CallOff(boolean ran, double upMs, Load load) {}
 
     /** Told to end an attempt; the answer is given at its end of the wire. */
     void callOff(Front front, String key, Wire wire, java.util.function.Consumer<CallOff> answer) {
@@ -379,13 +401,15 @@
     /** Ends sessions that nobody asks for any more. */
     void sweep() {
         double now = world.now();
-        List<Playing> due = sessions.values().stream().filter(s -> now - s.seenAt > IDLE_MS).toList();
+        List<Playing> due =
+                sessions.values().stream().filter(s -> now - s.seenAt > IDLE_MS).toList();
         for (Playing session : due) {
             life.ended(session.key);
             end(session.key, "idle");
             Front front = session.front;
-            world.after(world.halls().oneWayMs(hall, front.hall()), () -> front.run(session.frontLife,
-                    () -> front.core().lost(session.key, SessionEnd.BOX_ENDED)));
+            world.after(
+                    world.halls().oneWayMs(hall, front.hall()),
+                    () -> front.run(session.frontLife, () -> front.core().lost(session.key, SessionEnd.BOX_ENDED)));
         }
     }
 
@@ -397,8 +421,9 @@
                 return;
             }
             Front front = session.front;
-            world.after(world.halls().oneWayMs(hall, front.hall()), () -> front.run(session.frontLife,
-                    () -> front.core().note(plan.id(), session.key, kind, value)));
+            world.after(
+                    world.halls().oneWayMs(hall, front.hall()),
+                    () -> front.run(session.frontLife, () -> front.core().note(plan.id(), session.key, kind, value)));
         });
     }
 
--- a/emulator/src/main/java/spanrill/emulator/BoxLinks.java
+++ b/emulator/src/main/java/spanrill/emulator/BoxLinks.java
@@ -55,8 +55,11 @@
 
     @Override
     public void release(String id, String key, Consumer<Load> done) {
-        exchange(world.box(id), key, world.costs().controlMs(), answer -> done.accept(answer == null ? null
-                : answer.load()));
+        exchange(
+                world.box(id),
+                key,
+                world.costs().controlMs(),
+                answer -> done.accept(answer == null ? null : answer.load()));
     }
 
     /** Calls an attempt off; the answer, or null, comes once, within a time. */
@@ -74,14 +77,19 @@
             if (!box.up()) {
                 world.after(way(box), () -> front.run(life, () -> once.accept(null)));
             } else {
-                box.callOff(front, key, wire, answer -> world.after(way(box),
-                        () -> front.run(life, () -> once.accept(answer))));
+                box.callOff(
+                        front,
+                        key,
+                        wire,
+                        answer -> world.after(way(box), () -> front.run(life, () -> once.accept(answer))));
             }
         });
-        world.after(withinMs, () -> front.run(life, () -> {
-            wire.close();
-            once.accept(null);
-        }));
+        world.after(
+                withinMs,
+                () -> front.run(life, () -> {
+                    wire.close();
+                    once.accept(null);
+                }));
     }
 
     /** A box's process ended: connections that were open to it break. */
@@ -185,14 +193,13 @@
                 case ASK_BOX -> {
                     settling = true;
                     exchange(box, order.key(), world.costs().settleMs(), answer -> {
-                        boolean neverRan = answer != null && CallOffProof.neverRan(answer.ran(),
-                                answer.upMs(),
-                                world.now() - sentAt);
+                        boolean neverRan = answer != null
+                                && CallOffProof.neverRan(answer.ran(), answer.upMs(), world.now() - sentAt);
                         ended(neverRan ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome);
                     });
                 }
                 case CALL_OFF -> {
-                    exchange(box, order.key(), world.costs().controlMs(), answer -> { });
+                    exchange(box, order.key(), world.costs().controlMs(), answer -> {});
                     ended(outcome);
                 }
                 default -> ended(outcome);
@@ -216,7 +223,7 @@
                 if (stage != Stage.CONNECTING) {
                     world.after(way(box), wire::close);
                     if (!settling) {
-                        exchange(box, order.key(), world.costs().controlMs(), answer -> { });
+                        exchange(box, order.key(), world.costs().controlMs(), answer -> {});
                     }
                 }
             }
--- a/emulator/src/main/java/spanrill/emulator/Emulator.java
+++ b/emulator/src/main/java/spanrill/emulator/Emulator.java
@@ -21,7 +21,7 @@
      * @param beganAt start of the day on the records' clock, ms
      * @param events events of the agenda
      */
-    public record Run(List<TapEvent> records, Figures figures, Worth worth, double beganAt, long events) { }
+    public record Run(List<TapEvent> records, Figures figures, Worth worth, double beganAt, long events) {}
 
     /**
      * How a day is played.
@@ -31,11 +31,11 @@
      * @param lookMs worth is looked at so often
      * @param bound also work out the most that could be earned then
      */
-    public record Options(Path taps, SessionCore.Policy policy, double lookMs, boolean bound) { }
+    public record Options(Path taps, SessionCore.Policy policy, double lookMs, boolean bound) {}
 
     private static final double LOOK_MS = 1000;
 
-    private Emulator() { }
+    private Emulator() {}
 
     /** Plays a day with the module. */
     public static Run play(Day day, long seed) throws IOException {
@@ -48,20 +48,26 @@
             tap.put(facts(day));
             World world = new World(day, seed, tap, Costs.usual(), options.policy());
             world.play(new Plan(day, seed), options.lookMs(), options.bound());
-            return new Run(tap.events(), world.figures(), world.worth().worth(), World.BEGIN_MS,
-                    world.events());
+            return new Run(tap.events(), world.figures(), world.worth().worth(), World.BEGIN_MS, world.events());
         }
     }
 
     /** What the rules of a day are measured by: the first record of each of its runs. */
     public static TapEvent.Facts facts(Day day) {
         Map<String, TapEvent.ClassFacts> classes = new TreeMap<>();
-        day.classes().forEach((cls, c) -> classes.put(cls, new TapEvent.ClassFacts(c.once(), c.floor(),
-                c.seats())));
+        day.classes().forEach((cls, c) -> classes.put(cls, new TapEvent.ClassFacts(c.once(), c.floor(), c.seats())));
         Day.Rules rules = day.rules();
-        return new TapEvent.Facts(0, classes, day.boxes().places(), rules.drainGraceMs(),
+        return new TapEvent.Facts(
+                0,
+                classes,
+                day.boxes().places(),
+                rules.drainGraceMs(),
                 day.boxes().coldMs(),
-                day.boxes().coldShare(), rules.fallMultiple(), rules.fallMs(), rules.spareAttempts(),
-                rules.attemptShare(), rules.attemptWindowMs());
+                day.boxes().coldShare(),
+                rules.fallMultiple(),
+                rules.fallMs(),
+                rules.spareAttempts(),
+                rules.attemptShare(),
+                rules.attemptWindowMs());
     }
 }
--- a/emulator/src/main/java/spanrill/emulator/Figures.java
+++ b/emulator/src/main/java/spanrill/emulator/Figures.java
@@ -17,7 +17,7 @@
     private double[] setUps = new double[1024];
     private int count;
 
-    Figures() { }
+    Figures() {}
 
     long nextAsk() {
         return ++asks;
--- a/emulator/src/main/java/spanrill/emulator/Front.java
+++ b/emulator/src/main/java/spanrill/emulator/Front.java
@@ -23,7 +23,7 @@
  */
 final class Front {
     /** A token as the disk has it. */
-    private record Kept(TokenMemory.Fate fate, double expiresAt) { }
+    private record Kept(TokenMemory.Fate fate, double expiresAt) {}
 
     private final World world;
     private final int number;
@@ -86,8 +86,8 @@
         up = true;
         stalled = false;
         waiting.clear();
-        core = new SessionCore(settings, new SessionCore.Host(new Timers(), EventSink.none(), new Disk(),
-                this::name, policy));
+        core = new SessionCore(
+                settings, new SessionCore.Host(new Timers(), EventSink.none(), new Disk(), this::name, policy));
         links = new BoxLinks(world, this);
         double now = world.now();
         disk.forEach((token, kept) -> {
@@ -192,11 +192,13 @@
         public Timer after(double ms, Runnable action) {
             int ofLife = life;
             boolean[] cancelled = {false};
-            Agenda.Entry entry = world.after(ms, () -> run(ofLife, () -> {
-                if (!cancelled[0]) {
-                    action.run();
-                }
-            }));
+            Agenda.Entry entry = world.after(
+                    ms,
+                    () -> run(ofLife, () -> {
+                        if (!cancelled[0]) {
+                            action.run();
+                        }
+                    }));
             return () -> {
                 cancelled[0] = true;
                 entry.cancel();
--- a/emulator/src/main/java/spanrill/emulator/Hindrance.java
+++ b/emulator/src/main/java/spanrill/emulator/Hindrance.java
@@ -34,8 +34,17 @@
         @Override
         public Day without(Day day) {
             Day.Boxes b = day.boxes();
-            return day.withBoxes(new Day.Boxes(b.count(), b.racks(), b.places(), b.linkKb(), b.linkSpread(),
-                    b.uplinkShare(), b.uplinkSpread(), 0, b.coldMs(), b.coldShare()));
+            return day.withBoxes(new Day.Boxes(
+                    b.count(),
+                    b.racks(),
+                    b.places(),
+                    b.linkKb(),
+                    b.linkSpread(),
+                    b.uplinkShare(),
+                    b.uplinkSpread(),
+                    0,
+                    b.coldMs(),
+                    b.coldShare()));
         }
     },
     /** Boxes start cold. */
@@ -43,8 +52,17 @@
         @Override
         public Day without(Day day) {
             Day.Boxes b = day.boxes();
-            return day.withBoxes(new Day.Boxes(b.count(), b.racks(), b.places(), b.linkKb(), b.linkSpread(),
-                    b.uplinkShare(), b.uplinkSpread(), b.setUpMs(), 0, 1));
+            return day.withBoxes(new Day.Boxes(
+                    b.count(),
+                    b.racks(),
+                    b.places(),
+                    b.linkKb(),
+                    b.linkSpread(),
+                    b.uplinkShare(),
+                    b.uplinkSpread(),
+                    b.setUpMs(),
+                    0,
+                    1));
         }
     },
     /** Changes of rungs and crossing halls have their price. */
@@ -53,9 +71,17 @@
         public Day without(Day day) {
             Day.Notes n = day.notes();
             Day.Rules r = day.rules();
-            return day.withNotes(new Day.Notes(n.lateMs(), n.tellMs(), n.stall(), 0)).withRules(new Day.Rules(
-                    r.maxAttempts(), r.maxRetryAfterMs(), 0, r.drainGraceMs(), r.fallMultiple(), r.fallMs(),
-                    r.spareAttempts(), r.attemptShare(), r.attemptWindowMs()));
+            return day.withNotes(new Day.Notes(n.lateMs(), n.tellMs(), n.stall(), 0))
+                    .withRules(new Day.Rules(
+                            r.maxAttempts(),
+                            r.maxRetryAfterMs(),
+                            0,
+                            r.drainGraceMs(),
+                            r.fallMultiple(),
+                            r.fallMs(),
+                            r.spareAttempts(),
+                            r.attemptShare(),
+                            r.attemptWindowMs()));
         }
     },
     /** Further attempts are rationed, and few. */
@@ -63,8 +89,16 @@
         @Override
         public Day without(Day day) {
             Day.Rules r = day.rules();
-            return day.withRules(new Day.Rules(20, r.maxRetryAfterMs(), r.crossZonePrice(), r.drainGraceMs(),
-                    r.fallMultiple(), r.fallMs(), null, null, null));
+            return day.withRules(new Day.Rules(
+                    20,
+                    r.maxRetryAfterMs(),
+                    r.crossZonePrice(),
+                    r.drainGraceMs(),
+                    r.fallMultiple(),
+                    r.fallMs(),
+                    null,
+                    null,
+                    null));
         }
     };
 
--- a/emulator/src/main/java/spanrill/emulator/Policies.java
+++ b/emulator/src/main/java/spanrill/emulator/Policies.java
@@ -11,7 +11,7 @@
  * Policies by their names: {@code module}, or a chooser and a rung rule such as {@code two-drawn:throughput}.
  */
 public final class Policies {
-    private Policies() { }
+    private Policies() {}
 
     /**
      * The policy of a name.
--- a/emulator/src/main/java/spanrill/emulator/Registry.java
+++ b/emulator/src/main/java/spanrill/emulator/Registry.java
@@ -40,7 +40,13 @@
     }
 
     static Server entry(Box box, ServerState state) {
-        return new Server(box.plan().id(), box.plan().zone(), "std", box.plan().cell(), state, 1,
+        return new Server(
+                box.plan().id(),
+                box.plan().zone(),
+                "std",
+                box.plan().cell(),
+                state,
+                1,
                 box.listedStart() == 0 ? Double.NaN : box.listedStart());
     }
 
@@ -75,9 +81,13 @@
     private void tell(Front front, View view, ListKind kind, List<Server> servers) {
         view.polls = false;
         for (Server server : servers) {
-            world.tap().put(new TapEvent.Told(world.now(), front.number(), server.id(),
-                    server.state().name().toLowerCase(java.util.Locale.ROOT),
-                    Double.isNaN(server.startedAt()) ? 0 : server.startedAt()));
+            world.tap()
+                    .put(new TapEvent.Told(
+                            world.now(),
+                            front.number(),
+                            server.id(),
+                            server.state().name().toLowerCase(java.util.Locale.ROOT),
+                            Double.isNaN(server.startedAt()) ? 0 : server.startedAt()));
         }
         front.runAfter(WAY_MS, () -> {
             if (kind == ListKind.WHOLE) {
@@ -102,8 +112,7 @@
     void change(Box box, ServerState state, List<Double> lateMs) {
         Server server = entry(box, state);
         truth.put(server.id(), server);
-        views.forEach((number, view) -> world.after(Draws.between(random, lateMs), () -> hear(number, view,
-                server)));
+        views.forEach((number, view) -> world.after(Draws.between(random, lateMs), () -> hear(number, view, server)));
     }
 
     private void hear(int number, View view, Server server) {
--- a/emulator/src/main/java/spanrill/emulator/Relay.java
+++ b/emulator/src/main/java/spanrill/emulator/Relay.java
@@ -19,6 +19,7 @@
     private static final int START_SEGMENTS = 2;
     /** Its progress is looked at no less often than this. */
     private static final double LOOK_MS = 200;
+
     private static final double LEAST_LOOK_MS = 1;
 
     /**
@@ -28,7 +29,7 @@
      * @param end why the session is over, or null
      * @param rung rung that it was served at
      */
-    record Result(int status, SessionEnd end, int rung, long bytes) { }
+    record Result(int status, SessionEnd end, int rung, long bytes) {}
 
     private final World world;
     private final Front front;
--- a/emulator/src/main/java/spanrill/emulator/Viewer.java
+++ b/emulator/src/main/java/spanrill/emulator/Viewer.java
@@ -9,8 +9,8 @@
 import spanrill.decisions.SessionEnd;
 import spanrill.decisions.TrackRates;
 import spanrill.model.Draws;
-import spanrill.model.player.Player.Next;
 import spanrill.model.player.Player;
+import spanrill.model.player.Player.Next;
 import spanrill.model.player.Traits;
 import spanrill.session.Agenda;
 import spanrill.session.Session;
@@ -158,8 +158,9 @@
     private Call request(boolean main) {
         Call made = new Call(main, front, front.life(), way(), tokenId, now());
         made.number = world.figures().nextAsk();
-        world.tap().put(new TapEvent.Ask(now(), made.number, front.number(), tokenId, traits.cls(), title,
-                traits.patienceMs()));
+        world.tap()
+                .put(new TapEvent.Ask(
+                        now(), made.number, front.number(), tokenId, traits.cls(), title, traits.patienceMs()));
         made.send();
         return made;
     }
@@ -208,29 +209,46 @@
 
         void send() {
             at.opened(lost);
-            world.after(way, () -> at.run(life, () -> {
-                double arrivedAt = now();
-                at.runAfter(world.costs().tokenMs(), () -> {
-                    if (!closed) {
-                        offered = true;
-                        at.core().offer(new ViewerRequest(token, arrivedAt, tokenExpires, title,
-                                traits.cls(), null,
-                                "v" + arrival.number(), Math.min(traits.top(), day.ladder().kb().size() - 1)),
-                                this);
-                    }
-                });
-            }));
+            world.after(
+                    way,
+                    () -> at.run(life, () -> {
+                        double arrivedAt = now();
+                        at.runAfter(world.costs().tokenMs(), () -> {
+                            if (!closed) {
+                                offered = true;
+                                at.core()
+                                        .offer(
+                                                new ViewerRequest(
+                                                        token,
+                                                        arrivedAt,
+                                                        tokenExpires,
+                                                        title,
+                                                        traits.cls(),
+                                                        null,
+                                                        "v" + arrival.number(),
+                                                        Math.min(
+                                                                traits.top(),
+                                                                day.ladder()
+                                                                                .kb()
+                                                                                .size()
+                                                                        - 1)),
+                                                this);
+                            }
+                        });
+                    }));
         }
 
         /** The viewer closes its connection. */
         void close() {
             closed = true;
             at.closed(lost);
-            world.after(way, () -> at.run(life, () -> {
-                if (offered && !answered) {
-                    at.core().left(this);
-                }
-            }));
+            world.after(
+                    way,
+                    () -> at.run(life, () -> {
+                        if (offered && !answered) {
+                            at.core().left(this);
+                        }
+                    }));
         }
 
         private void lost() {
@@ -344,12 +362,14 @@
         }
         Front at = front;
         String ended = session;
-        world.after(way(), () -> at.run(frontLife, () -> {
-            Session known = at.core().session(ended);
-            if (known != null && known.inPlay()) {
-                at.core().finish(known);
-            }
-        }));
+        world.after(
+                way(),
+                () -> at.run(frontLife, () -> {
+                    Session known = at.core().session(ended);
+                    if (known != null && known.inPlay()) {
+                        at.core().finish(known);
+                    }
+                }));
         if (lostPatience) {
             tooSlow();
         } else {
@@ -365,8 +385,7 @@
 
     private void broken(int status, SessionEnd end) {
         download = null;
-        world.tap().put(new TapEvent.Broke(now(), tokenId, front.number(), status, end == null ? null
-                : end.word()));
+        world.tap().put(new TapEvent.Broke(now(), tokenId, front.number(), status, end == null ? null : end.word()));
         follow(player.lost(now(), true), "broken");
     }
 
@@ -380,11 +399,15 @@
         Download(Next.Fetch fetch) {
             this.fetch = fetch;
             double ms = lengthMs();
-            double audio = TrackRates.audio(day.titles().audioKb(),
-                    kb(day.classes().get(traits.cls()).floor()));
-            relay = new Relay(world, front, session, fetch.rung() + day.classes().get(traits.cls()).floor(),
+            double audio = TrackRates.audio(
+                    day.titles().audioKb(), kb(day.classes().get(traits.cls()).floor()));
+            relay = new Relay(
+                    world,
+                    front,
+                    session,
+                    fetch.rung() + day.classes().get(traits.cls()).floor(),
                     rung -> Math.max(1, Math.round((TrackRates.video(kb(rung), audio) + audio) * ms)),
-                            this::came);
+                    this::came);
         }
 
         private double lengthMs() {
@@ -430,8 +453,7 @@
                 if (traits.neverReads()) {
                     return;
                 }
-                world.tap().put(new TapEvent.Segment(now(), tokenId, front.number(), result.rung(),
-                        result.bytes(), 0));
+                world.tap().put(new TapEvent.Segment(now(), tokenId, front.number(), result.rung(), result.bytes(), 0));
                 world.figures().segments++;
                 world.figures().bytes += result.bytes();
                 world.figures().rungs += result.rung();
--- a/emulator/src/main/java/spanrill/emulator/World.java
+++ b/emulator/src/main/java/spanrill/emulator/World.java
@@ -47,8 +47,12 @@
         halls = new Halls(day.zones(), day.distances().sameMs(), day.distances().crossMs());
         watch = new HallWatch(day.zones().size());
         FleetPlan fleet = FleetPlan.of(day, seed);
-        linkBytes = fleet.boxes().stream().mapToLong(box -> Math.round(box.linkKb() * 1000)).toArray();
-        uplinkBytes = fleet.uplinksKb().stream().mapToLong(kb -> Math.round(kb * 1000)).toArray();
+        linkBytes = fleet.boxes().stream()
+                .mapToLong(box -> Math.round(box.linkKb() * 1000))
+                .toArray();
+        uplinkBytes = fleet.uplinksKb().stream()
+                .mapToLong(kb -> Math.round(kb * 1000))
+                .toArray();
         for (long uplink : uplinkBytes) {
             network.addRack(uplink);
         }
@@ -59,7 +63,10 @@
             boxes.add(box);
             byId.put(plan.id(), box);
         }
-        choice = new FrontChoice(day.fronts(), day.zones().size(), day.viewers().frontNoticeMs().get(0),
+        choice = new FrontChoice(
+                day.fronts(),
+                day.zones().size(),
+                day.viewers().frontNoticeMs().get(0),
                 day.viewers().frontNoticeMs().get(1));
         for (int i = 0; i < day.fronts(); i++) {
             fronts.add(new Front(this, i, FrontPlan.of(day, fleet, i, seed), policy));
@@ -70,8 +77,16 @@
         Map<String, Title> titles = new HashMap<>();
         List<int[]> placed = new Plan(day, seed).placement();
         for (int i = 0; i < placed.size(); i++) {
-            titles.put("title-" + i, new Title("title-" + i, placed.get(i)[0], placed.get(i)[1],
-                    day.titles().durationMs(), day.titles().lengthsMs(), day.titles().audioKb(), null));
+            titles.put(
+                    "title-" + i,
+                    new Title(
+                            "title-" + i,
+                            placed.get(i)[0],
+                            placed.get(i)[1],
+                            day.titles().durationMs(),
+                            day.titles().lengthsMs(),
+                            day.titles().audioKb(),
+                            null));
         }
         return Map.copyOf(titles);
     }
@@ -153,13 +168,14 @@
             registry.begin(box);
         });
         fronts.forEach(Front::start);
-        every(1000, () -> boxes.forEach(box -> {
-            box.tellShare();
-            box.sweep();
-        }));
+        every(
+                1000,
+                () -> boxes.forEach(box -> {
+                    box.tellShare();
+                    box.sweep();
+                }));
         every(day.notes().tellMs(), () -> boxes.forEach(Box::tellUse));
-        plan.arrivals().forEach(arrival -> after(BEGIN_MS + arrival.atMs(),
-                () -> new Viewer(this, arrival).come()));
+        plan.arrivals().forEach(arrival -> after(BEGIN_MS + arrival.atMs(), () -> new Viewer(this, arrival).come()));
         plan.effects().forEach(effect -> after(BEGIN_MS + effect.atMs(), () -> act(effect)));
         after(BEGIN_MS, () -> every(lookMs, worth::look));
         agenda.runUntil(BEGIN_MS + day.lengthMs() + day.tailMs());
@@ -206,8 +222,10 @@
     }
 
     private void listed(int box, ServerState state, boolean noticed) {
-        registry.change(boxes.get(box), state, noticed ? day.registry().noticeMs()
-                : day.registry().silentMs());
+        registry.change(
+                boxes.get(box),
+                state,
+                noticed ? day.registry().noticeMs() : day.registry().silentMs());
     }
 
     /** Who can't reach whom follows from all cuts that are on. */
--- a/emulator/src/main/java/spanrill/emulator/WorthMeter.java
+++ b/emulator/src/main/java/spanrill/emulator/WorthMeter.java
@@ -70,7 +70,8 @@
     /** A session goes to another rung: that costs so much time of the worth that it goes to. */
     void changed(Box.Playing session, int rung) {
         if (held(session)) {
-            changes += session.worth * day.ladder().worth().get(rung) * day.notes().changeCostMs() / lookMs;
+            changes +=
+                    session.worth * day.ladder().worth().get(rung) * day.notes().changeCostMs() / lookMs;
         }
     }
 
@@ -90,8 +91,12 @@
             double part = part(box.share());
             for (Box.Playing session : box.sessions()) {
                 if (held(session)) {
-                    double price = session.front.hall() == box.hall() ? 0 : day.rules().crossZonePrice();
-                    earned += (1 - price) * part * session.worth * day.ladder().worth().get(session.rung);
+                    double price =
+                            session.front.hall() == box.hall() ? 0 : day.rules().crossZonePrice();
+                    earned += (1 - price)
+                            * part
+                            * session.worth
+                            * day.ladder().worth().get(session.rung);
                 }
             }
         }
@@ -120,13 +125,15 @@
 
     private void wish(Arrival arrival, List<Wish> wishes) {
         Day.DayClass type = day.classes().get(arrival.traits().cls());
-        int top = Math.max(type.floor(), Math.min(arrival.traits().top(), Math.min(type.top(),
-                day.ladder().kb().size() - 1)));
+        int top = Math.max(
+                type.floor(),
+                Math.min(
+                        arrival.traits().top(),
+                        Math.min(type.top(), day.ladder().kb().size() - 1)));
         long[] rates = new long[top - type.floor() + 1];
         double[] worths = new double[rates.length];
         for (int i = 0; i < rates.length; i++) {
-            rates[i] = Math.max(1, (long) (day.ladder().kb().get(type.floor() + i) * type.scale()
-                    * 1000 * ENOUGH));
+            rates[i] = Math.max(1, (long) (day.ladder().kb().get(type.floor() + i) * type.scale() * 1000 * ENOUGH));
             worths[i] = type.worth() * day.ladder().worth().get(type.floor() + i);
         }
         asked += worths[worths.length - 1];
--- a/emulator/src/main/java/spanrill/emulator/baseline/Chooser.java
+++ b/emulator/src/main/java/spanrill/emulator/baseline/Chooser.java
@@ -18,7 +18,8 @@
         @Override
         Holder choose(List<Holder> holders, String title, double mean, SplittableRandom random) {
             int least = holders.stream().mapToInt(h -> h.sessions).min().orElse(0);
-            List<Holder> fewest = holders.stream().filter(h -> h.sessions == least).toList();
+            List<Holder> fewest =
+                    holders.stream().filter(h -> h.sessions == least).toList();
             return fewest.get(random.nextInt(fewest.size()));
         }
     },
@@ -42,8 +43,9 @@
     HASH {
         @Override
         Holder choose(List<Holder> holders, String title, double mean, SplittableRandom random) {
-            List<Holder> order = holders.stream().sorted(Comparator.comparingInt(h -> mix(title,
-                    h.id))).toList();
+            List<Holder> order = holders.stream()
+                    .sorted(Comparator.comparingInt(h -> mix(title, h.id)))
+                    .toList();
             double cap = Math.ceil(1.25 * (mean + 1));
             return order.stream().filter(h -> h.sessions < cap).findFirst().orElse(order.get(0));
         }
--- a/emulator/src/main/java/spanrill/emulator/baseline/Textbook.java
+++ b/emulator/src/main/java/spanrill/emulator/baseline/Textbook.java
@@ -61,7 +61,7 @@
     }
 
     @Override
-    public void start(double now) { }
+    public void start(double now) {}
 
     @Override
     public void servers(double now, ListKind kind, List<Server> told) {
@@ -81,8 +81,10 @@
     @Override
     public void request(double now, Request request) {
         taken.add(now);
-        ServiceClass type = settings.classes().stream().filter(c -> c.name().equals(request.className()))
-                .findFirst().orElseThrow();
+        ServiceClass type = settings.classes().stream()
+                .filter(c -> c.name().equals(request.className()))
+                .findFirst()
+                .orElseThrow();
         Held held = new Held(request, type, now + request.leftMs() - MARGIN_MS);
         held.rung = rungs.first(type.floor(), held.top());
         sessions.put(request.id(), held);
@@ -90,17 +92,20 @@
     }
 
     private boolean seatFree(Held held) {
-        return held.type.seats() == 0 || sessions.values().stream().filter(s -> s.at != null
-                && s.type == held.type && s.request.title().equals(held.request.title())).count()
-                < held.type.seats();
+        return held.type.seats() == 0
+                || sessions.values().stream()
+                                .filter(s -> s.at != null
+                                        && s.type == held.type
+                                        && s.request.title().equals(held.request.title()))
+                                .count()
+                        < held.type.seats();
     }
 
     private void next(double now, Held held) {
         List<Holder> holders = new ArrayList<>();
         for (Holder holder : servers.values()) {
             int place = Math.floorMod(holder.cell - held.request.home(), settings.cells());
-            if (holder.state == ServerState.READY && place < held.request.copies()
-                    && !held.tried.contains(holder.id)) {
+            if (holder.state == ServerState.READY && place < held.request.copies() && !held.tried.contains(holder.id)) {
                 holders.add(holder);
             }
         }
@@ -117,14 +122,14 @@
         if (held.attempts++ > 0) {
             further.add(now);
         }
-        double mean = servers.values().stream().mapToInt(h -> h.sessions).average().orElse(0);
+        double mean =
+                servers.values().stream().mapToInt(h -> h.sessions).average().orElse(0);
         Holder to = chooser.choose(holders, held.request.title(), mean, random);
         held.tried.add(to.id);
         held.at = to;
         to.sessions++;
         act.rate(held.request.id(), held.rung);
-        double wait = held.type.once() ? held.deadline - now : Math.min(held.deadline - now,
-                held.type.aimMs());
+        double wait = held.type.once() ? held.deadline - now : Math.min(held.deadline - now, held.type.aimMs());
         act.send(held.request.id(), now + wait, to.id);
     }
 
@@ -139,7 +144,7 @@
     }
 
     @Override
-    public void takenOver(double now, Request request, String server) { }
+    public void takenOver(double now, Request request, String server) {}
 
     @Override
     public void playing(double now, String request, String server, double tookMs) {
@@ -193,7 +198,7 @@
                 return;
             }
             case DELIVERED -> rate(held, rungs.afterDelivered(before, value, held.type.floor()));
-            default -> { }
+            default -> {}
         }
     }
 
@@ -213,5 +218,5 @@
     }
 
     @Override
-    public void timer(double now, String token) { }
+    public void timer(double now, String token) {}
 }
--- a/emulator/src/main/java/spanrill/emulator/bound/BestPossible.java
+++ b/emulator/src/main/java/spanrill/emulator/bound/BestPossible.java
@@ -21,22 +21,20 @@
  * within a wish come by itself.
  */
 public final class BestPossible {
-    private record Group(int title, double density, long rate) { }
+    private record Group(int title, double density, long rate) {}
 
-    private BestPossible() { }
+    private BestPossible() {}
 
     /** The most that is earned a second. */
     public static double worth(List<Wish> wishes, HolderFlow empty) {
         Map<Integer, Map<Double, Long>> sums = new HashMap<>();
         for (Wish wish : wishes) {
             for (Wish.Step step : wish.steps()) {
-                sums.computeIfAbsent(wish.title(), k -> new HashMap<>()).merge(step.density(), step.rate(),
-                        Long::sum);
+                sums.computeIfAbsent(wish.title(), k -> new HashMap<>()).merge(step.density(), step.rate(), Long::sum);
             }
         }
         List<Group> groups = new ArrayList<>();
-        sums.forEach((title, steps) -> steps.forEach((density, rate) -> groups.add(new Group(title, density,
-                rate))));
+        sums.forEach((title, steps) -> steps.forEach((density, rate) -> groups.add(new Group(title, density, rate))));
         groups.sort(Comparator.comparingDouble(Group::density).reversed().thenComparingInt(Group::title));
         double worth = 0;
         for (Group group : groups) {
--- a/emulator/src/main/java/spanrill/emulator/bound/Wish.java
+++ b/emulator/src/main/java/spanrill/emulator/bound/Wish.java
@@ -35,9 +35,10 @@
         corners.add(new long[] {0});
         heights.add(0.0);
         for (int i = 0; i < rates.length; i++) {
-            while (corners.size() > 1 && slope(corners, heights, corners.size() - 2, corners.size() - 1)
-                    <= (worths[i] - heights.get(heights.size() - 1))
-                    / (rates[i] - corners.get(corners.size() - 1)[0])) {
+            while (corners.size() > 1
+                    && slope(corners, heights, corners.size() - 2, corners.size() - 1)
+                            <= (worths[i] - heights.get(heights.size() - 1))
+                                    / (rates[i] - corners.get(corners.size() - 1)[0])) {
                 corners.remove(corners.size() - 1);
                 heights.remove(heights.size() - 1);
             }
--- a/front/src/main/java/spanrill/front/EventLog.java
+++ b/front/src/main/java/spanrill/front/EventLog.java
@@ -26,7 +26,7 @@
         }
     };
 
-    private EventLog() { }
+    private EventLog() {}
 
     /** The log as the core writes to it. */
     public static EventSink sink() {
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -35,8 +35,7 @@
     private static final long IDLE_CONNECTION_MS = 60_000;
     private static final int PIPELINED_BYTES = 16 * 1024;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ExecutorService disk = Executors.newSingleThreadExecutor(task -> {
         Thread thread = new Thread(task, "front-disk");
         thread.setDaemon(true);
@@ -61,27 +60,29 @@
         keys.reload();
         Clock clock = new Clock();
         tokens = TokenStore.open(base.resolve(settings.state()), loop);
-        core = new SessionCore(settings.core(), new SessionCore.Host(new LoopScheduler(loop, clock),
-                EventLog.sink(), tokens, new SessionNames()));
+        core = new SessionCore(
+                settings.core(),
+                new SessionCore.Host(new LoopScheduler(loop, clock), EventLog.sink(), tokens, new SessionNames()));
         core.onReady(() -> ready.complete(null));
         tokens.kept().forEach((token, kept) -> {
             if (kept.expiresAt() > clock.now()) {
                 core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
             }
         });
-        gate = new TokenGate(keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting(),
-                clock::now);
+        gate = new TokenGate(
+                keys, settings.limits().tokenThreads(), settings.limits().tokenWaiting(), clock::now);
         BoxBook book = new BoxBook(settings.limits().boxes());
         boxes = new HttpBoxSide(settings, loop, core, book::box);
         list = new ListClient(settings, loop, core, book, new KeptList(base.resolve(settings.state())), disk);
         DashViewerSide viewers = new DashViewerSide(settings, core, boxes, gate, clock);
         loop.submit(() -> {
-            core.begin(boxes);
-            list.start();
-        }).syncUninterruptibly();
+                    core.begin(boxes);
+                    list.start();
+                })
+                .syncUninterruptibly();
         disk.execute(() -> Thread.currentThread().setPriority(Thread.MIN_PRIORITY));
-        loop.scheduleAtFixedRate(() -> disk.execute(this::reloadKeys), KEYS_LOOK_MS, KEYS_LOOK_MS,
-                TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(
+                () -> disk.execute(this::reloadKeys), KEYS_LOOK_MS, KEYS_LOOK_MS, TimeUnit.MILLISECONDS);
         server = bind(viewers);
     }
 
@@ -93,21 +94,26 @@
      */
     public static FrontDaemon start(FrontSettings settings, Path base) throws IOException {
         FrontDaemon daemon = new FrontDaemon(settings, base);
-        EventLog.info("front.listening", "front", settings.me(), "port", daemon.port(), "keys",
-                daemon.keys.ids());
+        EventLog.info("front.listening", "front", settings.me(), "port", daemon.port(), "keys", daemon.keys.ids());
         return daemon;
     }
 
     private Channel bind(DashViewerSide viewers) throws IOException {
-        HttpServerHandler.Times times = new HttpServerHandler.Times(settings.limits().requestMs(),
-                IDLE_CONNECTION_MS, PIPELINED_BYTES);
-        var future = HttpServer.bind(group, new InetSocketAddress(settings.listen().host(),
-                settings.listen().port()), HttpLimits.SERVER, times, this::admit, viewers::route,
+        HttpServerHandler.Times times =
+                new HttpServerHandler.Times(settings.limits().requestMs(), IDLE_CONNECTION_MS, PIPELINED_BYTES);
+        var future = HttpServer.bind(
+                group,
+                new InetSocketAddress(
+                        settings.listen().host(), settings.listen().port()),
+                HttpLimits.SERVER,
+                times,
+                this::admit,
+                viewers::route,
                 FrontDaemon::refused);
         if (!future.awaitUninterruptibly().isSuccess()) {
             close();
-            throw new IOException("can't listen on " + settings.listen().host() + ":" + settings.listen()
-                    .port() + ": "
+            throw new IOException("can't listen on " + settings.listen().host() + ":"
+                    + settings.listen().port() + ": "
                     + future.cause().getMessage());
         }
         return future.channel();
@@ -125,8 +131,7 @@
             channel.closeFuture().addListener(f -> connections.closed());
         }
         if (connections.becameFull()) {
-            EventLog.warn("limit.connections", "open", connections.open(), "turnedAway",
-                    connections.turnedAway());
+            EventLog.warn("limit.connections", "open", connections.open(), "turnedAway", connections.turnedAway());
         }
         return stays;
     }
@@ -162,10 +167,12 @@
         if (server != null) {
             server.close().syncUninterruptibly();
         }
-        group.next().submit(() -> {
-            list.close();
-            boxes.close();
-        }).awaitUninterruptibly();
+        group.next()
+                .submit(() -> {
+                    list.close();
+                    boxes.close();
+                })
+                .awaitUninterruptibly();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         gate.close();
         disk.shutdownNow();
--- a/front/src/main/java/spanrill/front/FrontSettings.java
+++ b/front/src/main/java/spanrill/front/FrontSettings.java
@@ -32,13 +32,24 @@
  * @param limits bounds of this process
  * @param web players in pages
  */
-public record FrontSettings(@Range(min = 0, max = 100_000) int me, @Range(min = 1, max = 100_000) int fronts,
-        @Range(min = 1, max = 64) String zone, @Default("1") long seed, Address listen, Address registry,
-        @Range(min = 1) String keys, @Range(min = 1) String state,
+public record FrontSettings(
+        @Range(min = 0, max = 100_000) int me,
+        @Range(min = 1, max = 100_000) int fronts,
+        @Range(min = 1, max = 64) String zone,
+        @Default("1") long seed,
+        Address listen,
+        Address registry,
+        @Range(min = 1) String keys,
+        @Range(min = 1) String state,
         @Range(min = 1, max = 64) Map<String, ClassSettings> classes,
         @Default("{}") Map<String, TenantSettings> tenants,
-        @Range(min = 1, max = 64) Map<String, KindSettings> kinds, Ladder ladder, Fleet fleet, Notes notes,
-        Rules rules, @Default("{}") Limits limits, @Default("{}") Web web) {
+        @Range(min = 1, max = 64) Map<String, KindSettings> kinds,
+        Ladder ladder,
+        Fleet fleet,
+        Notes notes,
+        Rules rules,
+        @Default("{}") Limits limits,
+        @Default("{}") Web web) {
 
     /**
      * An address.
@@ -46,8 +57,11 @@
      * @param host loopback or other address
      * @param port port; 0 for listening on one that the system picks
      */
-    public record Address(@Default("\"127.0.0.1\"") @Range(min = 1, max = 255) String host,
-            @Range(min = 0, max = 65_535) int port) { }
+    public record Address(
+            @Default("\"127.0.0.1\"") @Range(min = 1, max = 255)
+            String host,
+
+            @Range(min = 0, max = 65_535) int port) {}
 
     /**
      * A class of session.
@@ -61,12 +75,15 @@
      * @param scale its rates over the ladder's
      * @param seats sessions of one title that this front may hold; 0: no cap
      */
-    public record ClassSettings(@Range(min = 1, max = 600_000) double aimMs,
-            @Range(min = 100, max = 600_000) double patienceMs, @Range(min = 0, max = 1e6) double worth,
-            @Default("false") boolean once, @Default("0") @Range(min = 0, max = 63) int floor,
+    public record ClassSettings(
+            @Range(min = 1, max = 600_000) double aimMs,
+            @Range(min = 100, max = 600_000) double patienceMs,
+            @Range(min = 0, max = 1e6) double worth,
+            @Default("false") boolean once,
+            @Default("0") @Range(min = 0, max = 63) int floor,
             @Default("63") @Range(min = 0, max = 63) int top,
             @Default("1") @Range(min = 0.001, max = 1000) double scale,
-            @Default("0") @Range(min = 0, max = 1e6) int seats) { }
+            @Default("0") @Range(min = 0, max = 1e6) int seats) {}
 
     /**
      * A tenant.
@@ -74,15 +91,16 @@
      * @param share its share of the service
      * @param quotaPerS new sessions a second over all fronts; null: not limited
      */
-    public record TenantSettings(@Range(min = 0, max = 1) double share,
-            @Default("null") @Range(min = 0) Double quotaPerS) { }
+    public record TenantSettings(
+            @Range(min = 0, max = 1) double share,
+            @Default("null") @Range(min = 0) Double quotaPerS) {}
 
     /**
      * A kind of box.
      *
      * @param places streams that it runs at most
      */
-    public record KindSettings(@Range(min = 1, max = 1e6) double places) { }
+    public record KindSettings(@Range(min = 1, max = 1e6) double places) {}
 
     /**
      * The ladder of rates.
@@ -90,8 +108,9 @@
      * @param kb rate of each rung, kB a second
      * @param worth what each rung earns
      */
-    public record Ladder(@Range(min = 1, max = 64) List<Double> kb, @Range(min = 1,
-            max = 64) List<Double> worth) {
+    public record Ladder(
+            @Range(min = 1, max = 64) List<Double> kb,
+            @Range(min = 1, max = 64) List<Double> worth) {
         /** Checks that both fit. */
         public Ladder {
             if (kb.size() != worth.size()) {
@@ -114,9 +133,12 @@
      * @param weightKb link of a box for each unit of its weight
      * @param uplinkKb mean uplink of a rack
      */
-    public record Fleet(@Range(min = 1, max = 100_000) int cells, @Range(min = 1, max = 100_000) int racks,
-            @Range(min = 1) double linksKb, @Range(min = 1e-6) double weightKb,
-            @Range(min = 1) double uplinkKb) { }
+    public record Fleet(
+            @Range(min = 1, max = 100_000) int cells,
+            @Range(min = 1, max = 100_000) int racks,
+            @Range(min = 1) double linksKb,
+            @Range(min = 1e-6) double weightKb,
+            @Range(min = 1) double uplinkKb) {}
 
     /**
      * What boxes tell.
@@ -126,9 +148,11 @@
      * @param stall points of worth lost for each point of the rate that is missing
      * @param changeCostMs what a change of rung costs, as time of the session's worth
      */
-    public record Notes(@Range(min = 0, max = 600_000) double lateMs, @Range(min = 0,
-            max = 600_000) double tellMs,
-            @Range(min = 0, max = 1000) double stall, @Range(min = 0, max = 600_000) double changeCostMs) { }
+    public record Notes(
+            @Range(min = 0, max = 600_000) double lateMs,
+            @Range(min = 0, max = 600_000) double tellMs,
+            @Range(min = 0, max = 1000) double stall,
+            @Range(min = 0, max = 600_000) double changeCostMs) {}
 
     /**
      * Figures of the rules.
@@ -146,13 +170,19 @@
      * @param attemptShare further attempts for each request
      * @param attemptWindowMs both counted over this
      */
-    public record Rules(@Range(min = 1, max = 20) int maxAttempts, @Range(min = 0) double maxRetryAfterMs,
+    public record Rules(
+            @Range(min = 1, max = 20) int maxAttempts,
+            @Range(min = 0) double maxRetryAfterMs,
             @Default("0") @Range(min = 0) double crossZonePrice,
             @Default("1") @Range(min = 0, max = 1) double overShareWorth,
-            @Default("250") @Range(min = 0) double drainGraceMs, @Range(min = 0) double coldMs,
-            @Range(min = 0.001, max = 1) double coldShare, @Range(min = 0.1) double fallMultiple,
-            @Range(min = 1) double fallMs, @Default("null") Double spareAttempts,
-            @Default("null") Double attemptShare, @Default("null") Double attemptWindowMs) { }
+            @Default("250") @Range(min = 0) double drainGraceMs,
+            @Range(min = 0) double coldMs,
+            @Range(min = 0.001, max = 1) double coldShare,
+            @Range(min = 0.1) double fallMultiple,
+            @Range(min = 1) double fallMs,
+            @Default("null") Double spareAttempts,
+            @Default("null") Double attemptShare,
+            @Default("null") Double attemptWindowMs) {}
 
     /**
      * Bounds of this process.
@@ -172,8 +202,12 @@
      * @param tokenWaiting tokens that may wait for them
      * @param boxes boxes held
      */
-    public record Limits(@Default("150") @Range(min = 1, max = 60_000) double answerMarginMs,
-            @Default("20000") @Range(min = 1, max = 1_000_000) int connections,
+    public record Limits(
+            @Default("150") @Range(min = 1, max = 60_000) double answerMarginMs,
+
+            @Default("20000") @Range(min = 1, max = 1_000_000)
+            int connections,
+
             @Default("256") @Range(min = 4, max = 65_000) int boxConnections,
             @Default("256") @Range(min = 0, max = 65_000) int boxWaiting,
             @Default("250") @Range(min = 1, max = 60_000) int connectMs,
@@ -182,17 +216,24 @@
             @Default("250") @Range(min = 1, max = 60_000) double moveReturnMs,
             @Default("300") @Range(min = 1, max = 60_000) double settleMs,
             @Default("250") @Range(min = 0, max = 60_000) double sameMs,
-            @Default("200000") @Range(min = 1, max = 100_000_000) int tokens,
+
+            @Default("200000") @Range(min = 1, max = 100_000_000)
+            int tokens,
+
             @Default("2") @Range(min = 1, max = 64) int tokenThreads,
-            @Default("2000") @Range(min = 1, max = 1_000_000) int tokenWaiting,
-            @Default("2000") @Range(min = 1, max = 1_000_000) int boxes) { }
+
+            @Default("2000") @Range(min = 1, max = 1_000_000)
+            int tokenWaiting,
+
+            @Default("2000") @Range(min = 1, max = 1_000_000)
+            int boxes) {}
 
     /**
      * Players in pages.
      *
      * @param origins origins that may use this front (Fetch standard, CORS protocol); "*" for all
      */
-    public record Web(@Default("[]") @Range(max = 1000) List<String> origins) { }
+    public record Web(@Default("[]") @Range(max = 1000) List<String> origins) {}
 
     /** Checks what fields must be to each other. */
     public FrontSettings {
@@ -204,8 +245,8 @@
                 throw new IllegalArgumentException("classes." + name + ".floor is above the ladder");
             }
             if (c.patienceMs() <= limits.answerMarginMs()) {
-                throw new IllegalArgumentException("classes." + name
-                        + ".patienceMs must be above limits.answerMarginMs");
+                throw new IllegalArgumentException(
+                        "classes." + name + ".patienceMs must be above limits.answerMarginMs");
             }
         });
     }
@@ -214,32 +255,60 @@
     public SessionControl.Settings module() {
         List<SessionControl.ServiceClass> types = new ArrayList<>();
         int highest = ladder.kb().size() - 1;
-        classes.forEach((name, c) -> types.add(new SessionControl.ServiceClass(name, c.aimMs(), c.worth(),
-                c.once(),
-                c.floor(), Math.min(c.top(), highest), c.scale(), c.seats())));
+        classes.forEach((name, c) -> types.add(new SessionControl.ServiceClass(
+                name, c.aimMs(), c.worth(), c.once(), c.floor(), Math.min(c.top(), highest), c.scale(), c.seats())));
         List<SessionControl.Tenant> tenantList = new ArrayList<>();
-        tenants.forEach((name, t) -> tenantList.add(new SessionControl.Tenant(name, t.share(),
-                orNaN(t.quotaPerS()))));
+        tenants.forEach((name, t) -> tenantList.add(new SessionControl.Tenant(name, t.share(), orNaN(t.quotaPerS()))));
         List<SessionControl.Kind> kindList = new ArrayList<>();
         kinds.forEach((name, k) -> kindList.add(new SessionControl.Kind(name, k.places())));
-        return new SessionControl.Settings(me, fronts, zone, types, tenantList, kindList, ladder.kb(),
-                ladder.worth(), fleet.cells(), fleet.racks(), fleet.linksKb(), fleet.weightKb(),
+        return new SessionControl.Settings(
+                me,
+                fronts,
+                zone,
+                types,
+                tenantList,
+                kindList,
+                ladder.kb(),
+                ladder.worth(),
+                fleet.cells(),
+                fleet.racks(),
+                fleet.linksKb(),
+                fleet.weightKb(),
                 fleet.uplinkKb(),
-                notes.stall(), notes.changeCostMs(), notes.lateMs(), notes.tellMs(), rules.maxAttempts(),
-                rules.maxRetryAfterMs(), rules.crossZonePrice(), rules.overShareWorth(),
-                new SessionControl.Rules(rules.coldMs(), rules.coldShare(), rules.fallMultiple(),
-                rules.fallMs(),
-                        orNaN(rules.spareAttempts()), orNaN(rules.attemptShare()),
+                notes.stall(),
+                notes.changeCostMs(),
+                notes.lateMs(),
+                notes.tellMs(),
+                rules.maxAttempts(),
+                rules.maxRetryAfterMs(),
+                rules.crossZonePrice(),
+                rules.overShareWorth(),
+                new SessionControl.Rules(
+                        rules.coldMs(),
+                        rules.coldShare(),
+                        rules.fallMultiple(),
+                        rules.fallMs(),
+                        orNaN(rules.spareAttempts()),
+                        orNaN(rules.attemptShare()),
                         orNaN(rules.attemptWindowMs())));
     }
 
     /** What the core starts with. */
     public CoreSettings core() {
         Map<String, SessionType> types = new HashMap<>();
-        classes.forEach((name, c) -> types.put(name, new SessionType(c.once(), c.floor(), c.scale(),
-                new AnswerTime(c.patienceMs(), limits.answerMarginMs()))));
-        return new CoreSettings(module(), seed, Map.copyOf(types), limits.idleMs(), limits.moveReturnMs(),
-                limits.sameMs(), limits.tokens(), rules.maxRetryAfterMs());
+        classes.forEach((name, c) -> types.put(
+                name,
+                new SessionType(
+                        c.once(), c.floor(), c.scale(), new AnswerTime(c.patienceMs(), limits.answerMarginMs()))));
+        return new CoreSettings(
+                module(),
+                seed,
+                Map.copyOf(types),
+                limits.idleMs(),
+                limits.moveReturnMs(),
+                limits.sameMs(),
+                limits.tokens(),
+                rules.maxRetryAfterMs());
     }
 
     private static double orNaN(Double value) {
--- a/front/src/main/java/spanrill/front/box/BoxPool.java
+++ b/front/src/main/java/spanrill/front/box/BoxPool.java
@@ -63,19 +63,25 @@
 
     private void open(Taker taker) {
         open++;
-        HttpClientConnection.open(loop, address, connectMs, HttpLimits.CLIENT, connection -> {
-            connection.onClosed(this::closed);
-            if (!taker.take(connection)) {
-                giveBack(connection);
-            }
-        }, cause -> {
-            open--;
-            // Netty's connect time-out is a ConnectException too; it tells itself by its message.
-            boolean refused = cause instanceof ConnectException && !String.valueOf(cause.getMessage())
-                    .contains("timed out");
-            taker.none(refused ? OutcomeTable.Event.CONNECT_REFUSED : OutcomeTable.Event.CONNECT_TIMED_OUT);
-            next();
-        });
+        HttpClientConnection.open(
+                loop,
+                address,
+                connectMs,
+                HttpLimits.CLIENT,
+                connection -> {
+                    connection.onClosed(this::closed);
+                    if (!taker.take(connection)) {
+                        giveBack(connection);
+                    }
+                },
+                cause -> {
+                    open--;
+                    // Netty's connect time-out is a ConnectException too; it tells itself by its message.
+                    boolean refused = cause instanceof ConnectException
+                            && !String.valueOf(cause.getMessage()).contains("timed out");
+                    taker.none(refused ? OutcomeTable.Event.CONNECT_REFUSED : OutcomeTable.Event.CONNECT_TIMED_OUT);
+                    next();
+                });
     }
 
     /** An exchange is done with its connection. */
--- a/front/src/main/java/spanrill/front/box/HttpBoxSide.java
+++ b/front/src/main/java/spanrill/front/box/HttpBoxSide.java
@@ -14,8 +14,8 @@
 import spanrill.decisions.CallOffProof;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.PoolPolicy;
-import spanrill.session.BoxSide;
 import spanrill.front.FrontSettings;
+import spanrill.session.BoxSide;
 import spanrill.session.SessionCore;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Headers;
@@ -31,6 +31,7 @@
     private static final long CONTROL_MS = 1000;
     /** Set-ups, rungs and releases have so many of a box's connections to themselves, within its cap. */
     private static final int KEPT = 32;
+
     private static final byte[] NO_BODY = {};
 
     private final FrontSettings settings;
@@ -48,13 +49,12 @@
         this.core = core;
         this.book = book;
         FrontSettings.Limits limits = settings.limits();
-        policy = new PoolPolicy(limits.boxConnections(), Math.min(KEPT, limits.boxConnections() / 2),
-                limits.boxWaiting());
+        policy = new PoolPolicy(
+                limits.boxConnections(), Math.min(KEPT, limits.boxConnections() / 2), limits.boxWaiting());
     }
 
     Headers headers() {
-        return Headers.of("host", "box", BoxLink.FRONT, Integer.toString(settings.me()), BoxLink.ZONE,
-                settings.zone());
+        return Headers.of("host", "box", BoxLink.FRONT, Integer.toString(settings.me()), BoxLink.ZONE, settings.zone());
     }
 
     private BoxPool pool(String id) {
@@ -63,12 +63,16 @@
             return null;
         }
         BoxPool pool = pools.get(id);
-        if (pool == null || pool.address().getPort() != box.port()
+        if (pool == null
+                || pool.address().getPort() != box.port()
                 || !pool.address().getHostString().equals(box.host())) {
             if (pool != null) {
                 pool.close(taker -> taker.none(OutcomeTable.Event.CLOSED));
             }
-            pool = new BoxPool(loop, new InetSocketAddress(box.host(), box.port()), policy,
+            pool = new BoxPool(
+                    loop,
+                    new InetSocketAddress(box.host(), box.port()),
+                    policy,
                     settings.limits().connectMs());
             pools.put(id, pool);
         }
@@ -100,7 +104,7 @@
 
     /** Tells a box to end an attempt that was given up; nobody waits for the answer. */
     void callOff(String box, String key) {
-        control(box, "DELETE", BoxLink.ATTEMPT + key, load -> { });
+        control(box, "DELETE", BoxLink.ATTEMPT + key, load -> {});
     }
 
     double now() {
@@ -119,7 +123,8 @@
         loop.schedule(() -> once.accept(false), (long) settings.limits().settleMs(), TimeUnit.MILLISECONDS);
         exchange(box, "DELETE", BoxLink.ATTEMPT + key, (load, head) -> {
             String ran = head == null ? null : head.headers().get(BoxLink.RAN);
-            double upMs = head == null || head.headers().get(BoxLink.UP_MS) == null ? Double.NaN
+            double upMs = head == null || head.headers().get(BoxLink.UP_MS) == null
+                    ? Double.NaN
                     : BoxLink.number(head.headers().get(BoxLink.UP_MS));
             once.accept(CallOffProof.neverRan(ran == null ? null : ran.equals("1"), upMs, now() - sentAt));
         });
@@ -127,7 +132,7 @@
 
     @Override
     public void rung(String box, String key, int rung) {
-        control(box, "POST", BoxLink.ATTEMPT + key + "/rung?to=" + rung, load -> { });
+        control(box, "POST", BoxLink.ATTEMPT + key + "/rung?to=" + rung, load -> {});
     }
 
     @Override
@@ -161,8 +166,7 @@
         private boolean answered;
         private boolean over;
 
-        ControlCall(BoxPool pool, String method, String target,
-                BiConsumer<Load, ResponseHead> done) {
+        ControlCall(BoxPool pool, String method, String target, BiConsumer<Load, ResponseHead> done) {
             this.pool = pool;
             this.method = method;
             this.target = target;
@@ -226,10 +230,10 @@
             sink.lost(0, "the box is not known any more");
             return new Segment() {
                 @Override
-                public void reading(boolean on) { }
+                public void reading(boolean on) {}
 
                 @Override
-                public void cancel() { }
+                public void cancel() {}
             };
         }
         SegmentFetch fetch = new SegmentFetch(this, pool, key, path, range, sink);
--- a/front/src/main/java/spanrill/front/box/NotesStream.java
+++ b/front/src/main/java/spanrill/front/box/NotesStream.java
@@ -47,15 +47,21 @@
     }
 
     void open() {
-        HttpClientConnection.open(loop, address, CONNECT_MS, HttpLimits.CLIENT, opened -> {
-            connection = opened;
-            if (closed || !opened.send("GET", BoxLink.NOTES, side.headers(), new byte[0], this)) {
-                opened.abandon();
-            }
-        }, cause -> {
-            core.boxLost(box, SessionEnd.BOX_GONE);
-            follow(watch.unreachable(core.anyAt(box)));
-        });
+        HttpClientConnection.open(
+                loop,
+                address,
+                CONNECT_MS,
+                HttpLimits.CLIENT,
+                opened -> {
+                    connection = opened;
+                    if (closed || !opened.send("GET", BoxLink.NOTES, side.headers(), new byte[0], this)) {
+                        opened.abandon();
+                    }
+                },
+                cause -> {
+                    core.boxLost(box, SessionEnd.BOX_GONE);
+                    follow(watch.unreachable(core.anyAt(box)));
+                });
     }
 
     void close() {
@@ -74,11 +80,14 @@
         } else if (next.openAfterMs() == 0) {
             open();
         } else {
-            loop.schedule(() -> {
-                if (!closed) {
-                    open();
-                }
-            }, (long) next.openAfterMs(), TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (!closed) {
+                            open();
+                        }
+                    },
+                    (long) next.openAfterMs(),
+                    TimeUnit.MILLISECONDS);
         }
     }
 
--- a/front/src/main/java/spanrill/front/box/SegmentFetch.java
+++ b/front/src/main/java/spanrill/front/box/SegmentFetch.java
@@ -20,8 +20,8 @@
     private int refusedStatus;
     private boolean over;
 
-    SegmentFetch(HttpBoxSide side, BoxPool pool, String key, String path, String range,
-            SegmentSource.SegmentSink sink) {
+    SegmentFetch(
+            HttpBoxSide side, BoxPool pool, String key, String path, String range, SegmentSource.SegmentSink sink) {
         this.side = side;
         this.pool = pool;
         this.target = BoxLink.ATTEMPT + key + "/" + path;
--- a/front/src/main/java/spanrill/front/box/SetUpAttempt.java
+++ b/front/src/main/java/spanrill/front/box/SetUpAttempt.java
@@ -43,9 +43,12 @@
         }
         connection = given;
         stage = Stage.CONNECTED;
-        Headers headers = side.headers().add(BoxLink.KEY, order.key())
-                .add(BoxLink.TOKEN, order.request().tokenId()).add(BoxLink.CLASS, order.request().className())
-                .add(BoxLink.TITLE, order.request().title()).add(BoxLink.RUNG, Integer.toString(order.rung()))
+        Headers headers = side.headers()
+                .add(BoxLink.KEY, order.key())
+                .add(BoxLink.TOKEN, order.request().tokenId())
+                .add(BoxLink.CLASS, order.request().className())
+                .add(BoxLink.TITLE, order.request().title())
+                .add(BoxLink.RUNG, Integer.toString(order.rung()))
                 .add(BoxLink.SPENDS, order.spends() ? "1" : "0");
         if (order.continues() != null) {
             headers.add(BoxLink.CONTINUES, order.continues());
@@ -90,11 +93,12 @@
 
     @Override
     public void lost(HttpClientConnection.Loss loss, String reason) {
-        finish(switch (loss) {
-            case RESET -> Event.RESET;
-            case CLOSED -> Event.CLOSED;
-            case MALFORMED -> Event.MALFORMED;
-        });
+        finish(
+                switch (loss) {
+                    case RESET -> Event.RESET;
+                    case CLOSED -> Event.CLOSED;
+                    case MALFORMED -> Event.MALFORMED;
+                });
     }
 
     private void finish(Event event) {
@@ -105,8 +109,11 @@
         switch (LostSetUp.of(stage, outcome, order.spends())) {
             case ASK_BOX -> {
                 settling = true;
-                side.settle(order.box(), order.key(), sentAt, neverRan -> ended(neverRan
-                        ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome));
+                side.settle(
+                        order.box(),
+                        order.key(),
+                        sentAt,
+                        neverRan -> ended(neverRan ? OutcomeTable.read(stage, Event.SETTLED_UNSEEN) : outcome));
             }
             case CALL_OFF -> {
                 side.callOff(order.box(), order.key());
--- a/front/src/main/java/spanrill/front/dash/Cors.java
+++ b/front/src/main/java/spanrill/front/dash/Cors.java
@@ -8,8 +8,8 @@
 final class Cors {
     private static final String AGE_S = "600";
     private static final String EXPOSED = "spanrill-answer, spanrill-rung, retry-after, content-range, etag";
-    private static final String ALLOWED = "authorization, range, if-none-match, cmcd-request, cmcd-status, "
-            + "cmcd-object, cmcd-session";
+    private static final String ALLOWED =
+            "authorization, range, if-none-match, cmcd-request, cmcd-status, " + "cmcd-object, cmcd-session";
 
     private final List<String> origins;
 
@@ -23,15 +23,27 @@
         if (origin == null || !(origins.contains("*") || origins.contains(origin))) {
             return false;
         }
-        exchange.also(Headers.of("access-control-allow-origin", origins.contains("*") ? "*" : origin, "vary",
+        exchange.also(Headers.of(
+                "access-control-allow-origin",
+                origins.contains("*") ? "*" : origin,
+                "vary",
                 "origin",
-                "access-control-expose-headers", EXPOSED));
+                "access-control-expose-headers",
+                EXPOSED));
         if (!exchange.head().method().equals("OPTIONS")
                 || exchange.head().headers().get("access-control-request-method") == null) {
             return false;
         }
-        exchange.respond(204, Headers.of("access-control-allow-methods", "GET, HEAD, DELETE",
-                "access-control-allow-headers", ALLOWED, "access-control-max-age", AGE_S), new byte[0]);
+        exchange.respond(
+                204,
+                Headers.of(
+                        "access-control-allow-methods",
+                        "GET, HEAD, DELETE",
+                        "access-control-allow-headers",
+                        ALLOWED,
+                        "access-control-max-age",
+                        AGE_S),
+                new byte[0]);
         return true;
     }
 }
--- a/front/src/main/java/spanrill/front/dash/DashViewerSide.java
+++ b/front/src/main/java/spanrill/front/dash/DashViewerSide.java
@@ -3,18 +3,18 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import spanrill.decisions.SessionEnd;
+import spanrill.front.EventLog;
+import spanrill.front.FrontSettings;
 import spanrill.front.box.SegmentSource;
+import spanrill.front.token.SessionToken;
+import spanrill.front.token.TokenGate;
+import spanrill.front.token.TokenKeys;
 import spanrill.loop.Clock;
-import spanrill.front.EventLog;
 import spanrill.session.Session;
-import spanrill.front.FrontSettings;
-import spanrill.decisions.SessionEnd;
 import spanrill.session.SessionCore;
 import spanrill.session.SessionType;
 import spanrill.session.ViewerRequest;
-import spanrill.front.token.SessionToken;
-import spanrill.front.token.TokenGate;
-import spanrill.front.token.TokenKeys;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -39,9 +39,9 @@
     private static final double BUSY_MS = 1000;
     private static final double SHORTEST_MS = 500;
     private static final Pattern MANIFEST = Pattern.compile("/dash/([A-Za-z0-9._~-]{1,200})/manifest\\.mpd");
-    private static final Pattern SEGMENT = Pattern.compile(
-            "/s/([A-Za-z0-9_-]{22})/(?:v/(?:(init\\.mp4)|(\\d{1,3})/(\\d{1,9}\\.m4s))"
-            + "|(a/(?:init\\.mp4|\\d{1,9}\\.m4s)))");
+    private static final Pattern SEGMENT =
+            Pattern.compile("/s/([A-Za-z0-9_-]{22})/(?:v/(?:(init\\.mp4)|(\\d{1,3})/(\\d{1,9}\\.m4s))"
+                    + "|(a/(?:init\\.mp4|\\d{1,9}\\.m4s)))");
     private static final Pattern SESSION = Pattern.compile("/s/([A-Za-z0-9_-]{22})(/manifest\\.mpd)?");
 
     private final FrontSettings settings;
@@ -53,8 +53,7 @@
     private final Map<String, SessionType> types;
 
     /** A viewer side on a core. */
-    public DashViewerSide(FrontSettings settings, SessionCore core, SegmentSource boxes, TokenGate gate,
-            Clock clock) {
+    public DashViewerSide(FrontSettings settings, SessionCore core, SegmentSource boxes, TokenGate gate, Clock clock) {
         this.settings = settings;
         this.core = core;
         this.boxes = boxes;
@@ -99,16 +98,23 @@
         // Read before it is verified: only how long it may wait hangs on it.
         String claimed = TokenKeys.claimedClass(text);
         FrontSettings.ClassSettings type = settings.classes().get(claimed);
-        double deadline = type == null ? arrivedAt + SHORTEST_MS
+        double deadline = type == null
+                ? arrivedAt + SHORTEST_MS
                 : types.get(claimed).time().deadline(arrivedAt);
-        Runnable leave = gate.verify(new TokenGate.Wish(text, title, (long) (arrivedAt / 1000), deadline,
-                type == null ? 0 : type.worth()), exchange.channel().eventLoop(), verdict -> {
+        Runnable leave = gate.verify(
+                new TokenGate.Wish(text, title, (long) (arrivedAt / 1000), deadline, type == null ? 0 : type.worth()),
+                exchange.channel().eventLoop(),
+                verdict -> {
                     if (verdict.noRoom()) {
-                        Problem.answer(exchange, 503, "no-room", "none", "Too many ask; come later.",
-                                BUSY_MS);
+                        Problem.answer(exchange, 503, "no-room", "none", "Too many ask; come later.", BUSY_MS);
                     } else if (verdict.fault() != null) {
-                        Problem.answer(exchange, verdict.fault().status(), "token", "none",
-                                verdict.fault().getMessage(), 0);
+                        Problem.answer(
+                                exchange,
+                                verdict.fault().status(),
+                                "token",
+                                "none",
+                                verdict.fault().getMessage(),
+                                0);
                     } else if (!exchange.over()) {
                         offer(exchange, verdict.token(), arrivedAt);
                     }
@@ -121,16 +127,24 @@
     private void offer(Exchange exchange, SessionToken token, double arrivedAt) {
         int top = Math.min(token.top(), settings.ladder().kb().size() - 1);
         if (top < settings.classes().get(token.className()).floor()) {
-            Problem.answer(exchange, 403, "token", "none", "the token's top rung is below its class's floor",
-                    0);
+            Problem.answer(exchange, 403, "token", "none", "the token's top rung is below its class's floor", 0);
             return;
         }
-        String tenant = token.tenant() != null && settings.tenants().containsKey(token.tenant())
-                ? token.tenant() : null;
+        String tenant =
+                token.tenant() != null && settings.tenants().containsKey(token.tenant()) ? token.tenant() : null;
         ManifestCall call = new ManifestCall(settings, exchange);
         exchange.onClosed(() -> core.left(call));
-        core.offer(new ViewerRequest(token.id(), arrivedAt, token.expiresS() * 1000.0, token.title(),
-                token.className(), tenant, token.viewer(), top), call);
+        core.offer(
+                new ViewerRequest(
+                        token.id(),
+                        arrivedAt,
+                        token.expiresS() * 1000.0,
+                        token.title(),
+                        token.className(),
+                        tenant,
+                        token.viewer(),
+                        top),
+                call);
     }
 
     private static String tokenOf(Exchange exchange) {
--- a/front/src/main/java/spanrill/front/dash/ManifestCall.java
+++ b/front/src/main/java/spanrill/front/dash/ManifestCall.java
@@ -1,12 +1,12 @@
 package spanrill.front.dash;
 
-import spanrill.session.Session;
 import java.util.ArrayList;
 import java.util.List;
 import spanrill.decisions.TrackRates;
 import spanrill.front.FrontSettings;
-import spanrill.session.ViewerCall;
+import spanrill.session.Session;
 import spanrill.session.Title;
+import spanrill.session.ViewerCall;
 import spanrill.wire.dash.Mpd;
 import spanrill.wire.dash.MpdWriter;
 import spanrill.wire.dash.Timeline;
@@ -34,36 +34,45 @@
 
     @Override
     public void refused(double retryAfterMs) {
-        Problem.answer(exchange, 503, "refused", "refused",
+        Problem.answer(
+                exchange,
+                503,
+                "refused",
+                "refused",
                 "Turned away; nothing was spent, a later try is harmless.",
                 retryAfterMs);
     }
 
     @Override
     public void failed() {
-        Problem.answer(exchange, 502, "failed", "failed",
+        Problem.answer(
+                exchange,
+                502,
+                "failed",
+                "failed",
                 "The session could not be set up; whether something was "
-                + "spent is not known. Ask the issuer before another try.", 0);
+                        + "spent is not known. Ask the issuer before another try.",
+                0);
     }
 
     @Override
     public void unusable(Unusable why) {
         switch (why) {
-            case USED -> Problem.answer(exchange, 403, "token-used", "none",
-                    "The session of this token is over.", 0);
-            case NO_ROOM -> Problem.answer(exchange, 503, "no-room", "none", "Too many sessions; come later.",
-                    1000);
+            case USED -> Problem.answer(exchange, 403, "token-used", "none", "The session of this token is over.", 0);
+            case NO_ROOM -> Problem.answer(exchange, 503, "no-room", "none", "Too many sessions; come later.", 1000);
             case NO_TITLE -> Problem.answer(exchange, 404, "no-title", "none", "There is no such title.", 0);
-            default -> Problem.answer(exchange, 503, "not-ready", "none",
-                    "This front has no list of boxes yet.", 500);
+            default -> Problem.answer(exchange, 503, "not-ready", "none", "This front has no list of boxes yet.", 500);
         }
     }
 
     /** Answers with the session's MPD: its Representations go from the class's floor to the rung in force. */
     static void manifest(FrontSettings settings, Exchange exchange, Session session, String answer) {
         Mpd mpd = mpd(settings, session);
-        exchange.respond(200, Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer),
-                "application/dash+xml", MpdWriter.write(mpd));
+        exchange.respond(
+                200,
+                Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer),
+                "application/dash+xml",
+                MpdWriter.write(mpd));
     }
 
     private static double kb(FrontSettings settings, Session session, int rung) {
@@ -81,15 +90,24 @@
             rungs.add(new Mpd.Representation(Integer.toString(rung), Math.round(video * BITS), VIDEO_CODECS));
         }
         List<Mpd.AdaptationSet> sets = new ArrayList<>();
-        sets.add(new Mpd.AdaptationSet(Mpd.Content.VIDEO, null, timeline, "v/init.mp4",
-                "v/$RepresentationID$/$Number$.m4s", rungs));
+        sets.add(new Mpd.AdaptationSet(
+                Mpd.Content.VIDEO, null, timeline, "v/init.mp4", "v/$RepresentationID$/$Number$.m4s", rungs));
         if (audio > 0) {
-            sets.add(new Mpd.AdaptationSet(Mpd.Content.AUDIO, title.lang(), timeline, "a/init.mp4",
-                    "a/$Number$.m4s", List.of(new Mpd.Representation("audio", Math.round(audio * BITS),
-                    AUDIO_CODECS))));
+            sets.add(new Mpd.AdaptationSet(
+                    Mpd.Content.AUDIO,
+                    title.lang(),
+                    timeline,
+                    "a/init.mp4",
+                    "a/$Number$.m4s",
+                    List.of(new Mpd.Representation("audio", Math.round(audio * BITS), AUDIO_CODECS))));
         }
         String base = "/s/" + session.id() + "/";
-        return new Mpd(title.durationMs(), timeline.runs().get(0).lengthMs(), base + "manifest.mpd", base,
-                session.rung(), List.copyOf(sets));
+        return new Mpd(
+                title.durationMs(),
+                timeline.runs().get(0).lengthMs(),
+                base + "manifest.mpd",
+                base,
+                session.rung(),
+                List.copyOf(sets));
     }
 }
--- a/front/src/main/java/spanrill/front/dash/Problem.java
+++ b/front/src/main/java/spanrill/front/dash/Problem.java
@@ -10,7 +10,7 @@
 final class Problem {
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private Problem() { }
+    private Problem() {}
 
     /**
      * Answers with a problem.
@@ -18,15 +18,18 @@
      * @param answer what became of the request: refused, failed, or none when it was never taken
      * @param retryAfterMs after how long to come again; 0 for no word about it
      */
-    static void answer(Exchange exchange, int status, String type, String answer, String detail,
-            double retryAfterMs) {
-        write(exchange, status, type, Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer),
-                detail, retryAfterMs);
+    static void answer(Exchange exchange, int status, String type, String answer, String detail, double retryAfterMs) {
+        write(
+                exchange,
+                status,
+                type,
+                Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, answer),
+                detail,
+                retryAfterMs);
     }
 
     /** Answers a player that asks for more of a session that is over; {@code end} is null when not known. */
-    static void over(Exchange exchange, int status, String type, String detail, SessionEnd end,
-            double retryAfterMs) {
+    static void over(Exchange exchange, int status, String type, String detail, SessionEnd end, double retryAfterMs) {
         Headers headers = Headers.of("cache-control", "no-store", DashViewerSide.ANSWER, "none");
         if (end != null) {
             headers.add(DashViewerSide.OVER, end.word());
@@ -34,10 +37,13 @@
         write(exchange, status, type, headers, detail, retryAfterMs);
     }
 
-    private static void write(Exchange exchange, int status, String type, Headers headers, String detail,
-            double retryAfterMs) {
-        ObjectNode document = JSON.createObjectNode().put("type", "urn:spanrill:problem:" + type)
-                .put("title", type.replace('-', ' ')).put("status", status).put("detail", detail);
+    private static void write(
+            Exchange exchange, int status, String type, Headers headers, String detail, double retryAfterMs) {
+        ObjectNode document = JSON.createObjectNode()
+                .put("type", "urn:spanrill:problem:" + type)
+                .put("title", type.replace('-', ' '))
+                .put("status", status)
+                .put("detail", detail);
         if (retryAfterMs > 0) {
             document.put("retryAfterMs", Math.round(retryAfterMs));
             // RFC 9110 section 10.2.3 knows whole seconds only; the document has the milliseconds.
--- a/front/src/main/java/spanrill/front/dash/Relay.java
+++ b/front/src/main/java/spanrill/front/dash/Relay.java
@@ -60,7 +60,8 @@
         }
         exchange.onClosed(this::viewerGone);
         exchange.onWritable(() -> reading(true));
-        int rung = asked == NO_RUNG ? session.rung()
+        int rung = asked == NO_RUNG
+                ? session.rung()
                 : RungGate.serve(asked, session.rung(), session.type().floor());
         tag = "\"" + session.title().name() + "." + (asked == NO_RUNG ? "" : rung + ".") + name + "\"";
         if (tries == 0) {
@@ -102,8 +103,8 @@
     private void over() {
         SessionEnd end = session.end();
         if (end != null && end.told() == SessionEnd.Told.COME_AGAIN) {
-            Problem.over(exchange, 503, "move-refused", "No box can go on with this session.", end,
-                    session.retryAfterMs());
+            Problem.over(
+                    exchange, 503, "move-refused", "No box can go on with this session.", end, session.retryAfterMs());
         } else {
             Problem.over(exchange, 410, "session-over", "The session is over.", end, 0);
         }
@@ -111,8 +112,15 @@
 
     @Override
     public void head(ResponseHead head) {
-        Headers headers = Headers.of("content-type", "video/mp4", "cache-control", "no-store",
-                DashViewerSide.RUNG, Integer.toString(servedRung), "etag", tag);
+        Headers headers = Headers.of(
+                "content-type",
+                "video/mp4",
+                "cache-control",
+                "no-store",
+                DashViewerSide.RUNG,
+                Integer.toString(servedRung),
+                "etag",
+                tag);
         String range = head.headers().get("content-range");
         if (range != null) {
             headers.add("content-range", range);
@@ -155,10 +163,9 @@
         switch (choice.act()) {
             case CUT -> exchange.abort();
             case NO_SUCH_RANGE -> exchange.respond(416, new Headers(), new byte[0]);
-            case GIVE_UP -> Problem.answer(exchange, 502, "segment-lost", "none",
-                    "The segment could not be had.", 0);
-            default -> exchange.channel().eventLoop().schedule(this::run, (long) choice.afterMs(),
-                    TimeUnit.MILLISECONDS);
+            case GIVE_UP -> Problem.answer(exchange, 502, "segment-lost", "none", "The segment could not be had.", 0);
+            default ->
+                exchange.channel().eventLoop().schedule(this::run, (long) choice.afterMs(), TimeUnit.MILLISECONDS);
         }
     }
 
--- a/front/src/main/java/spanrill/front/list/ListClient.java
+++ b/front/src/main/java/spanrill/front/list/ListClient.java
@@ -44,8 +44,8 @@
     private boolean closed;
 
     /** A client that fills the book; the list is kept by {@code disk}, off the loop. */
-    public ListClient(FrontSettings settings, EventLoop loop, SessionCore core, BoxBook book, KeptList kept,
-            Executor disk) {
+    public ListClient(
+            FrontSettings settings, EventLoop loop, SessionCore core, BoxBook book, KeptList kept, Executor disk) {
         this.settings = settings;
         this.loop = loop;
         this.core = core;
@@ -62,8 +62,7 @@
             if (json != null) {
                 ListDocument document = ListDocument.parse(json);
                 BoxBook.Sheet sheet = document.sheet();
-                tell(new BoxBook.Sheet(ListKind.KEPT, sheet.epoch(), -1, sheet.version(), sheet.boxes()),
-                        document);
+                tell(new BoxBook.Sheet(ListKind.KEPT, sheet.epoch(), -1, sheet.version(), sheet.boxes()), document);
             }
         } catch (IOException | ListDocument.Fault e) {
             EventLog.warn("list.kept.unusable", "reason", e.getMessage());
@@ -80,22 +79,28 @@
             return;
         }
         FrontSettings.Address at = settings.registry();
-        HttpClientConnection.open(loop, new InetSocketAddress(at.host(), at.port()), CONNECT_MS,
+        HttpClientConnection.open(
+                loop,
+                new InetSocketAddress(at.host(), at.port()),
+                CONNECT_MS,
                 HttpLimits.CLIENT,
                 opened -> {
                     connection = opened;
                     ask();
-                }, cause -> failed("can't connect"));
+                },
+                cause -> failed("can't connect"));
     }
 
     private void ask() {
         body.reset();
-        late = loop.schedule(() -> {
-            connection.abandon();
-            failed("no answer in time");
-        }, POLL_MS, TimeUnit.MILLISECONDS);
-        String target = "/boxes?front=" + settings.me() + "&epoch=" + book.epoch() + "&version="
-                + book.version();
+        late = loop.schedule(
+                () -> {
+                    connection.abandon();
+                    failed("no answer in time");
+                },
+                POLL_MS,
+                TimeUnit.MILLISECONDS);
+        String target = "/boxes?front=" + settings.me() + "&epoch=" + book.epoch() + "&version=" + book.version();
         if (closed || !connection.send("GET", target, Headers.of("host", "registry"), new byte[0], this)) {
             late.cancel(false);
             failed("the connection ended");
--- a/front/src/main/java/spanrill/front/list/ListDocument.java
+++ b/front/src/main/java/spanrill/front/list/ListDocument.java
@@ -1,11 +1,11 @@
 package spanrill.front.list;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.core.JsonFactory;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,8 +27,12 @@
  * @param titles the catalogue, or null when it didn't come along
  */
 public record ListDocument(Sheet sheet, Map<String, Title> titles) {
-    private static final ObjectMapper JSON = JsonMapper.builder(JsonFactory.builder().streamReadConstraints(
-            StreamReadConstraints.builder().maxNestingDepth(16).maxStringLength(10_000).build()).build())
+    private static final ObjectMapper JSON = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(16)
+                            .maxStringLength(10_000)
+                            .build())
+                    .build())
             .build();
 
     private static final int MOST_PATTERN = 1000;
@@ -55,11 +59,12 @@
         if (root == null || !root.isObject()) {
             throw new Fault("is no JSON object");
         }
-        ListKind kind = switch (text(root, "kind")) {
-            case "whole" -> ListKind.WHOLE;
-            case "changes" -> ListKind.CHANGES;
-            default -> throw new Fault("kind must be whole or changes");
-        };
+        ListKind kind =
+                switch (text(root, "kind")) {
+                    case "whole" -> ListKind.WHOLE;
+                    case "changes" -> ListKind.CHANGES;
+                    default -> throw new Fault("kind must be whole or changes");
+                };
         List<Box> boxes = new ArrayList<>();
         for (JsonNode box : root.path("boxes")) {
             boxes.add(box(box));
@@ -71,8 +76,13 @@
                 titles.put(text(title, "name"), title(title));
             }
         }
-        return new ListDocument(new Sheet(kind, (long) number(root, "epoch", 0, 9e15),
-                (long) number(root, "base", -1, 9e15), (long) number(root, "version", 0, 9e15), boxes),
+        return new ListDocument(
+                new Sheet(
+                        kind,
+                        (long) number(root, "epoch", 0, 9e15),
+                        (long) number(root, "base", -1, 9e15),
+                        (long) number(root, "version", 0, 9e15),
+                        boxes),
                 titles);
     }
 
@@ -89,29 +99,43 @@
             segments.add((long) number(node, "segmentMs", 100, 60_000));
         }
         long duration = (long) number(node, "durationMs", 1, LONGEST_MS);
-        return new Title(text(node, "name"), (int) number(node, "home", 0, 1_000_000),
-                (int) number(node, "copies", 1, 1_000_000), duration, List.copyOf(segments),
+        return new Title(
+                text(node, "name"),
+                (int) number(node, "home", 0, 1_000_000),
+                (int) number(node, "copies", 1, 1_000_000),
+                duration,
+                List.copyOf(segments),
                 node.has("audioKb") ? number(node, "audioKb", 0, 1e6) : 0,
                 node.has("lang") ? text(node, "lang") : null);
     }
 
     private static Box box(JsonNode node) throws Fault {
-        ServerState state = switch (text(node, "state")) {
-            case "ready" -> ServerState.READY;
-            case "draining" -> ServerState.DRAINING;
-            case "gone" -> ServerState.GONE;
-            default -> throw new Fault("state must be ready, draining or gone");
-        };
+        ServerState state =
+                switch (text(node, "state")) {
+                    case "ready" -> ServerState.READY;
+                    case "draining" -> ServerState.DRAINING;
+                    case "gone" -> ServerState.GONE;
+                    default -> throw new Fault("state must be ready, draining or gone");
+                };
         double started = number(node, "startedAt", 0, 9e15);
-        return new Box(new Server(text(node, "id"), text(node, "zone"), text(node, "kind"),
-                (int) number(node, "cell", 0, 1_000_000), state, number(node, "weight", 0, 1e9),
-                started == 0 ? Double.NaN : started), text(node, "host"), (int) number(node, "port", 1,
-                65_535));
+        return new Box(
+                new Server(
+                        text(node, "id"),
+                        text(node, "zone"),
+                        text(node, "kind"),
+                        (int) number(node, "cell", 0, 1_000_000),
+                        state,
+                        number(node, "weight", 0, 1e9),
+                        started == 0 ? Double.NaN : started),
+                text(node, "host"),
+                (int) number(node, "port", 1, 65_535));
     }
 
     private static String text(JsonNode node, String name) throws Fault {
         JsonNode value = node.get(name);
-        if (value == null || !value.isTextual() || value.textValue().isEmpty()
+        if (value == null
+                || !value.isTextual()
+                || value.textValue().isEmpty()
                 || value.textValue().length() > 200) {
             throw new Fault(name + " must be a text of 1 to 200 characters");
         }
@@ -120,8 +144,7 @@
 
     private static double number(JsonNode node, String name, double least, double most) throws Fault {
         JsonNode value = node.isValueNode() ? node : node.get(name);
-        if (value == null || !value.isNumber() || !(value.doubleValue() >= least)
-                || value.doubleValue() > most) {
+        if (value == null || !value.isNumber() || !(value.doubleValue() >= least) || value.doubleValue() > most) {
             throw new Fault(name + " must be a number from " + least + " to " + most);
         }
         return value.doubleValue();
--- a/front/src/main/java/spanrill/front/store/TokenStore.java
+++ b/front/src/main/java/spanrill/front/store/TokenStore.java
@@ -29,9 +29,9 @@
     private static final double SLOW_MS = 100;
 
     /** A token as it was found at the start. */
-    public record Kept(Fate fate, double expiresAt) { }
+    public record Kept(Fate fate, double expiresAt) {}
 
-    private record Change(String token, Fate fate, double expiresAt, Consumer<Boolean> then) { }
+    private record Change(String token, Fate fate, double expiresAt, Consumer<Boolean> then) {}
 
     private final MVStore store;
     private final MVMap<String, String> tokens;
@@ -57,8 +57,12 @@
         Files.createDirectories(folder);
         Path file = folder.resolve("tokens.mv");
         try {
-            TokenStore opened = new TokenStore(new MVStore.Builder().fileName(file.toString())
-                    .autoCommitDisabled().open(), loop);
+            TokenStore opened = new TokenStore(
+                    new MVStore.Builder()
+                            .fileName(file.toString())
+                            .autoCommitDisabled()
+                            .open(),
+                    loop);
             opened.writer.start();
             return opened;
         } catch (MVStoreException e) {
@@ -71,8 +75,9 @@
         Map<String, Kept> kept = new HashMap<>();
         tokens.forEach((token, text) -> {
             int space = text.indexOf(' ');
-            kept.put(token, new Kept(Fate.valueOf(text.substring(0, space)),
-                    Double.parseDouble(text.substring(space + 1))));
+            kept.put(
+                    token,
+                    new Kept(Fate.valueOf(text.substring(0, space)), Double.parseDouble(text.substring(space + 1))));
         });
         return kept;
     }
@@ -139,8 +144,7 @@
         } else if (change.fate() == Fate.TAKEN) {
             tokens.put(change.token(), Fate.TAKEN + " " + change.expiresAt());
         } else {
-            tokens.computeIfPresent(change.token(),
-                    (token, text) -> change.fate() + text.substring(text.indexOf(' ')));
+            tokens.computeIfPresent(change.token(), (token, text) -> change.fate() + text.substring(text.indexOf(' ')));
         }
     }
 
--- a/front/src/main/java/spanrill/front/token/SessionToken.java
+++ b/front/src/main/java/spanrill/front/token/SessionToken.java
@@ -11,5 +11,5 @@
  * @param top highest rung ({@code top})
  * @param expiresS expiry, seconds since 1970 ({@code exp})
  */
-public record SessionToken(String id, String title, String className, String tenant, String viewer, int top,
-        long expiresS) { }
+public record SessionToken(
+        String id, String title, String className, String tenant, String viewer, int top, long expiresS) {}
--- a/front/src/main/java/spanrill/front/token/TokenGate.java
+++ b/front/src/main/java/spanrill/front/token/TokenGate.java
@@ -38,7 +38,7 @@
      * @param deadline when its viewer has no use for it any more, ms of the front's clock
      * @param worth what it is worth next to others
      */
-    public record Wish(String text, String title, long nowS, double deadline, double worth) { }
+    public record Wish(String text, String title, long nowS, double deadline, double worth) {}
 
     private final class Waiting {
         private final Wish wish;
@@ -66,8 +66,10 @@
     private final Time time;
     private final WaitingRoom<Waiting> room;
     private final List<Thread> workers = new ArrayList<>();
-    private final Cache<String, TokenKeys.Signed> right = Caffeine.newBuilder().maximumSize(REMEMBERED)
-            .expireAfterWrite(REMEMBERED_FOR).build();
+    private final Cache<String, TokenKeys.Signed> right = Caffeine.newBuilder()
+            .maximumSize(REMEMBERED)
+            .expireAfterWrite(REMEMBERED_FOR)
+            .build();
 
     /** Verifies with so many threads; at most so many tokens wait. */
     public TokenGate(TokenKeys keys, int threads, int waiting, Time time) {
@@ -92,7 +94,7 @@
         TokenKeys.Signed known = wish.text() == null ? null : right.getIfPresent(wish.text());
         if (known != null && keys.inForce(known)) {
             done.accept(judge(known, wish));
-            return () -> { };
+            return () -> {};
         }
         Waiting waiting = new Waiting(wish, loop, done);
         List<Waiting> shed;
--- a/front/src/main/java/spanrill/front/token/TokenKeys.java
+++ b/front/src/main/java/spanrill/front/token/TokenKeys.java
@@ -29,15 +29,16 @@
 public final class TokenKeys {
     /** A token longer than this is not looked at. */
     public static final int MOST_CHARS = 4096;
+
     private static final int MOST_KEYS = 64;
     private static final long MOST_FILE = 256 * 1024;
     private static final long SKEW_S = 5;
     private static final int MOST_TEXT = 256;
 
-    private record Key(JWSAlgorithm algorithm, JWSVerifier verifier) { }
+    private record Key(JWSAlgorithm algorithm, JWSVerifier verifier) {}
 
     /** Claims whose signature was found right, by a key of the file. */
-    record Signed(JWTClaimsSet claims, Object key) { }
+    record Signed(JWTClaimsSet claims, Object key) {}
 
     private final Path file;
     private final Set<String> classes;
@@ -120,7 +121,8 @@
      */
     public static String claimedClass(String text) {
         try {
-            String claimed = text == null || text.length() > MOST_CHARS ? null
+            String claimed = text == null || text.length() > MOST_CHARS
+                    ? null
                     : SignedJWT.parse(text).getJWTClaimsSet().getStringClaim("class");
             return claimed == null ? "" : claimed;
         } catch (ParseException | IllegalArgumentException e) {
@@ -168,8 +170,7 @@
         }
     }
 
-    private SessionToken checked(JWTClaimsSet claims, String title, long nowS) throws TokenFault,
-            ParseException {
+    private SessionToken checked(JWTClaimsSet claims, String title, long nowS) throws TokenFault, ParseException {
         Date expires = claims.getExpirationTime();
         if (expires == null) {
             throw new TokenFault(401, "the token has no expiry");
@@ -199,8 +200,7 @@
         if (top != null && top < 0) {
             throw new TokenFault(403, "the token's top rung is below 0");
         }
-        return new SessionToken(id, title, className, tenant, viewer, top == null ? Integer.MAX_VALUE : top,
-                expiresS);
+        return new SessionToken(id, title, className, tenant, viewer, top == null ? Integer.MAX_VALUE : top, expiresS);
     }
 
     private static String text(String value, String claim) throws TokenFault {
