--- a/soak/src/main/java/spanrill/soak/ReleaseJudge.java
+++ b/soak/src/main/java/spanrill/soak/ReleaseJudge.java
@@ -38,11 +38,17 @@
                 continue;
             }
             if (event.kind() == EventKind.SERVER_ENDED && !toldToClient(request, event)) {
-                found.add(new Violation(Rule.RELEASE, event.ms(), event.session(),
+                found.add(new Violation(
+                        Rule.RELEASE,
+                        event.ms(),
+                        event.session(),
                         "its client was not told within 1 s that its session is over"));
             }
             if (event.kind() == EventKind.CLIENT_CANCELLED && event.code() == 1 && !endedAtServer(event)) {
-                found.add(new Violation(Rule.RELEASE, event.ms(), event.session(),
+                found.add(new Violation(
+                        Rule.RELEASE,
+                        event.ms(),
+                        event.session(),
                         "its server was not told within 1 s that its session is over"));
             }
         }
@@ -51,28 +57,36 @@
 
     /** Nothing else explains a release that stays out: no signal, no fault of a server, time enough. */
     private boolean calm(SoakEvent at) {
-        boolean lives1s = lives.stream().anyMatch(life -> life.node() == at.node() && at.ms() >= life.readyAt()
-                && at.ms() + RELEASE_MS < Math.min(life.exitAt(), Math.min(life.termAt(), life.killAt())));
-        boolean faults = events.stream().anyMatch(e -> e.kind() == EventKind.FAULT
-                && e.peer().startsWith("SERVER_") && e.ms() > at.ms() - FAULT_MS && e.ms() < at.ms() + RELEASE_MS);
+        boolean lives1s = lives.stream()
+                .anyMatch(life -> life.node() == at.node()
+                        && at.ms() >= life.readyAt()
+                        && at.ms() + RELEASE_MS < Math.min(life.exitAt(), Math.min(life.termAt(), life.killAt())));
+        boolean faults = events.stream()
+                .anyMatch(e -> e.kind() == EventKind.FAULT
+                        && e.peer().startsWith("SERVER_")
+                        && e.ms() > at.ms() - FAULT_MS
+                        && e.ms() < at.ms() + RELEASE_MS);
         return lives1s && !faults && at.ms() + RELEASE_MS < endMs;
     }
 
     private boolean toldToClient(RequestTrace request, SoakEvent ended) {
         int connection = request.sent().get(request.sent().size() - 1).connection();
         boolean own = connectionEnds.getOrDefault(connection, Double.POSITIVE_INFINITY) > ended.ms() + RELEASE_MS;
-        boolean heard = request.heard().stream().anyMatch(h -> h.kind() == EventKind.CLIENT_RELEASED
-                && h.ms() <= ended.ms() + RELEASE_MS);
-        boolean leftBefore = events.stream().anyMatch(e -> e.session() == ended.session()
-                && (e.kind() == EventKind.CLIENT_CANCELLED || e.kind() == EventKind.CLIENT_MOVED)
-                && e.ms() <= ended.ms() + RELEASE_MS);
+        boolean heard = request.heard().stream()
+                .anyMatch(h -> h.kind() == EventKind.CLIENT_RELEASED && h.ms() <= ended.ms() + RELEASE_MS);
+        boolean leftBefore = events.stream()
+                .anyMatch(e -> e.session() == ended.session()
+                        && (e.kind() == EventKind.CLIENT_CANCELLED || e.kind() == EventKind.CLIENT_MOVED)
+                        && e.ms() <= ended.ms() + RELEASE_MS);
         return heard || leftBefore || !own || request.handedOver();
     }
 
     private boolean endedAtServer(SoakEvent cancelled) {
-        return events.stream().anyMatch(e -> e.session() == cancelled.session()
-                && (e.kind() == EventKind.SERVER_TOLD_TO_END || e.kind() == EventKind.SERVER_ENDED
-                        || e.kind() == EventKind.SERVER_LOST)
-                && e.ms() <= cancelled.ms() + RELEASE_MS);
+        return events.stream()
+                .anyMatch(e -> e.session() == cancelled.session()
+                        && (e.kind() == EventKind.SERVER_TOLD_TO_END
+                                || e.kind() == EventKind.SERVER_ENDED
+                                || e.kind() == EventKind.SERVER_LOST)
+                        && e.ms() <= cancelled.ms() + RELEASE_MS);
     }
 }
--- a/soak/src/main/java/spanrill/soak/RequestTrace.java
+++ b/soak/src/main/java/spanrill/soak/RequestTrace.java
@@ -75,7 +75,7 @@
                 end(event);
             }
             case SERVER_GIVEN_UP, SERVER_LOST -> end(event);
-            default -> { }
+            default -> {}
         }
     }
 
--- a/soak/src/main/java/spanrill/soak/ServerFleet.java
+++ b/soak/src/main/java/spanrill/soak/ServerFleet.java
@@ -15,6 +15,7 @@
 final class ServerFleet {
     /** A server that dies is gone from the list only so much later, ms: the list tells late. */
     private static final double LISTED_LATE_MS = 400;
+
     private static final int CELLS = 2;
 
     private final Trial trial;
@@ -40,8 +41,8 @@
         }
     }
 
-    ServerFleet(Trial trial, EventLoop loop, EventLog log, SplittableRandom random, Discovery discovery,
-            Timers timers) {
+    ServerFleet(
+            Trial trial, EventLoop loop, EventLog log, SplittableRandom random, Discovery discovery, Timers timers) {
         this.trial = trial;
         this.loop = loop;
         this.log = log;
@@ -64,12 +65,12 @@
             }
         }
         slots.forEach(slot -> slot.listed = true);
-        discovery.first(slots.stream().map(slot -> entry(slot, ServerState.SERVING, 0)).toList());
+        discovery.first(
+                slots.stream().map(slot -> entry(slot, ServerState.SERVING, 0)).toList());
     }
 
     private ServerStandIn newServer(Slot slot) {
-        ServerStandIn server = new ServerStandIn("s-" + trial.seed() + "-" + ++ids, trial, log,
-                random.split(), timers);
+        ServerStandIn server = new ServerStandIn("s-" + trial.seed() + "-" + ++ids, trial, log, random.split(), timers);
         slot.server = server;
         return server;
     }
--- a/soak/src/main/java/spanrill/soak/ServerStandIn.java
+++ b/soak/src/main/java/spanrill/soak/ServerStandIn.java
@@ -98,8 +98,12 @@
             return;
         }
         standing.remove(session);
-        Connection on = connections.contains(own) ? own
-                : connections.stream().filter(c -> c.node == own.node).findFirst().orElse(null);
+        Connection on = connections.contains(own)
+                ? own
+                : connections.stream()
+                        .filter(c -> c.node == own.node)
+                        .findFirst()
+                        .orElse(null);
         untold.computeIfAbsent(own.node, n -> new LinkedHashSet<>()).add(session);
         if (on == null) {
             return;
@@ -171,9 +175,11 @@
             switch (message.type()) {
                 case SET_UP -> setUp(message);
                 case RELEASE -> released(message.session());
-                case TEST -> send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1)
-                        .with(Parameter.REPORT, "inflight:" + attempts.size()));
-                default -> { }
+                case TEST ->
+                    send(new Message(MessageType.TEST_RESULT, message.session())
+                            .withCause(1)
+                            .with(Parameter.REPORT, "inflight:" + attempts.size()));
+                default -> {}
             }
             return channel.isOpen();
         }
@@ -217,8 +223,8 @@
         }
 
         private void answerWell(long session, double draw) {
-            Message answer = new Message(MessageType.ANSWER, session).with(Parameter.DESCRIPTION,
-                    (id + "/" + session).getBytes(StandardCharsets.UTF_8));
+            Message answer = new Message(MessageType.ANSWER, session)
+                    .with(Parameter.DESCRIPTION, (id + "/" + session).getBytes(StandardCharsets.UTF_8));
             boolean ahead = draw >= habits.twice() && draw < habits.twice() + habits.aheadUnknown();
             if (ahead) {
                 send(new Message(MessageType.ANSWER, ~session).with(Parameter.DESCRIPTION, "ahead"));
@@ -226,7 +232,7 @@
             attempts.remove(session);
             standing.put(session, this);
             log.add(EventKind.SERVER_ANSWERED, node, id, session, 0, 0);
-            writer.write(answer, random.nextDouble() < habits.inPieces(), f -> { });
+            writer.write(answer, random.nextDouble() < habits.inPieces(), f -> {});
             if (draw < habits.twice()) {
                 timers.after(TWICE_AFTER_MS, () -> send(answer));
             }
--- a/soak/src/main/java/spanrill/soak/ServerState.java
+++ b/soak/src/main/java/spanrill/soak/ServerState.java
@@ -2,7 +2,9 @@
 
 /** State of a server as discovery tells it, with its word on the wire. */
 enum ServerState {
-    SERVING("SERVING"), DRAINING("DRAINING"), GONE("DELETED");
+    SERVING("SERVING"),
+    DRAINING("DRAINING"),
+    GONE("DELETED");
 
     private final String word;
 
--- a/soak/src/main/java/spanrill/soak/Soak.java
+++ b/soak/src/main/java/spanrill/soak/Soak.java
@@ -58,8 +58,11 @@
     }
 
     private TrialResult playOne(Trial trial) throws IOException, InterruptedException {
-        TrialResult result = TrialRun.play(trial, command, folder.resolve("seed-" + trial.seed() + "-"
-                + trial.kind().name().toLowerCase(Locale.ROOT)));
+        TrialResult result = TrialRun.play(
+                trial,
+                command,
+                folder.resolve(
+                        "seed-" + trial.seed() + "-" + trial.kind().name().toLowerCase(Locale.ROOT)));
         out.accept(report(result));
         return result;
     }
@@ -67,12 +70,21 @@
     /** A line on a trial; below it what was broken, with the timeline of the first request concerned. */
     public static String report(TrialResult result) {
         Trial trial = result.trial();
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
                 "seed %d %s: nodes %d, longest deadline %.0f ms, requests %d, faults %d, lag %.0f ms: %s",
-                trial.seed(), trial.kind(), trial.nodes(), trial.longestDeadlineMs(),
-                result.count(EventKind.CLIENT_SENT), trial.faults().size(), result.mostLagMs(),
-                result.voidReason().isEmpty() ? result.violations().isEmpty() ? "passed"
-                        : result.violations().size() + " broken" : "VOID, " + result.voidReason()));
+                trial.seed(),
+                trial.kind(),
+                trial.nodes(),
+                trial.longestDeadlineMs(),
+                result.count(EventKind.CLIENT_SENT),
+                trial.faults().size(),
+                result.mostLagMs(),
+                result.voidReason().isEmpty()
+                        ? result.violations().isEmpty()
+                                ? "passed"
+                                : result.violations().size() + " broken"
+                        : "VOID, " + result.voidReason()));
         int shown = 0;
         for (Violation violation : result.violations()) {
             if (++shown > 8) {
@@ -110,10 +122,20 @@
 
     /** A table by kind of trial. */
     public static String table(List<TrialResult> results) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "%-10s %6s %9s %7s %7s %6s %5s  %s%n",
-                "kind", "trials", "requests", "faults", "passed", "failed", "void", "broken rules"));
+        StringBuilder text = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%-10s %6s %9s %7s %7s %6s %5s  %s%n",
+                "kind",
+                "trials",
+                "requests",
+                "faults",
+                "passed",
+                "failed",
+                "void",
+                "broken rules"));
         for (TrialKind kind : TrialKind.values()) {
-            List<TrialResult> of = results.stream().filter(r -> r.trial().kind() == kind).toList();
+            List<TrialResult> of =
+                    results.stream().filter(r -> r.trial().kind() == kind).toList();
             if (!of.isEmpty()) {
                 text.append(row(kind.name().toLowerCase(Locale.ROOT), of));
             }
@@ -126,14 +148,24 @@
         long passed = of.stream().filter(TrialResult::passed).count();
         StringBuilder rules = new StringBuilder();
         for (Rule rule : Rule.values()) {
-            long broken = of.stream().flatMap(r -> r.violations().stream()).filter(v -> v.rule() == rule).count();
+            long broken = of.stream()
+                    .flatMap(r -> r.violations().stream())
+                    .filter(v -> v.rule() == rule)
+                    .count();
             if (broken > 0) {
                 rules.append(rule).append(' ').append(broken).append(' ');
             }
         }
-        return String.format(Locale.ROOT, "%-10s %6d %9d %7d %7d %6d %5d  %s%n", name, of.size(),
+        return String.format(
+                Locale.ROOT,
+                "%-10s %6d %9d %7d %7d %6d %5d  %s%n",
+                name,
+                of.size(),
                 of.stream().mapToLong(r -> r.count(EventKind.CLIENT_SENT)).sum(),
-                of.stream().mapToInt(r -> r.trial().faults().size()).sum(), passed, of.size() - voids - passed,
-                voids, rules.toString().trim());
+                of.stream().mapToInt(r -> r.trial().faults().size()).sum(),
+                passed,
+                of.size() - voids - passed,
+                voids,
+                rules.toString().trim());
     }
 }
--- a/soak/src/main/java/spanrill/soak/SoakEvent.java
+++ b/soak/src/main/java/spanrill/soak/SoakEvent.java
@@ -12,11 +12,18 @@
  * @param connection number of the client connection, 0 where none is concerned
  * @param code a cause or another figure, as the kind says
  */
-public record SoakEvent(double ms, EventKind kind, int node, String peer, long session, int connection,
-        int code) {
+public record SoakEvent(double ms, EventKind kind, int node, String peer, long session, int connection, int code) {
     /** As a line of a log. */
     public String line() {
-        return String.format(Locale.ROOT, "%9.1f %s node=%d peer=%s id=%016x conn=%d code=%d", ms, kind, node,
-                peer, session, connection, code);
+        return String.format(
+                Locale.ROOT,
+                "%9.1f %s node=%d peer=%s id=%016x conn=%d code=%d",
+                ms,
+                kind,
+                node,
+                peer,
+                session,
+                connection,
+                code);
     }
 }
--- a/soak/src/main/java/spanrill/soak/Sockets.java
+++ b/soak/src/main/java/spanrill/soak/Sockets.java
@@ -22,34 +22,42 @@
     private static final int BACKLOG = 256;
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
-    private Sockets() { }
+    private Sockets() {}
 
     /** Listens; port 0: one from the system. Must not be called from the loop. */
     static Channel listen(EventLoop loop, int port, Supplier<ChannelHandler> handler) throws IOException {
         ChannelFuture bound = bind(loop, port, handler).awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new IOException("can't listen on port " + port + ": " + bound.cause().getMessage());
+            throw new IOException(
+                    "can't listen on port " + port + ": " + bound.cause().getMessage());
         }
         return bound.channel();
     }
 
     /** Listens, without waiting for it. */
     static ChannelFuture bind(EventLoop loop, int port, Supplier<ChannelHandler> handler) {
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(handler.get());
                     }
-                }).bind(new InetSocketAddress(LOOPBACK, port));
+                })
+                .bind(new InetSocketAddress(LOOPBACK, port));
     }
 
     static ChannelFuture connect(EventLoop loop, int port, ChannelHandler handler) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS).handler(handler)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(handler)
                 .connect(new InetSocketAddress(LOOPBACK, port));
     }
 
--- a/soak/src/main/java/spanrill/soak/Timers.java
+++ b/soak/src/main/java/spanrill/soak/Timers.java
@@ -13,11 +13,14 @@
     }
 
     void after(double ms, Runnable action) {
-        loop.schedule(() -> {
-            if (!over) {
-                action.run();
-            }
-        }, (long) (Math.max(0, ms) * 1000), TimeUnit.MICROSECONDS);
+        loop.schedule(
+                () -> {
+                    if (!over) {
+                        action.run();
+                    }
+                },
+                (long) (Math.max(0, ms) * 1000),
+                TimeUnit.MICROSECONDS);
     }
 
     /** Again and again, the first time after one period. */
--- a/soak/src/main/java/spanrill/soak/Trial.java
+++ b/soak/src/main/java/spanrill/soak/Trial.java
@@ -15,14 +15,25 @@
  * @param idleMs servers close idle connections after so long
  * @param faults in order of time
  */
-public record Trial(long seed, TrialKind kind, int nodes, int servers, List<ClassPlan> classes,
-        double requestsPerSecond, double lengthMs, int connectionsPerNode, double idleMs,
-        ClientHabits clients, ServerHabits answers, List<Fault> faults) {
+public record Trial(
+        long seed,
+        TrialKind kind,
+        int nodes,
+        int servers,
+        List<ClassPlan> classes,
+        double requestsPerSecond,
+        double lengthMs,
+        int connectionsPerNode,
+        double idleMs,
+        ClientHabits clients,
+        ServerHabits answers,
+        List<Fault> faults) {
     /** Attempts that the settings allow for each request. */
     public static final int MAX_ATTEMPTS = 3;
 
     /** The protocol counts longer deadlines as this, ms. */
     private static final double MOST_DEADLINE_MS = 3000;
+
     private static final double KILL_AFTER_DEADLINE_MS = 700;
 
     /**
@@ -31,7 +42,7 @@
      * @param deadlineMs its hard limit
      * @param once true when a set-up may not run twice
      */
-    public record ClassPlan(String name, double deadlineMs, boolean once) { }
+    public record ClassPlan(String name, double deadlineMs, boolean once) {}
 
     /**
      * How often clients do what, as shares of requests.
@@ -44,12 +55,25 @@
      * @param inPieces set-ups written in pieces
      * @param newConnection requests on a connection of their own
      */
-    public record ClientHabits(double acknowledges, double givesUp, double closes, double repeatsId,
-            double retriesAtOnce, double inPieces, double newConnection) { }
+    public record ClientHabits(
+            double acknowledges,
+            double givesUp,
+            double closes,
+            double repeatsId,
+            double retriesAtOnce,
+            double inPieces,
+            double newConnection) {}
 
     /** How often servers do what to a set-up, as shares; the rest is answered well. */
-    public record ServerHabits(double full, double error, double reset, double never, double spoilt,
-            double twice, double aheadUnknown, double inPieces) { }
+    public record ServerHabits(
+            double full,
+            double error,
+            double reset,
+            double never,
+            double spoilt,
+            double twice,
+            double aheadUnknown,
+            double inPieces) {}
 
     /**
      * A fault.
@@ -57,7 +81,7 @@
      * @param target index of the node or server; for bad clients their kind
      * @param lengthMs how long it lasts
      */
-    public record Fault(double atMs, FaultKind kind, int target, double lengthMs) { }
+    public record Fault(double atMs, FaultKind kind, int target, double lengthMs) {}
 
     /** The longest deadline of a class, ms. */
     public double longestDeadlineMs() {
@@ -71,7 +95,18 @@
 
     /** The same trial with other faults. */
     public Trial withFaults(List<Fault> others) {
-        return new Trial(seed, kind, nodes, servers, classes, requestsPerSecond, lengthMs, connectionsPerNode,
-                idleMs, clients, answers, others);
+        return new Trial(
+                seed,
+                kind,
+                nodes,
+                servers,
+                classes,
+                requestsPerSecond,
+                lengthMs,
+                connectionsPerNode,
+                idleMs,
+                clients,
+                answers,
+                others);
     }
 }
--- a/soak/src/main/java/spanrill/soak/TrialDraw.java
+++ b/soak/src/main/java/spanrill/soak/TrialDraw.java
@@ -62,8 +62,19 @@
             drawServers();
         }
         faults.sort(Comparator.comparingDouble(Fault::atMs));
-        return new Trial(seed, kind, nodes, servers, classes, between(LEAST_RATE, MOST_RATE), lengthMs, whole(1, 3),
-                between(3000.0, 15_000.0), habits(clients), answers(network), List.copyOf(faults));
+        return new Trial(
+                seed,
+                kind,
+                nodes,
+                servers,
+                classes,
+                between(LEAST_RATE, MOST_RATE),
+                lengthMs,
+                whole(1, 3),
+                between(3000.0, 15_000.0),
+                habits(clients),
+                answers(network),
+                List.copyOf(faults));
     }
 
     private List<ClassPlan> classes() {
@@ -79,7 +90,8 @@
 
     /** One node after the other; the last shutdown, of all at once, follows the load. */
     private void drawSignals(List<ClassPlan> classes) {
-        double deadline = classes.stream().mapToDouble(ClassPlan::deadlineMs).max().orElseThrow();
+        double deadline =
+                classes.stream().mapToDouble(ClassPlan::deadlineMs).max().orElseThrow();
         double apart = Math.min(3000, deadline) + 700 + between(600, 1500);
         int node = random.nextInt(nodes);
         for (double at = between(FIRST_FAULT_MS, 2000); at < lengthMs - 1500; at += apart) {
@@ -92,33 +104,38 @@
     private void drawDiscovery() {
         double end = lengthMs - 1000;
         for (double at = between(FIRST_FAULT_MS, 1500); at < end; at += between(700, 2500)) {
-            FaultKind how = switch (random.nextInt(6)) {
-                case 0 -> FaultKind.DISCOVERY_CUT;
-                case 1 -> FaultKind.DISCOVERY_FROZEN;
-                case 2 -> FaultKind.DISCOVERY_DOWN;
-                case 3 -> FaultKind.DISCOVERY_MUTE;
-                default -> FaultKind.NODE_RECONFIGURED;
-            };
+            FaultKind how =
+                    switch (random.nextInt(6)) {
+                        case 0 -> FaultKind.DISCOVERY_CUT;
+                        case 1 -> FaultKind.DISCOVERY_FROZEN;
+                        case 2 -> FaultKind.DISCOVERY_DOWN;
+                        case 3 -> FaultKind.DISCOVERY_MUTE;
+                        default -> FaultKind.NODE_RECONFIGURED;
+                    };
             double lasts = between(300, 3000);
             faults.add(new Fault(at, how, random.nextInt(nodes), lasts));
             if (random.nextInt(2) == 0) {
                 // A drain close to its return.
-                faults.add(new Fault(at + lasts + between(-300, 300), FaultKind.SERVER_DRAINED,
-                        random.nextInt(servers), between(600, 1500)));
+                faults.add(new Fault(
+                        at + lasts + between(-300, 300),
+                        FaultKind.SERVER_DRAINED,
+                        random.nextInt(servers),
+                        between(600, 1500)));
             }
         }
     }
 
     private void drawServers() {
         for (double at = between(500, 1200); at < lengthMs - 500; at += between(500, 1800)) {
-            FaultKind how = switch (random.nextInt(6)) {
-                case 0 -> FaultKind.SERVER_HANGS;
-                case 1 -> FaultKind.SERVER_SILENT;
-                case 2 -> FaultKind.SERVER_REPLACED;
-                case 3 -> FaultKind.SERVER_DRAINED;
-                case 4 -> FaultKind.SERVER_RESETS;
-                default -> FaultKind.SERVER_HANGS;
-            };
+            FaultKind how =
+                    switch (random.nextInt(6)) {
+                        case 0 -> FaultKind.SERVER_HANGS;
+                        case 1 -> FaultKind.SERVER_SILENT;
+                        case 2 -> FaultKind.SERVER_REPLACED;
+                        case 3 -> FaultKind.SERVER_DRAINED;
+                        case 4 -> FaultKind.SERVER_RESETS;
+                        default -> FaultKind.SERVER_HANGS;
+                    };
             faults.add(new Fault(at, how, random.nextInt(servers), between(400, 2500)));
         }
     }
@@ -128,23 +145,34 @@
             faults.add(new Fault(at, FaultKind.BAD_CLIENT, random.nextInt(BadClient.Habit.values().length), 0));
         }
         if (random.nextInt(3) == 0) {
-            faults.add(new Fault(between(500, 3000), FaultKind.CLIENT_CROWD, random.nextInt(nodes),
-                    between(1000, 4000)));
+            faults.add(
+                    new Fault(between(500, 3000), FaultKind.CLIENT_CROWD, random.nextInt(nodes), between(1000, 4000)));
         }
     }
 
     private ClientHabits habits(boolean bad) {
         double more = bad ? 1 : 0.3;
-        return new ClientHabits(between(0.5, 1.0), more * between(0, 0.15), more * between(0, 0.02),
-                more * (random.nextInt(2) == 0 ? 0 : 0.03), between(0.4, 1.0), more * between(0, 0.4),
+        return new ClientHabits(
+                between(0.5, 1.0),
+                more * between(0, 0.15),
+                more * between(0, 0.02),
+                more * (random.nextInt(2) == 0 ? 0 : 0.03),
+                between(0.4, 1.0),
+                more * between(0, 0.4),
                 between(0.02, 0.2));
     }
 
     private ServerHabits answers(boolean bad) {
         double more = bad ? 1 : 0.2;
-        return new ServerHabits(more * between(0, 0.08), more * between(0, 0.05), more * between(0, 0.03),
-                more * between(0, 0.04), more * between(0, 0.03), more * between(0, 0.03),
-                more * between(0, 0.03), more * between(0, 0.4));
+        return new ServerHabits(
+                more * between(0, 0.08),
+                more * between(0, 0.05),
+                more * between(0, 0.03),
+                more * between(0, 0.04),
+                more * between(0, 0.03),
+                more * between(0, 0.03),
+                more * between(0, 0.03),
+                more * between(0, 0.4));
     }
 
     private int whole(int least, int most) {
--- a/soak/src/main/java/spanrill/soak/TrialResult.java
+++ b/soak/src/main/java/spanrill/soak/TrialResult.java
@@ -10,8 +10,13 @@
  * @param mostLagMs how late the peers were at most by their own scheduling, ms
  * @param folder where its logs are
  */
-public record TrialResult(Trial trial, List<Violation> violations, List<SoakEvent> events, String voidReason,
-        double mostLagMs, Path folder) {
+public record TrialResult(
+        Trial trial,
+        List<Violation> violations,
+        List<SoakEvent> events,
+        String voidReason,
+        double mostLagMs,
+        Path folder) {
     /** True when it says something, and no rule was broken. */
     public boolean passed() {
         return voidReason.isEmpty() && violations.isEmpty();
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -26,14 +26,14 @@
     private static final double TICK_MS = 10;
     /** Peers that are later than this by their own scheduling can't be trusted with limits of 50 ms. */
     private static final double MOST_LAG_MS = 100;
+
     private static final double AFTER_KILL_MS = 150;
     private static final double LEAST_UPTIME_MS = 1000;
 
     private final Trial trial;
     private final Path folder;
     private final EventLog log = new EventLog();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Timers timers = new Timers(loop);
     private final List<NodeProcess> nodes = new ArrayList<>();
@@ -59,8 +59,8 @@
     }
 
     /** Plays a trial; files of its processes and the log of its events are left in the folder. */
-    public static TrialResult play(Trial trial, RunCommand command, Path folder) throws IOException,
-            InterruptedException {
+    public static TrialResult play(Trial trial, RunCommand command, Path folder)
+            throws IOException, InterruptedException {
         Files.createDirectories(folder);
         return new TrialRun(trial, command, folder).play();
     }
@@ -82,8 +82,7 @@
             for (NodeProcess node : nodes) {
                 node.awaitEnd();
             }
-            return result(mostLagMs > MOST_LAG_MS ? "its own peers were " + Math.round(mostLagMs) + " ms late"
-                    : "");
+            return result(mostLagMs > MOST_LAG_MS ? "its own peers were " + Math.round(mostLagMs) + " ms late" : "");
         } finally {
             for (NodeProcess node : nodes) {
                 if (node.alive()) {
@@ -103,7 +102,9 @@
     private TrialResult result(String voidReason) throws IOException, InterruptedException {
         List<SoakEvent> events = new ArrayList<>();
         onLoop(() -> events.addAll(log.all()));
-        Files.write(folder.resolve("events.log"), events.stream().map(SoakEvent::line).toList());
+        Files.write(
+                folder.resolve("events.log"),
+                events.stream().map(SoakEvent::line).toList());
         List<Violation> violations = new ArrayList<>(new Judge(trial, events).violations());
         violations.addAll(exceptions());
         return new TrialResult(trial, violations, events, voidReason, mostLagMs, folder);
@@ -113,11 +114,14 @@
     private List<Violation> exceptions() throws IOException {
         List<Violation> found = new ArrayList<>();
         try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.filter(f -> f.getFileName().toString().matches("n\\d+-\\d+\\.log")).toList()) {
-                Files.readAllLines(file).stream().filter(line -> line.contains("core.fault")
-                        || line.contains("Exception") || line.contains("Error"))
-                        .findFirst().ifPresent(line -> found.add(new Violation(Rule.CRASH, 0, 0,
-                                file.getFileName() + ": " + line)));
+            for (Path file : files.filter(f -> f.getFileName().toString().matches("n\\d+-\\d+\\.log"))
+                    .toList()) {
+                Files.readAllLines(file).stream()
+                        .filter(line ->
+                                line.contains("core.fault") || line.contains("Exception") || line.contains("Error"))
+                        .findFirst()
+                        .ifPresent(
+                                line -> found.add(new Violation(Rule.CRASH, 0, 0, file.getFileName() + ": " + line)));
             }
         }
         return found;
@@ -180,8 +184,7 @@
             Sockets.connect(loop, node.port(), new ChannelInboundHandlerAdapter() {
                 @Override
                 public void channelActive(ChannelHandlerContext ctx) {
-                    ctx.channel().eventLoop().schedule(() -> ctx.close(), (long) lengthMs,
-                            TimeUnit.MILLISECONDS);
+                    ctx.channel().eventLoop().schedule(() -> ctx.close(), (long) lengthMs, TimeUnit.MILLISECONDS);
                 }
             });
         }
@@ -202,8 +205,13 @@
     }
 
     private void writeConfig(NodeProcess node) throws IOException {
-        NodeConfigFile.write(node.configFile(), trial, node.index(), node.port(),
-                discovery.of(node.index()).port(), discovery.known(node.index()));
+        NodeConfigFile.write(
+                node.configFile(),
+                trial,
+                node.index(),
+                node.port(),
+                discovery.of(node.index()).port(),
+                discovery.known(node.index()));
     }
 
     private void exited(NodeProcess node, Process process) {
@@ -286,8 +294,8 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            new PacedWriter(ctx.channel(), new SplittableRandom(1)).write(
-                    new Message(MessageType.TEST, 1).withCause(0));
+            new PacedWriter(ctx.channel(), new SplittableRandom(1))
+                    .write(new Message(MessageType.TEST, 1).withCause(0));
         }
 
         @Override
--- a/soak/src/test/java/spanrill/soak/JudgeTest.java
+++ b/soak/src/test/java/spanrill/soak/JudgeTest.java
@@ -36,7 +36,8 @@
     private List<Rule> broken() {
         at(60_000, EventKind.FAULT, FaultKind.CLIENT_CROWD.name(), 0, 0, 0);
         events.sort(Comparator.comparingDouble(SoakEvent::ms));
-        return new Judge(trial, events).violations().stream().map(Violation::rule).toList();
+        return new Judge(trial, events)
+                .violations().stream().map(Violation::rule).toList();
     }
 
     @Test
@@ -157,8 +158,7 @@
 
     @Test
     void drainsBindOnceTheyCountAsTold() {
-        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0,
-                ServerState.DRAINING.ordinal()));
+        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0, ServerState.DRAINING.ordinal()));
         served(1200, 1, safe);
         served(1400, 2, safe);
         assertEquals(List.of(Rule.DRAIN), broken());
@@ -167,8 +167,7 @@
     @Test
     void aChangeWhileDiscoveryIsDownCountsSixSecondsAfterItsReturn() {
         at(900, EventKind.FAULT, FaultKind.DISCOVERY_DOWN.name(), 0, 0, 1000);
-        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0,
-                ServerState.DRAINING.ordinal()));
+        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0, ServerState.DRAINING.ordinal()));
         served(8100, 1, safe);
         served(8400, 2, safe);
         assertEquals(List.of(Rule.DRAIN), broken());
--- a/standin/src/main/java/spanrill/standin/Net.java
+++ b/standin/src/main/java/spanrill/standin/Net.java
@@ -13,30 +13,34 @@
 
 /** Listening on loopback. */
 public final class Net {
-    private static final HttpServerHandler.Times TIMES = new HttpServerHandler.Times(10_000, 120_000,
-            64 * 1024);
+    private static final HttpServerHandler.Times TIMES = new HttpServerHandler.Times(10_000, 120_000, 64 * 1024);
 
-    private Net() { }
+    private Net() {}
 
     /** A server on loopback that hands its exchanges on; all its connections are on one loop. */
     public static Channel listen(EventLoop loop, int port, Consumer<Channel> opened, Consumer<Exchange> route)
             throws IOException {
         ChannelFuture future = bind(loop, port, opened, route).awaitUninterruptibly();
         if (!future.isSuccess()) {
-            throw new IOException("can't listen on loopback port " + port + ": " + future.cause()
-                    .getMessage());
+            throw new IOException("can't listen on loopback port " + port + ": "
+                    + future.cause().getMessage());
         }
         return future.channel();
     }
 
     /** The same without waiting, for use on the loop. */
-    public static ChannelFuture bind(EventLoop loop, int port, Consumer<Channel> opened,
-            Consumer<Exchange> route) {
-        return HttpServer.bind(loop, new InetSocketAddress("127.0.0.1", port), HttpLimits.SERVER, TIMES,
+    public static ChannelFuture bind(EventLoop loop, int port, Consumer<Channel> opened, Consumer<Exchange> route) {
+        return HttpServer.bind(
+                loop,
+                new InetSocketAddress("127.0.0.1", port),
+                HttpLimits.SERVER,
+                TIMES,
                 channel -> {
-            opened.accept(channel);
-            return true;
-        }, route, fault -> { });
+                    opened.accept(channel);
+                    return true;
+                },
+                route,
+                fault -> {});
     }
 
     /** Port of a listening channel. */
--- a/standin/src/main/java/spanrill/standin/box/BoxFleet.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxFleet.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import spanrill.check.Tap;
+import spanrill.day.Day;
 import spanrill.day.FleetPlan;
 import spanrill.model.link.LinkNetwork;
 import spanrill.results.Rows;
 import spanrill.results.SecondRow;
-import spanrill.day.Day;
 import spanrill.standin.registry.Entry;
 
 /** All boxes of a day, each on a port of its own, on one loop, on the links of one model. */
@@ -53,8 +53,18 @@
         for (FleetPlan.Box box : plan.boxes()) {
             linkBytes[box.cell()] = Math.round(box.linkKb() * bytes);
             network.addBox(box.rack(), linkBytes[box.cell()]);
-            boxes.add(new StandinBox(box.id(), box.zone(), box.cell(), box.rack(), box.linkKb(), network, day,
-                    loop, tap, seed, modelTime));
+            boxes.add(new StandinBox(
+                    box.id(),
+                    box.zone(),
+                    box.cell(),
+                    box.rack(),
+                    box.linkKb(),
+                    network,
+                    day,
+                    loop,
+                    tap,
+                    seed,
+                    modelTime));
         }
     }
 
@@ -62,9 +72,13 @@
     public void open() throws InterruptedException {
         loop.submit(() -> boxes.forEach(box -> box.start(false))).sync();
         // Binding is done by the loop itself; each round trip through it lets what is queued go first.
-        for (int i = 0; i < 400 && !loop.submit(() -> boxes.stream().allMatch(StandinBox::up)).sync()
-                .getNow(); i++) {
-            loop.schedule(() -> { }, 5, TimeUnit.MILLISECONDS).sync();
+        for (int i = 0;
+                i < 400
+                        && !loop.submit(() -> boxes.stream().allMatch(StandinBox::up))
+                                .sync()
+                                .getNow();
+                i++) {
+            loop.schedule(() -> {}, 5, TimeUnit.MILLISECONDS).sync();
         }
         dueNanos = System.nanoTime() + TICK_MS * 1_000_000;
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
@@ -93,8 +107,8 @@
 
     /** The boxes as a registry lists them at the start. */
     public List<Entry> entries() {
-        return boxes.stream().map(box -> new Entry(box.id(), box.port(), box.zone(), "std", box.cell(),
-                "ready", 1, 0))
+        return boxes.stream()
+                .map(box -> new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), "ready", 1, 0))
                 .toList();
     }
 
--- a/standin/src/main/java/spanrill/standin/box/BoxNotes.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxNotes.java
@@ -43,13 +43,16 @@
 
     /** Tells after a time, if that may still be told then. */
     void tellLate(double ms, BooleanSupplier still, int front, Note... notes) {
-        loop.schedule(() -> {
-            if (still.getAsBoolean()) {
-                for (Note note : notes) {
-                    tell(front, note);
-                }
-            }
-        }, (long) ms, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (still.getAsBoolean()) {
+                        for (Note note : notes) {
+                            tell(front, note);
+                        }
+                    }
+                },
+                (long) ms,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Forgets streams that have ended. */
--- a/standin/src/main/java/spanrill/standin/box/BoxSession.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxSession.java
@@ -21,6 +21,7 @@
     Flow flow;
     /** The process that it plays at. */
     BoxProcess process;
+
     int rung;
     double seenAt;
     int segments;
@@ -32,7 +33,14 @@
     double grantedBefore;
     long receivedBefore = -1;
 
-    BoxSession(String key, String token, String cls, int front, String zone, String title, double scale,
+    BoxSession(
+            String key,
+            String token,
+            String cls,
+            int front,
+            String zone,
+            String title,
+            double scale,
             int floor,
             int rung,
             double now) {
--- a/standin/src/main/java/spanrill/standin/box/BoxShaper.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxShaper.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import spanrill.model.link.LinkNetwork;
 import spanrill.day.Day;
 import spanrill.decisions.TrackRates;
+import spanrill.model.link.LinkNetwork;
 import spanrill.wire.dash.Timeline;
 import spanrill.wire.http.ByteRange;
 import spanrill.wire.http.Exchange;
@@ -82,8 +82,7 @@
         }
         exchange.start(partial ? 206 : 200, headers, part.length());
         session.transfers++;
-        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(),
-                part.length()));
+        transfers.add(new Transfer(exchange, session, session.title + "/" + name, part.first(), part.length()));
     }
 
     /** Length of a segment in bytes on the wire, -1 when there is none of that name. */
@@ -101,8 +100,9 @@
         if (ms == 0 || rung >= day.ladder().kb().size()) {
             return -1;
         }
-        double audioPerMs = TrackRates.audio(day.titles().audioKb(), day.ladder().kb().get(session.floor)
-                * session.scale) * day.byteScale();
+        double audioPerMs =
+                TrackRates.audio(day.titles().audioKb(), day.ladder().kb().get(session.floor) * session.scale)
+                        * day.byteScale();
         if (audio && audioPerMs == 0) {
             return -1;
         }
--- a/standin/src/main/java/spanrill/standin/box/BoxTeller.java
+++ b/standin/src/main/java/spanrill/standin/box/BoxTeller.java
@@ -5,8 +5,8 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import spanrill.SessionControl.Load;
-import spanrill.model.link.LinkNetwork;
 import spanrill.day.Day;
+import spanrill.model.link.LinkNetwork;
 import spanrill.wire.box.Note;
 
 /** What a box tells of itself: how much of its rate a session gets, and how full link and uplink are. */
@@ -52,8 +52,11 @@
     }
 
     private void late(BoxSession session, Predicate<BoxSession> still, Note... told) {
-        notes.tellLate(day.notes().lateMs() + condition.lateMs,
-                () -> still.test(session) && !condition.silentTo(session.zone), session.front, told);
+        notes.tellLate(
+                day.notes().lateMs() + condition.lateMs,
+                () -> still.test(session) && !condition.silentTo(session.zone),
+                session.front,
+                told);
     }
 
     /** Each second: the share delivered, on one session of each front. */
@@ -79,7 +82,10 @@
         Set<Integer> told = new HashSet<>();
         for (BoxSession session : sessions) {
             if (told.add(session.front)) {
-                late(session, still, new Note(Note.Kind.LINK, session.key, shownLink),
+                late(
+                        session,
+                        still,
+                        new Note(Note.Kind.LINK, session.key, shownLink),
                         new Note(Note.Kind.UPLINK, session.key, shownUplink));
             }
         }
--- a/standin/src/main/java/spanrill/standin/box/FlowLedger.java
+++ b/standin/src/main/java/spanrill/standin/box/FlowLedger.java
@@ -34,8 +34,7 @@
         boolean[] moved = new boolean[boxes.size()];
         for (StandinBox box : boxes) {
             changes[box.cell()] = network.changes(box.cell());
-            moved[box.rack()] |= changesBefore.length == 0
-                    || changes[box.cell()] != changesBefore[box.cell()];
+            moved[box.rack()] |= changesBefore.length == 0 || changes[box.cell()] != changesBefore[box.cell()];
         }
         changesBefore = changes;
         for (StandinBox box : boxes) {
@@ -44,12 +43,23 @@
                 long received = receipts.sum(session.token);
                 // A session that began within the second has no whole second to show.
                 if (session.receivedBefore >= 0 && ms > 0) {
-                    rows.add(new SecondRow(second, session.token, session.cls, session.front, box.cell(),
+                    rows.add(new SecondRow(
+                            second,
+                            session.token,
+                            session.cls,
+                            session.front,
+                            box.cell(),
                             box.rack(),
-                            session.rung, session.flow.rate(), network.gives(box.cell()),
-                            network.uplinkGives(box.rack()), granted - session.grantedBefore,
-                            received - session.receivedBefore, ms, session.idleMs <= IDLE_MS,
-                            !session.hadRoom, !moved[box.rack()]));
+                            session.rung,
+                            session.flow.rate(),
+                            network.gives(box.cell()),
+                            network.uplinkGives(box.rack()),
+                            granted - session.grantedBefore,
+                            received - session.receivedBefore,
+                            ms,
+                            session.idleMs <= IDLE_MS,
+                            !session.hadRoom,
+                            !moved[box.rack()]));
                 }
                 session.grantedBefore = granted;
                 session.receivedBefore = received;
--- a/standin/src/main/java/spanrill/standin/box/Media.java
+++ b/standin/src/main/java/spanrill/standin/box/Media.java
@@ -10,10 +10,11 @@
 public final class Media {
     /** Length of every initialization segment. */
     public static final int INIT_BYTES = 640;
+
     private static final int BLOCK = 1 << 18;
     private static final ByteBuf NOISE = noise();
 
-    private Media() { }
+    private Media() {}
 
     private static ByteBuf noise() {
         byte[] bytes = new byte[BLOCK * 2];
--- a/standin/src/main/java/spanrill/standin/box/PumpBox.java
+++ b/standin/src/main/java/spanrill/standin/box/PumpBox.java
@@ -27,7 +27,7 @@
     /** Listens on a port that the system picks. */
     public PumpBox(EventLoop loop, long segmentBytes) throws IOException {
         this.segmentBytes = segmentBytes;
-        server = Net.listen(loop, 0, channel -> { }, this::route);
+        server = Net.listen(loop, 0, channel -> {}, this::route);
     }
 
     /** Its port. */
@@ -39,8 +39,7 @@
         String path = exchange.head().path();
         if (path.equals(BoxLink.SETUP)) {
             lastAttempt.put(front(exchange), exchange.head().headers().get(BoxLink.KEY));
-            exchange.respond(200, Headers.of(BoxLink.LOAD, "inflight=1;x0=0.1;x1=0.1"),
-                    new byte[Media.INIT_BYTES]);
+            exchange.respond(200, Headers.of(BoxLink.LOAD, "inflight=1;x0=0.1;x1=0.1"), new byte[Media.INIT_BYTES]);
         } else if (path.equals(BoxLink.NOTES)) {
             exchange.start(200, new Headers(), -1);
             exchange.write(Unpooled.copiedBuffer("hello\t\t1\n", StandardCharsets.US_ASCII));
@@ -58,18 +57,23 @@
 
     /** Tells each second, on the last attempt of the front, that link and uplink are nearly free. */
     private void tell(Exchange notes, String front) {
-        notes.channel().eventLoop().schedule(() -> {
-            if (notes.over()) {
-                return;
-            }
-            String key = lastAttempt.get(front);
-            if (key != null) {
-                String lines = new Note(Note.Kind.LINK, key, 0.1).line()
-                        + new Note(Note.Kind.UPLINK, key, 0.1).line();
-                notes.write(Unpooled.copiedBuffer(lines, StandardCharsets.US_ASCII));
-            }
-            tell(notes, front);
-        }, 1, TimeUnit.SECONDS);
+        notes.channel()
+                .eventLoop()
+                .schedule(
+                        () -> {
+                            if (notes.over()) {
+                                return;
+                            }
+                            String key = lastAttempt.get(front);
+                            if (key != null) {
+                                String lines = new Note(Note.Kind.LINK, key, 0.1).line()
+                                        + new Note(Note.Kind.UPLINK, key, 0.1).line();
+                                notes.write(Unpooled.copiedBuffer(lines, StandardCharsets.US_ASCII));
+                            }
+                            tell(notes, front);
+                        },
+                        1,
+                        TimeUnit.SECONDS);
     }
 
     private static void pump(Exchange exchange, long bytes) {
--- a/standin/src/main/java/spanrill/standin/box/StandinBox.java
+++ b/standin/src/main/java/spanrill/standin/box/StandinBox.java
@@ -16,12 +16,12 @@
 import spanrill.SessionControl.Load;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
+import spanrill.day.Day;
 import spanrill.model.Draws;
 import spanrill.model.box.BoxProcess;
 import spanrill.model.box.BoxRules;
 import spanrill.model.link.LinkNetwork;
 import spanrill.standin.Net;
-import spanrill.day.Day;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
@@ -56,9 +56,18 @@
     private BoxProcess life;
     private long spends;
 
-    StandinBox(String id, String zone, int cell, int rack, double linkKb, LinkNetwork network, Day day,
+    StandinBox(
+            String id,
+            String zone,
+            int cell,
+            int rack,
+            double linkKb,
+            LinkNetwork network,
+            Day day,
             EventLoop loop,
-            Tap tap, long seed, ModelTime modelTime) {
+            Tap tap,
+            long seed,
+            ModelTime modelTime) {
         this.id = id;
         this.zone = zone;
         this.cell = cell;
@@ -71,8 +80,14 @@
         random = Draws.of(seed, id);
         notes = new BoxNotes(loop);
         Day.Boxes all = day.boxes();
-        rules = new BoxRules(all.places(), all.setUpMs(), all.coldMs(), all.coldShare(),
-                day.rules().fallMultiple(), day.rules().fallMs(), TURNED_AWAY_AT);
+        rules = new BoxRules(
+                all.places(),
+                all.setUpMs(),
+                all.coldMs(),
+                all.coldShare(),
+                day.rules().fallMultiple(),
+                day.rules().fallMs(),
+                TURNED_AWAY_AT);
         shaper = new BoxShaper(day, network, cell, condition, modelTime);
         teller = new BoxTeller(day, network, cell, rack, notes, condition);
     }
@@ -260,8 +275,17 @@
         }
         double now = tap.now();
         boolean spend = "1".equals(h.get(BoxLink.SPENDS));
-        tap.put(new TapEvent.SetUp(now, id, front, h.get(BoxLink.TOKEN), key, h.get(BoxLink.CLASS),
-                h.get(BoxLink.TITLE), rung, spend, h.get(BoxLink.CONTINUES)));
+        tap.put(new TapEvent.SetUp(
+                now,
+                id,
+                front,
+                h.get(BoxLink.TOKEN),
+                key,
+                h.get(BoxLink.CLASS),
+                h.get(BoxLink.TITLE),
+                rung,
+                spend,
+                h.get(BoxLink.CONTINUES)));
         BoxProcess.Reply reply = life.setUp(now, key, network.linkUse(cell), condition.slow);
         if (reply instanceof BoxProcess.Reply.PushedOver) {
             die("pushed over");
@@ -275,12 +299,18 @@
                 tap.put(new TapEvent.End(tap.now(), key, "called off"));
                 own.connectionLost(key);
             });
-            BoxSession session = new BoxSession(key, h.get(BoxLink.TOKEN), h.get(BoxLink.CLASS), front,
-                    String.valueOf(h.get(BoxLink.ZONE)), h.get(BoxLink.TITLE), type.scale(), type.floor(),
-                            rung,
+            BoxSession session = new BoxSession(
+                    key,
+                    h.get(BoxLink.TOKEN),
+                    h.get(BoxLink.CLASS),
+                    front,
+                    String.valueOf(h.get(BoxLink.ZONE)),
+                    h.get(BoxLink.TITLE),
+                    type.scale(),
+                    type.floor(),
+                    rung,
                     now);
-            loop.schedule(() -> ready(exchange, session, own, spend), (long) works.ms(),
-                    TimeUnit.MILLISECONDS);
+            loop.schedule(() -> ready(exchange, session, own, spend), (long) works.ms(), TimeUnit.MILLISECONDS);
         }
     }
 
@@ -302,7 +332,7 @@
         session.seenAt = now;
         spends += spend ? 1 : 0;
         tap.put(new TapEvent.Ran(now, session.key));
-        exchange.onClosed(() -> { });
+        exchange.onClosed(() -> {});
         if (random.nextDouble() < condition.answerLost) {
             exchange.channel().close();
             return;
@@ -336,9 +366,16 @@
             boolean ran = life.callOff(key);
             end(key, "released");
             tap.put(new TapEvent.CallOffAnswer(tap.now(), key, ran));
-            exchange.respond(204, Headers.of(BoxLink.LOAD, BoxLink.format(load()), BoxLink.RAN, ran ? "1"
-                    : "0",
-                    BoxLink.UP_MS, Long.toString(System.currentTimeMillis() - process)), new byte[0]);
+            exchange.respond(
+                    204,
+                    Headers.of(
+                            BoxLink.LOAD,
+                            BoxLink.format(load()),
+                            BoxLink.RAN,
+                            ran ? "1" : "0",
+                            BoxLink.UP_MS,
+                            Long.toString(System.currentTimeMillis() - process)),
+                    new byte[0]);
             return;
         }
         BoxSession session = sessions.get(key);
@@ -350,7 +387,9 @@
         }
         if (name.equals("rung") && method.equals("POST")) {
             String to = exchange.head().query("to");
-            if (to == null || !to.matches("\\d{1,3}") || Integer.parseInt(to) >= day.ladder().kb().size()) {
+            if (to == null
+                    || !to.matches("\\d{1,3}")
+                    || Integer.parseInt(to) >= day.ladder().kb().size()) {
                 exchange.respond(400, new Headers(), new byte[0]);
                 return;
             }
--- a/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
+++ b/standin/src/main/java/spanrill/standin/registry/StandinRegistry.java
@@ -18,10 +18,10 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
-import spanrill.model.Draws;
-import spanrill.standin.Net;
 import spanrill.day.Day;
 import spanrill.day.Plan;
+import spanrill.model.Draws;
+import spanrill.standin.Net;
 import spanrill.wire.http.Exchange;
 import spanrill.wire.http.Headers;
 
@@ -56,9 +56,11 @@
     }
 
     /** Adds a title to the catalogue; before it listens. */
-    public void title(String name, int home, int copies, long durationMs, List<Long> segmentMs,
-            double audioKb) {
-        ObjectNode title = titles.addObject().put("name", name).put("home", home).put("copies", copies)
+    public void title(String name, int home, int copies, long durationMs, List<Long> segmentMs, double audioKb) {
+        ObjectNode title = titles.addObject()
+                .put("name", name)
+                .put("home", home)
+                .put("copies", copies)
                 .put("durationMs", durationMs);
         if (segmentMs.size() == 1) {
             title.put("segmentMs", segmentMs.get(0));
@@ -74,8 +76,13 @@
     public void catalogue(Day day, long seed) {
         List<int[]> placement = new Plan(day, seed).placement();
         for (int i = 0; i < placement.size(); i++) {
-            title("title-" + i, placement.get(i)[0], placement.get(i)[1], day.titles().durationMs(),
-                    day.titles().lengthsMs(), day.titles().audioKb());
+            title(
+                    "title-" + i,
+                    placement.get(i)[0],
+                    placement.get(i)[1],
+                    day.titles().durationMs(),
+                    day.titles().lengthsMs(),
+                    day.titles().audioKb());
         }
     }
 
@@ -86,7 +93,7 @@
 
     /** Opens it on a port that the system picks. */
     public int listen() throws IOException {
-        server = Net.listen(loop, 0, channel -> { }, this::route);
+        server = Net.listen(loop, 0, channel -> {}, this::route);
         return Net.port(server);
     }
 
@@ -119,8 +126,11 @@
     private void route(Exchange exchange) {
         String front = exchange.head().query("front");
         String version = exchange.head().query("version");
-        if (!exchange.head().path().equals("/boxes") || front == null || !front.matches("\\d{1,6}")
-                || version == null || !version.matches("-?\\d{1,15}")) {
+        if (!exchange.head().path().equals("/boxes")
+                || front == null
+                || !front.matches("\\d{1,6}")
+                || version == null
+                || !version.matches("-?\\d{1,15}")) {
             exchange.respond(400, new Headers(), "text/plain", "front and version must be numbers\n");
             return;
         }
@@ -141,10 +151,13 @@
             answer(view, number);
             return;
         }
-        view.timeout = loop.schedule(() -> {
-            exchange.respond(204, new Headers(), new byte[0]);
-            view.waiting = null;
-        }, POLL_MS, TimeUnit.MILLISECONDS);
+        view.timeout = loop.schedule(
+                () -> {
+                    exchange.respond(204, new Headers(), new byte[0]);
+                    view.waiting = null;
+                },
+                POLL_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private static void cancel(View view) {
@@ -170,23 +183,34 @@
             return;
         }
         boolean whole = view.waitingVersion < 0 || view.waitingVersion > view.log.size();
-        Collection<Entry> boxes = whole ? view.boxes.values()
-                : view.log.subList((int) view.waitingVersion, view.log.size());
-        ObjectNode document = json.createObjectNode().put("kind", whole ? "whole" : "changes").put("epoch",
-                epoch)
-                .put("base", view.waitingVersion).put("version", view.log.size());
+        Collection<Entry> boxes =
+                whole ? view.boxes.values() : view.log.subList((int) view.waitingVersion, view.log.size());
+        ObjectNode document = json.createObjectNode()
+                .put("kind", whole ? "whole" : "changes")
+                .put("epoch", epoch)
+                .put("base", view.waitingVersion)
+                .put("version", view.log.size());
         ArrayNode list = document.putArray("boxes");
         double now = tap.now();
         for (Entry box : boxes) {
-            list.addObject().put("id", box.id()).put("host", "127.0.0.1").put("port", box.port())
-                    .put("zone", box.zone()).put("kind", box.kind()).put("cell", box.cell())
-                    .put("state", box.state()).put("weight", box.weight()).put("startedAt", box.startedAt());
+            list.addObject()
+                    .put("id", box.id())
+                    .put("host", "127.0.0.1")
+                    .put("port", box.port())
+                    .put("zone", box.zone())
+                    .put("kind", box.kind())
+                    .put("cell", box.cell())
+                    .put("state", box.state())
+                    .put("weight", box.weight())
+                    .put("startedAt", box.startedAt());
             tap.put(new TapEvent.Told(now, front, box.id(), box.state(), box.startedAt()));
         }
         if (whole) {
             document.set("titles", titles);
         }
-        exchange.respond(200, Headers.of("content-type", "application/json"),
+        exchange.respond(
+                200,
+                Headers.of("content-type", "application/json"),
                 document.toString().getBytes(StandardCharsets.UTF_8));
     }
 
--- a/standin/src/main/java/spanrill/standin/token/Issuer.java
+++ b/standin/src/main/java/spanrill/standin/token/Issuer.java
@@ -64,7 +64,10 @@
 
     /** Writes the keys that verify tokens of these issuers, in one step. */
     public static void publish(Path file, Issuer... issuers) throws IOException {
-        write(file, new JWKSet(java.util.Arrays.stream(issuers).map(Issuer::published).toList()));
+        write(
+                file,
+                new JWKSet(
+                        java.util.Arrays.stream(issuers).map(Issuer::published).toList()));
     }
 
     /** Writes this issuer's own key. */
@@ -79,11 +82,13 @@
     }
 
     /** Signs a token that is valid for so many seconds from now. */
-    public String issue(String id, String viewer, String title, String cls, String tenant, int top,
-            long validS) {
-        JWTClaimsSet.Builder claims = new JWTClaimsSet.Builder().jwtID(id).subject(viewer).claim("title",
-                title)
-                .claim("class", cls).claim("top", top)
+    public String issue(String id, String viewer, String title, String cls, String tenant, int top, long validS) {
+        JWTClaimsSet.Builder claims = new JWTClaimsSet.Builder()
+                .jwtID(id)
+                .subject(viewer)
+                .claim("title", title)
+                .claim("class", cls)
+                .claim("top", top)
                 .expirationTime(new Date(System.currentTimeMillis() + validS * 1000));
         if (tenant != null) {
             claims.claim("tenant", tenant);
@@ -94,8 +99,8 @@
     /** Signs any claims. */
     public String sign(JWTClaimsSet claims) {
         try {
-            SignedJWT jwt = new SignedJWT(new JWSHeader.Builder(algorithm).keyID(key.getKeyID()).build(),
-                    claims);
+            SignedJWT jwt = new SignedJWT(
+                    new JWSHeader.Builder(algorithm).keyID(key.getKeyID()).build(), claims);
             jwt.sign(signer);
             return jwt.serialize();
         } catch (JOSEException e) {
--- a/standin/src/main/java/spanrill/standin/token/IssuerService.java
+++ b/standin/src/main/java/spanrill/standin/token/IssuerService.java
@@ -24,13 +24,14 @@
 
     /** Listens on a port that the system picks, and gives it. */
     public static int listen(EventLoop loop, Issuer issuer) throws IOException {
-        return Net.port(Net.listen(loop, 0, channel -> { }, new IssuerService(issuer)::route));
+        return Net.port(Net.listen(loop, 0, channel -> {}, new IssuerService(issuer)::route));
     }
 
     private void route(Exchange exchange) {
         switch (exchange.head().path()) {
-            case "/keys" -> exchange.respond(200, new Headers(), "application/jwk-set+json",
-                    new JWKSet(issuer.published()).toString(false));
+            case "/keys" ->
+                exchange.respond(
+                        200, new Headers(), "application/jwk-set+json", new JWKSet(issuer.published()).toString(false));
             case "/token" -> token(exchange);
             default -> exchange.respond(404, new Headers(), "text/plain", "there is /token and /keys\n");
         }
@@ -42,13 +43,21 @@
         String viewer = exchange.head().query("viewer");
         String top = exchange.head().query("top");
         if (title == null || cls == null || (top != null && !top.matches("\\d{1,3}"))) {
-            exchange.respond(400, new Headers(), "text/plain",
-                    "title and class must be given, top a number\n");
+            exchange.respond(400, new Headers(), "text/plain", "title and class must be given, top a number\n");
             return;
         }
-        exchange.respond(200, new Headers(), "text/plain", issuer.issue(UUID.randomUUID().toString(),
-                viewer == null ? "viewer" : viewer, title, cls, null, top == null ? TOP
-                : Integer.parseInt(top),
-                VALID_S) + "\n");
+        exchange.respond(
+                200,
+                new Headers(),
+                "text/plain",
+                issuer.issue(
+                                UUID.randomUUID().toString(),
+                                viewer == null ? "viewer" : viewer,
+                                title,
+                                cls,
+                                null,
+                                top == null ? TOP : Integer.parseInt(top),
+                                VALID_S)
+                        + "\n");
     }
 }
--- a/standin/src/main/java/spanrill/standin/trouble/Director.java
+++ b/standin/src/main/java/spanrill/standin/trouble/Director.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import spanrill.day.Day;
 import spanrill.model.hall.HallWatch;
 import spanrill.model.hall.Halls;
 import spanrill.model.trouble.Effect;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.StandinBox;
-import spanrill.day.Day;
 import spanrill.standin.registry.Entry;
 import spanrill.standin.registry.StandinRegistry;
 
@@ -26,8 +26,15 @@
     private final Consumer<String> say;
 
     /** A director that tells what it does. */
-    public Director(Day day, List<Effect> effects, BoxFleet fleet, StandinRegistry registry, Fronts fronts,
-            HallWatch watch, EventLoop loop, Consumer<String> say) {
+    public Director(
+            Day day,
+            List<Effect> effects,
+            BoxFleet fleet,
+            StandinRegistry registry,
+            Fronts fronts,
+            HallWatch watch,
+            EventLoop loop,
+            Consumer<String> say) {
         this.watch = watch;
         this.day = day;
         this.effects = effects;
@@ -58,10 +65,16 @@
         if (effect instanceof Effect.BoxDies e) {
             boolean announced = e.why().equals("replaced");
             box(e.box()).die(e.why());
-            listed(box(e.box()), "gone", announced ? day.registry().noticeMs() : day.registry().silentMs());
+            listed(
+                    box(e.box()),
+                    "gone",
+                    announced ? day.registry().noticeMs() : day.registry().silentMs());
         } else if (effect instanceof Effect.BoxStarts e) {
             box(e.box()).start(true);
-            listed(box(e.box()), "ready", e.silent() ? day.registry().silentMs() : day.registry().noticeMs());
+            listed(
+                    box(e.box()),
+                    "ready",
+                    e.silent() ? day.registry().silentMs() : day.registry().noticeMs());
         } else if (effect instanceof Effect.BoxDrains e) {
             box(e.box()).drain();
             listed(box(e.box()), "draining", day.registry().noticeMs());
@@ -111,7 +124,7 @@
     }
 
     private void listed(StandinBox box, String state, List<Double> late) {
-        registry.change(new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), state, 1,
-                box.listedStart()), late);
+        registry.change(
+                new Entry(box.id(), box.port(), box.zone(), "std", box.cell(), state, 1, box.listedStart()), late);
     }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/AnswerProbe.java
+++ b/standin/src/main/java/spanrill/standin/viewer/AnswerProbe.java
@@ -39,25 +39,34 @@
     }
 
     /** Asks, and waits so long. */
-    public static void ask(EventLoop loop, InetSocketAddress front, String target, long patienceMs,
-            Listener listener) {
+    public static void ask(EventLoop loop, InetSocketAddress front, String target, long patienceMs, Listener listener) {
         AnswerProbe probe = new AnswerProbe(listener);
         probe.patience = loop.schedule(() -> probe.end(Came.NONE), patienceMs, TimeUnit.MILLISECONDS);
-        HttpClientConnection.open(loop, front, (int) patienceMs, HttpLimits.CLIENT, opened -> {
-            probe.connection = opened;
-            if (probe.over) {
-                opened.abandon();
-                return;
-            }
-            ViewerLink link = new ViewerLink(false, () -> { }, (head, all) -> {
-                String answer = head == null ? null : head.headers().get("spanrill-answer");
-                probe.end(head == null ? Came.NO_CONNECTION : "plays".equals(answer) ? Came.PLAYS
-                        : head.status() == 503 ? Came.TOLD_TO_WAIT : Came.OTHER);
-            });
-            if (!ViewerLink.get(opened, target, link)) {
-                probe.end(Came.NO_CONNECTION);
-            }
-        }, cause -> probe.end(Came.NO_CONNECTION));
+        HttpClientConnection.open(
+                loop,
+                front,
+                (int) patienceMs,
+                HttpLimits.CLIENT,
+                opened -> {
+                    probe.connection = opened;
+                    if (probe.over) {
+                        opened.abandon();
+                        return;
+                    }
+                    ViewerLink link = new ViewerLink(false, () -> {}, (head, all) -> {
+                        String answer = head == null ? null : head.headers().get("spanrill-answer");
+                        probe.end(
+                                head == null
+                                        ? Came.NO_CONNECTION
+                                        : "plays".equals(answer)
+                                                ? Came.PLAYS
+                                                : head.status() == 503 ? Came.TOLD_TO_WAIT : Came.OTHER);
+                    });
+                    if (!ViewerLink.get(opened, target, link)) {
+                        probe.end(Came.NO_CONNECTION);
+                    }
+                },
+                cause -> probe.end(Came.NO_CONNECTION));
     }
 
     private void end(Came what) {
--- a/standin/src/main/java/spanrill/standin/viewer/Crowd.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Crowd.java
@@ -27,11 +27,14 @@
         double begin = stage.tap().now();
         for (Arrival arrival : arrivals) {
             EventLoop loop = loops.next();
-            loop.schedule(() -> {
-                double late = stage.tap().now() - begin - arrival.atMs();
-                stage.stats().late.recordValue((long) Math.max(0, late * 1000));
-                new Viewer(stage, arrival, loop).come();
-            }, (long) (arrival.atMs() * 1000), TimeUnit.MICROSECONDS);
+            loop.schedule(
+                    () -> {
+                        double late = stage.tap().now() - begin - arrival.atMs();
+                        stage.stats().late.recordValue((long) Math.max(0, late * 1000));
+                        new Viewer(stage, arrival, loop).come();
+                    },
+                    (long) (arrival.atMs() * 1000),
+                    TimeUnit.MICROSECONDS);
         }
     }
 
--- a/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
+++ b/standin/src/main/java/spanrill/standin/viewer/CrowdStats.java
@@ -46,7 +46,7 @@
             case "refused" -> refused.increment();
             case "failed" -> failed.increment();
             // Never taken: the records tell.
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/Puller.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Puller.java
@@ -27,11 +27,16 @@
 
     /** Begins. */
     public void start(EventLoop loop, int port) {
-        HttpClientConnection.open(loop, new InetSocketAddress("127.0.0.1", port), 2000, HttpLimits.CLIENT,
+        HttpClientConnection.open(
+                loop,
+                new InetSocketAddress("127.0.0.1", port),
+                2000,
+                HttpLimits.CLIENT,
                 opened -> {
-            connection = opened;
-            next();
-        }, cause -> fault.accept(cause.toString()));
+                    connection = opened;
+                    next();
+                },
+                cause -> fault.accept(cause.toString()));
     }
 
     /** Stops after the answer at hand. */
--- a/standin/src/main/java/spanrill/standin/viewer/SetUpProbe.java
+++ b/standin/src/main/java/spanrill/standin/viewer/SetUpProbe.java
@@ -11,28 +11,38 @@
 
 /** Asks for one session and gives the base of its segments; the connection is closed then. */
 public final class SetUpProbe {
-    private SetUpProbe() { }
+    private SetUpProbe() {}
 
     /** Asks; one of the two is called, on the loop. */
-    public static void ask(EventLoop loop, InetSocketAddress front, String title, String token,
-            Consumer<String> plays, Consumer<Throwable> not) {
-        HttpClientConnection.open(loop, front, 2000, HttpLimits.CLIENT, connection -> {
-            ViewerLink link = new ViewerLink(true, () -> { }, (head, all) -> {
-                connection.abandon();
-                if (head == null || head.status() != 200) {
-                    not.accept(new IOException(head == null ? "connection lost" : "answered "
-                            + head.status()));
-                    return;
-                }
-                try {
-                    plays.accept(MpdParser.parse(all.text()).baseUrl());
-                } catch (MpdFault fault) {
-                    not.accept(fault);
-                }
-            });
-            if (!ViewerLink.get(connection, "/dash/" + title + "/manifest.mpd?token=" + token, link)) {
-                not.accept(new IOException("connection lost"));
-            }
-        }, not);
+    public static void ask(
+            EventLoop loop,
+            InetSocketAddress front,
+            String title,
+            String token,
+            Consumer<String> plays,
+            Consumer<Throwable> not) {
+        HttpClientConnection.open(
+                loop,
+                front,
+                2000,
+                HttpLimits.CLIENT,
+                connection -> {
+                    ViewerLink link = new ViewerLink(true, () -> {}, (head, all) -> {
+                        connection.abandon();
+                        if (head == null || head.status() != 200) {
+                            not.accept(new IOException(head == null ? "connection lost" : "answered " + head.status()));
+                            return;
+                        }
+                        try {
+                            plays.accept(MpdParser.parse(all.text()).baseUrl());
+                        } catch (MpdFault fault) {
+                            not.accept(fault);
+                        }
+                    });
+                    if (!ViewerLink.get(connection, "/dash/" + title + "/manifest.mpd?token=" + token, link)) {
+                        not.accept(new IOException("connection lost"));
+                    }
+                },
+                not);
     }
 }
--- a/standin/src/main/java/spanrill/standin/viewer/Stage.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Stage.java
@@ -1,9 +1,9 @@
 package spanrill.standin.viewer;
 
 import spanrill.check.Tap;
+import spanrill.day.Day;
 import spanrill.model.hall.HallWatch;
 import spanrill.standin.box.Receipts;
-import spanrill.day.Day;
 import spanrill.standin.token.Issuer;
 
 /**
@@ -11,5 +11,12 @@
  *
  * @param run begins every token's id: fronts whose folders are kept remember the paid tokens of earlier runs
  */
-public record Stage(Day day, FrontDoor door, Issuer issuer, Tap tap, Receipts receipts, CrowdStats stats,
-        HallWatch halls, String run) { }
+public record Stage(
+        Day day,
+        FrontDoor door,
+        Issuer issuer,
+        Tap tap,
+        Receipts receipts,
+        CrowdStats stats,
+        HallWatch halls,
+        String run) {}
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -9,11 +9,11 @@
 import java.util.concurrent.atomic.LongAdder;
 import org.apache.commons.rng.UniformRandomProvider;
 import spanrill.check.TapEvent;
+import spanrill.day.Arrival;
 import spanrill.model.Draws;
 import spanrill.model.player.Player;
 import spanrill.model.player.Player.Next;
 import spanrill.model.player.Traits;
-import spanrill.day.Arrival;
 import spanrill.wire.dash.Mpd;
 import spanrill.wire.dash.MpdFault;
 import spanrill.wire.dash.MpdParser;
@@ -94,8 +94,7 @@
         }
         tokens++;
         tokenId = name() + "." + tokens;
-        token = stage.issuer().issue(tokenId, "v" + arrival.number(), title, traits.cls(), null, traits.top(),
-                TOKEN_S);
+        token = stage.issuer().issue(tokenId, "v" + arrival.number(), title, traits.cls(), null, traits.top(), TOKEN_S);
         received = stage.receipts().of(tokenId);
     }
 
@@ -136,28 +135,32 @@
         player.asks();
         boolean first = player.tries() == 1;
         front = stage.door().pick(traits.hall(), random.nextDouble());
-        connect(opened -> {
-            connection = opened;
-            waiting = true;
-            // A moment more than the stated patience: an answer that comes late is still seen as late.
-            patience = after(traits.patienceMs() + 200, this::noAnswer);
-            ask = request(opened, true);
-            if (traits.leavesMs() >= 0 && first) {
-                after(traits.leavesMs(), this::leave);
-            }
-            if (traits.doubles() && first) {
-                connect(second -> {
-                    if (waiting) {
-                        request(second, false);
-                    } else {
-                        second.abandon();
+        connect(
+                opened -> {
+                    connection = opened;
+                    waiting = true;
+                    // A moment more than the stated patience: an answer that comes late is still seen as late.
+                    patience = after(traits.patienceMs() + 200, this::noAnswer);
+                    ask = request(opened, true);
+                    if (traits.leavesMs() >= 0 && first) {
+                        after(traits.leavesMs(), this::leave);
                     }
-                }, () -> { });
-            }
-        }, () -> {
-            stats.lost.increment();
-            follow(player.lost(now(), true), "no front");
-        });
+                    if (traits.doubles() && first) {
+                        connect(
+                                second -> {
+                                    if (waiting) {
+                                        request(second, false);
+                                    } else {
+                                        second.abandon();
+                                    }
+                                },
+                                () -> {});
+                    }
+                },
+                () -> {
+                    stats.lost.increment();
+                    follow(player.lost(now(), true), "no front");
+                });
     }
 
     private interface Opened {
@@ -170,23 +173,29 @@
             failed.run();
             return;
         }
-        HttpClientConnection.open(loop, new InetSocketAddress("127.0.0.1", port), CONNECT_MS,
+        HttpClientConnection.open(
+                loop,
+                new InetSocketAddress("127.0.0.1", port),
+                CONNECT_MS,
                 HttpLimits.CLIENT,
-                opened::with, cause -> failed.run());
+                opened::with,
+                cause -> failed.run());
     }
 
     /** Writes the request on a connection; the second of a doubled one only looks at its answer. */
     private long request(HttpClientConnection on, boolean first) {
         long number = ASKS.incrementAndGet();
-        stage.tap().put(new TapEvent.Ask(now(), number, front, tokenId, traits.cls(), title,
-                traits.patienceMs()));
+        stage.tap().put(new TapEvent.Ask(now(), number, front, tokenId, traits.cls(), title, traits.patienceMs()));
         stats.asks.increment();
         // A second answer comes when nothing is asked any more: the checker must see that too.
         on.onUnasked(() -> stage.tap().put(new TapEvent.Answer(now(), number, 0, "unasked")));
         double at = now();
         ViewerLink[] link = new ViewerLink[1];
-        link[0] = new ViewerLink(true, () -> stage.tap().put(new TapEvent.Answer(now(), number,
-                link[0].seen().status(), answerOf(link[0].seen()))), (head, all) -> {
+        link[0] = new ViewerLink(
+                true,
+                () -> stage.tap()
+                        .put(new TapEvent.Answer(now(), number, link[0].seen().status(), answerOf(link[0].seen()))),
+                (head, all) -> {
                     if (first) {
                         answered(head, all, at);
                     } else {
@@ -252,7 +261,7 @@
                 stats.setUp.recordValue((long) Math.max(1, (now() - at) * 1000));
                 play(link.text());
                 if (traits.replays()) {
-                    connect(second -> request(second, false), () -> { });
+                    connect(second -> request(second, false), () -> {});
                 }
             }
             case "refused" -> {
@@ -283,17 +292,19 @@
         } catch (MpdFault fault) {
             throw new IllegalStateException("a front's MPD is malformed: " + fault.getMessage());
         }
-        long audio = mpd.audio() == null ? 0 : mpd.audio().representations().get(0).bandwidth();
-        List<Long> ladder = mpd.representations().stream().map(each -> each.bandwidth() + audio).toList();
+        long audio =
+                mpd.audio() == null ? 0 : mpd.audio().representations().get(0).bandwidth();
+        List<Long> ladder = mpd.representations().stream()
+                .map(each -> each.bandwidth() + audio)
+                .toList();
         Next first = player.plays(now(), ladder, mpd.segmentMs(), mpd.segments());
-        if (!ViewerLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ViewerLink(false, () -> { },
-                (head, link) -> {
-                    if (head != null && head.status() == 200) {
-                        follow(first, "watched");
-                    } else {
-                        broken(head);
-                    }
-                }))) {
+        if (!ViewerLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ViewerLink(false, () -> {}, (head, link) -> {
+            if (head != null && head.status() == 200) {
+                follow(first, "watched");
+            } else {
+                broken(head);
+            }
+        }))) {
             broken(null);
         }
     }
@@ -301,7 +312,7 @@
     private void fetch(Next.Fetch fetch) {
         player.fetches(now());
         Mpd.Representation rung = mpd.representations().get(fetch.rung());
-        ViewerLink link = new ViewerLink(false, () -> { }, (head, all) -> video(head, all, fetch.number()));
+        ViewerLink link = new ViewerLink(false, () -> {}, (head, all) -> video(head, all, fetch.number()));
         link.count(received);
         fetching = true;
         if (!ViewerLink.get(connection, mpd.baseUrl() + mpd.video().path(rung, fetch.number()), link)) {
@@ -342,8 +353,11 @@
             segment(head, link.bytes(), number);
             return;
         }
-        ViewerLink next = new ViewerLink(false, () -> { }, (other, all) -> segment(
-                other == null || other.status() != 200 ? other : head, link.bytes() + all.bytes(), number));
+        ViewerLink next = new ViewerLink(
+                false,
+                () -> {},
+                (other, all) -> segment(
+                        other == null || other.status() != 200 ? other : head, link.bytes() + all.bytes(), number));
         next.count(received);
         String path = mpd.baseUrl() + audio.path(audio.representations().get(0), number);
         if (ViewerLink.get(connection, path, next)) {
@@ -368,16 +382,23 @@
         stats.bytes.add(bytes);
         stats.rungs.add(Math.max(0, served));
         // Bytes are scaled, bandwidths in the MPD are not.
-        follow(player.segment(now, bytes * 8 / stage.day().byteScale(),
-                mpd.video().timeline().lengthMs(number)),
+        follow(
+                player.segment(
+                        now,
+                        bytes * 8 / stage.day().byteScale(),
+                        mpd.video().timeline().lengthMs(number)),
                 "watched");
     }
 
     private void finish(boolean lostPatience) {
         (lostPatience ? stats.gaveUp : stats.finished).increment();
         String target = mpd.baseUrl().substring(0, mpd.baseUrl().length() - 1);
-        if (!connection.send("DELETE", target, Headers.of("host", "front"), new byte[0],
-                new ViewerLink(false, () -> { }, (head, link) -> connection.abandon()))) {
+        if (!connection.send(
+                "DELETE",
+                target,
+                Headers.of("host", "front"),
+                new byte[0],
+                new ViewerLink(false, () -> {}, (head, link) -> connection.abandon()))) {
             connection.abandon();
         }
         if (lostPatience) {
@@ -395,8 +416,13 @@
 
     /** The session ended before its time; the head tells it, or is null when the connection was lost. */
     private void broken(ResponseHead head) {
-        stage.tap().put(new TapEvent.Broke(now(), tokenId, front, head == null ? 0 : head.status(),
-                head == null ? null : head.headers().get("spanrill-over")));
+        stage.tap()
+                .put(new TapEvent.Broke(
+                        now(),
+                        tokenId,
+                        front,
+                        head == null ? 0 : head.status(),
+                        head == null ? null : head.headers().get("spanrill-over")));
         connection.abandon();
         follow(player.lost(now(), true), "broken");
     }
--- a/standin/src/test/java/spanrill/standin/PlantedFaultsTest.java
+++ b/standin/src/test/java/spanrill/standin/PlantedFaultsTest.java
@@ -61,8 +61,8 @@
         assertEquals(200, front.setUp(1, "t", 2, "paid", 1));
         front.answer(ask, "plays");
         assertEquals(List.of(2), front.broken());
-        assertEquals(2, front.fleet.boxes().stream().mapToLong(StandinBox::spends).sum(),
-                "the ticket spent twice");
+        assertEquals(
+                2, front.fleet.boxes().stream().mapToLong(StandinBox::spends).sum(), "the ticket spent twice");
     }
 
     @Test
@@ -120,8 +120,7 @@
         long ask = front.ask("t", "paid");
         assertEquals(200, front.setUp(0, "t", 1, "paid", 1));
         front.answer(ask, "plays");
-        assertEquals(204, front.call(0, "POST", BoxLink.ATTEMPT + "t.1/rung?to=0", Headers.of("host",
-                "box")));
+        assertEquals(204, front.call(0, "POST", BoxLink.ATTEMPT + "t.1/rung?to=0", Headers.of("host", "box")));
         assertEquals(List.of(5), front.broken());
     }
 
--- a/standin/src/test/java/spanrill/standin/RogueFront.java
+++ b/standin/src/test/java/spanrill/standin/RogueFront.java
@@ -13,12 +13,12 @@
 import spanrill.check.Tap;
 import spanrill.check.TapEvent;
 import spanrill.check.Verdict;
+import spanrill.day.Day;
 import spanrill.results.Rows;
 import spanrill.results.SecondRow;
 import spanrill.standin.box.BoxFleet;
 import spanrill.standin.box.Receipts;
 import spanrill.standin.box.StandinBox;
-import spanrill.day.Day;
 import spanrill.wire.box.BoxLink;
 import spanrill.wire.http.Headers;
 import spanrill.wire.http.HttpClientConnection;
@@ -30,25 +30,35 @@
  * catch it.
  */
 final class RogueFront implements AutoCloseable {
-    static final Day DAY = new Day(1, 60_000, 0, 0.01, List.of("a"), 1,
-            new Day.Boxes(3, 1, 20, 50_000, 0, 1, 0, 5, 4000, 0.5), new Day.Titles(2, 0, List.of(1, 2),
-            60_000, 1000, List.of(), 0),
-            Map.of("free", new Day.DayClass(0.5, List.of(1000.0, 2000.0), 500, 1000, 1, false, 0, 4, 1, 0),
-                    "paid", new Day.DayClass(0.5, List.of(1000.0, 2000.0), 500, 1000, 3, true, 1, 4, 1, 0)),
-            new Day.Ladder(List.of(200.0, 350.0, 600.0), List.of(0.3, 0.6, 1.0)), new Day.Notes(500, 1000, 6,
-            500),
-            new Day.Rules(5, 2000, 0, 250, 2, 1000, 1.0, 0.0, 10_000.0), new Day.Arrivals(1, Day.Shape.STEADY,
-            0, 1000),
-            List.of(), new Day.Distances(0, 0),
+    static final Day DAY = new Day(
+            1,
+            60_000,
+            0,
+            0.01,
+            List.of("a"),
+            1,
+            new Day.Boxes(3, 1, 20, 50_000, 0, 1, 0, 5, 4000, 0.5),
+            new Day.Titles(2, 0, List.of(1, 2), 60_000, 1000, List.of(), 0),
+            Map.of(
+                    "free",
+                    new Day.DayClass(0.5, List.of(1000.0, 2000.0), 500, 1000, 1, false, 0, 4, 1, 0),
+                    "paid",
+                    new Day.DayClass(0.5, List.of(1000.0, 2000.0), 500, 1000, 3, true, 1, 4, 1, 0)),
+            new Day.Ladder(List.of(200.0, 350.0, 600.0), List.of(0.3, 0.6, 1.0)),
+            new Day.Notes(500, 1000, 6, 500),
+            new Day.Rules(5, 2000, 0, 250, 2, 1000, 1.0, 0.0, 10_000.0),
+            new Day.Arrivals(1, Day.Shape.STEADY, 0, 1000),
+            List.of(),
+            new Day.Distances(0, 0),
             new Day.Viewers(0, List.of(1.0, 2.0), 1, 0, 0, 0, 0, 0, List.of(1.0, 2.0), 0, 0, 0, 0),
-            new Day.Registry(List.of(0.0, 0.0), List.of(0.0, 0.0)), List.of());
+            new Day.Registry(List.of(0.0, 0.0), List.of(0.0, 0.0)),
+            List.of());
 
     final Tap tap = new Tap(null);
     final Receipts receipts = new Receipts();
     final BoxFleet fleet;
     final EventLoop loop;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private long asks;
 
     RogueFront() throws Exception {
@@ -57,8 +67,18 @@
 
     RogueFront(Rows<SecondRow> rows) throws Exception {
         loop = group.next();
-        tap.put(new TapEvent.Facts(0, Map.of("free", new TapEvent.ClassFacts(false, 0, 0), "paid",
-                new TapEvent.ClassFacts(true, 1, 0)), 20, 250, 4000, 0.5, 2, 1000, 1.0, 0.0, 10_000.0));
+        tap.put(new TapEvent.Facts(
+                0,
+                Map.of("free", new TapEvent.ClassFacts(false, 0, 0), "paid", new TapEvent.ClassFacts(true, 1, 0)),
+                20,
+                250,
+                4000,
+                0.5,
+                2,
+                1000,
+                1.0,
+                0.0,
+                10_000.0));
         fleet = new BoxFleet(DAY, 1, loop, tap, receipts, rows);
         fleet.open();
     }
@@ -75,41 +95,60 @@
 
     /** A set-up over a socket; gives its status, or 0 when the connection was lost. */
     int setUp(int box, String token, int attempt, String cls, int rung) throws Exception {
-        Headers headers = Headers.of("host", "box", BoxLink.FRONT, "0", BoxLink.ZONE, "a", BoxLink.KEY,
-                token + "." + attempt, BoxLink.TOKEN, token, BoxLink.CLASS, cls, BoxLink.TITLE, "title",
+        Headers headers = Headers.of(
+                "host",
+                "box",
+                BoxLink.FRONT,
+                "0",
+                BoxLink.ZONE,
+                "a",
+                BoxLink.KEY,
+                token + "." + attempt,
+                BoxLink.TOKEN,
+                token,
+                BoxLink.CLASS,
+                cls,
+                BoxLink.TITLE,
+                "title",
                 BoxLink.RUNG,
-                Integer.toString(rung), BoxLink.SPENDS, cls.equals("paid") ? "1" : "0");
+                Integer.toString(rung),
+                BoxLink.SPENDS,
+                cls.equals("paid") ? "1" : "0");
         return call(box, "POST", BoxLink.SETUP, headers);
     }
 
     int call(int box, String method, String target, Headers headers) throws Exception {
         CompletableFuture<Integer> done = new CompletableFuture<>();
         StandinBox to = fleet.boxes().get(box);
-        HttpClientConnection.open(loop, new InetSocketAddress("127.0.0.1", to.port()), 1000,
+        HttpClientConnection.open(
+                loop,
+                new InetSocketAddress("127.0.0.1", to.port()),
+                1000,
                 HttpLimits.CLIENT,
-                connection -> connection.send(method, target, headers, new byte[0],
-                new HttpClientConnection.Listener() {
-                    private int status;
-
-                    @Override
-                    public void head(ResponseHead head) {
-                        status = head.status();
-                    }
-
-                    @Override
-                    public void data(ByteBuf part) { }
-
-                    @Override
-                    public void end() {
-                        connection.abandon();
-                        done.complete(status);
-                    }
-
-                    @Override
-                    public void lost(HttpClientConnection.Loss loss, String reason) {
-                        done.complete(0);
-                    }
-                }), cause -> done.complete(0));
+                connection ->
+                        connection.send(method, target, headers, new byte[0], new HttpClientConnection.Listener() {
+                            private int status;
+
+                            @Override
+                            public void head(ResponseHead head) {
+                                status = head.status();
+                            }
+
+                            @Override
+                            public void data(ByteBuf part) {}
+
+                            @Override
+                            public void end() {
+                                connection.abandon();
+                                done.complete(status);
+                            }
+
+                            @Override
+                            public void lost(HttpClientConnection.Loss loss, String reason) {
+                                done.complete(0);
+                            }
+                        }),
+                cause -> done.complete(0));
         return done.get(5, TimeUnit.SECONDS);
     }
 
@@ -120,7 +159,10 @@
     /** The rules that the checker finds broken. */
     List<Integer> broken() {
         tap.put(new TapEvent.BoxDown(tap.now() + 10_000, "nowhere", "end"));
-        return Checker.judge(tap.events()).stream().filter(v -> !v.held()).map(Verdict::rule).toList();
+        return Checker.judge(tap.events()).stream()
+                .filter(v -> !v.held())
+                .map(Verdict::rule)
+                .toList();
     }
 
     @Override
--- a/standin/src/test/java/spanrill/standin/SharedLinkTest.java
+++ b/standin/src/test/java/spanrill/standin/SharedLinkTest.java
@@ -40,12 +40,16 @@
 
         void next() {
             number++;
-            connection.send("GET", BoxLink.ATTEMPT + key + "/2/" + number + ".m4s",
-                    Headers.of("host", "box", BoxLink.ZONE, "a"), new byte[0], this);
+            connection.send(
+                    "GET",
+                    BoxLink.ATTEMPT + key + "/2/" + number + ".m4s",
+                    Headers.of("host", "box", BoxLink.ZONE, "a"),
+                    new byte[0],
+                    this);
         }
 
         @Override
-        public void head(ResponseHead head) { }
+        public void head(ResponseHead head) {}
 
         @Override
         public void data(ByteBuf part) {
@@ -58,24 +62,29 @@
         }
 
         @Override
-        public void lost(HttpClientConnection.Loss loss, String reason) { }
+        public void lost(HttpClientConnection.Loss loss, String reason) {}
     }
 
     @Test
-    void fortySessionsShareALinkThatDropsToAQuarterAndAnUplinkThatIsShort(@TempDir Path folder)
-            throws Exception {
+    void fortySessionsShareALinkThatDropsToAQuarterAndAnUplinkThatIsShort(@TempDir Path folder) throws Exception {
         Path file = folder.resolve("seconds.parquet");
-        try (Rows<SecondRow> rows = new Rows<>(file, SecondRow.class); RogueFront front =
-                new RogueFront(rows)) {
+        try (Rows<SecondRow> rows = new Rows<>(file, SecondRow.class);
+                RogueFront front = new RogueFront(rows)) {
             for (int i = 0; i < SESSIONS; i++) {
                 int box = i % 2;
                 assertEquals(200, front.setUp(box, "t" + i, 1, "free", 2));
                 Reader reader = new Reader("t" + i + ".1", front.receipts.of("t" + i));
-                HttpClientConnection.open(front.loop, new InetSocketAddress("127.0.0.1",
-                        front.fleet.boxes().get(box).port()), 1000, HttpLimits.CLIENT, opened -> {
+                HttpClientConnection.open(
+                        front.loop,
+                        new InetSocketAddress(
+                                "127.0.0.1", front.fleet.boxes().get(box).port()),
+                        1000,
+                        HttpLimits.CLIENT,
+                        opened -> {
                             reader.connection = opened;
                             reader.next();
-                        }, cause -> { });
+                        },
+                        cause -> {});
             }
             // 20 x 6 kB/s on each box of 500: a link of a sixth is short; then the uplink alone.
             front.on(() -> front.fleet.link(0, 0.1));
@@ -93,6 +102,6 @@
     }
 
     private static void seconds(RogueFront front, int seconds) throws Exception {
-        front.loop.schedule(() -> { }, seconds, TimeUnit.SECONDS).get(seconds + 5, TimeUnit.SECONDS);
+        front.loop.schedule(() -> {}, seconds, TimeUnit.SECONDS).get(seconds + 5, TimeUnit.SECONDS);
     }
 }
--- a/wire/src/main/java/spanrill/wire/Listening.java
+++ b/wire/src/main/java/spanrill/wire/Listening.java
@@ -13,7 +13,7 @@
 
 /** Listens on TCP. */
 public final class Listening {
-    private Listening() { }
+    private Listening() {}
 
     /**
      * Listens; the connections are served on the group's loops.
@@ -23,10 +23,17 @@
      *     under the lower
      * @param accept sets each new connection up, or closes it
      */
-    public static ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, int backlog,
-            WriteBufferWaterMark marks, Consumer<SocketChannel> accept) {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, backlog)
+    public static ChannelFuture bind(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            int backlog,
+            WriteBufferWaterMark marks,
+            Consumer<SocketChannel> accept) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, backlog)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, marks)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -34,6 +41,7 @@
                     protected void initChannel(SocketChannel channel) {
                         accept.accept(channel);
                     }
-                }).bind(address);
+                })
+                .bind(address);
     }
 }
--- a/wire/src/main/java/spanrill/wire/box/BoxLink.java
+++ b/wire/src/main/java/spanrill/wire/box/BoxLink.java
@@ -46,12 +46,11 @@
     /** Load report in answers. */
     public static final String LOAD = "spanrill-load";
 
-    private BoxLink() { }
+    private BoxLink() {}
 
     /** Writes a load report. */
     public static String format(Load load) {
-        return String.format(Locale.ROOT, "inflight=%.0f;x0=%.4f;x1=%.4f", load.inflight(), load.link(),
-                load.uplink());
+        return String.format(Locale.ROOT, "inflight=%.0f;x0=%.4f;x1=%.4f", load.inflight(), load.link(), load.uplink());
     }
 
     /** Reads a load report; null when there is none or it is ill-formed. */
@@ -62,8 +61,10 @@
         double[] values = {Double.NaN, Double.NaN, Double.NaN};
         for (String part : text.split(";")) {
             int at = part.indexOf('=');
-            int index = at < 0 ? -1 : java.util.List.of("inflight", "x0", "x1").indexOf(part.substring(0, at)
-                    .trim());
+            int index = at < 0
+                    ? -1
+                    : java.util.List.of("inflight", "x0", "x1")
+                            .indexOf(part.substring(0, at).trim());
             if (index >= 0) {
                 values[index] = number(part.substring(at + 1).trim());
             }
--- a/wire/src/main/java/spanrill/wire/dash/Cmcd.java
+++ b/wire/src/main/java/spanrill/wire/dash/Cmcd.java
@@ -19,6 +19,7 @@
 public record Cmcd(long bufferMs, long throughputKbps, boolean starved, boolean startup, String session) {
     /** Nothing was told. */
     public static final Cmcd NONE = new Cmcd(-1, -1, false, false, null);
+
     private static final int MOST_CHARS = 2048;
     private static final int MOST_SID = 64;
 
@@ -47,7 +48,7 @@
                 case "bs" -> starved = equals < 0 || value.equals("true");
                 case "su" -> startup = equals < 0 || value.equals("true");
                 case "sid" -> session = text(value);
-                default -> { }
+                default -> {}
             }
         }
         return new Cmcd(buffer, throughput, starved, startup, session);
--- a/wire/src/main/java/spanrill/wire/dash/Mpd.java
+++ b/wire/src/main/java/spanrill/wire/dash/Mpd.java
@@ -14,8 +14,8 @@
  * @param rungInForce the highest rung served now; told by a SupplementalProperty of the scheme {@link #RUNG}
  * @param sets video first
  */
-public record Mpd(long durationMs, long minBufferMs, String location, String baseUrl, int rungInForce,
-        List<AdaptationSet> sets) {
+public record Mpd(
+        long durationMs, long minBufferMs, String location, String baseUrl, int rungInForce, List<AdaptationSet> sets) {
     /** Scheme of the property that tells the rung in force. */
     public static final String RUNG = "urn:spanrill:rung-in-force:2026";
 
@@ -48,8 +48,13 @@
      * @param media path of a media segment, with {@code $RepresentationID$} and {@code $Number$} (5.3.9.4.4)
      * @param representations in rising order of bandwidth
      */
-    public record AdaptationSet(Content content, String lang, Timeline timeline, String initialization,
-            String media, List<Representation> representations) {
+    public record AdaptationSet(
+            Content content,
+            String lang,
+            Timeline timeline,
+            String initialization,
+            String media,
+            List<Representation> representations) {
         /** Path of a segment by its number, from 1. */
         public String path(Representation of, int number) {
             return media.replace("$RepresentationID$", of.id()).replace("$Number$", Integer.toString(number));
@@ -63,7 +68,7 @@
      * @param bandwidth bits a second
      * @param codecs RFC 6381
      */
-    public record Representation(String id, long bandwidth, String codecs) { }
+    public record Representation(String id, long bandwidth, String codecs) {}
 
     private AdaptationSet first(Content content) {
         return sets.stream().filter(set -> set.content() == content).findFirst().orElse(null);
--- a/wire/src/main/java/spanrill/wire/dash/MpdParser.java
+++ b/wire/src/main/java/spanrill/wire/dash/MpdParser.java
@@ -24,6 +24,7 @@
     static final int MOST_CHARS = 1024 * 1024;
     /** Depth of elements at most. */
     static final int MOST_DEPTH = 16;
+
     private static final int MOST_REPRESENTATIONS = 64;
     private static final int MOST_SETS = 8;
     private static final long LONGEST_MS = 1L << 50;
@@ -93,8 +94,7 @@
                 if (++depth > MOST_DEPTH) {
                     throw fault("nests deeper than " + MOST_DEPTH);
                 }
-                if (depth == 1 && (!xml.getLocalName().equals("MPD")
-                        || !NAMESPACE.equals(xml.getNamespaceURI()))) {
+                if (depth == 1 && (!xml.getLocalName().equals("MPD") || !NAMESPACE.equals(xml.getNamespaceURI()))) {
                     throw fault("the root is no MPD of " + NAMESPACE);
                 }
                 if (element(xml.getLocalName())) {
@@ -143,7 +143,7 @@
             }
             case "S" -> run();
             case "Representation" -> representation();
-            default -> { }
+            default -> {}
         }
         return false;
     }
@@ -175,8 +175,7 @@
         if (within().media != null) {
             throw fault("a second SegmentTemplate");
         }
-        set.timescale = xml.getAttributeValue(null, "timescale") == null ? 1
-                : number("timescale", 1, 1_000_000_000);
+        set.timescale = xml.getAttributeValue(null, "timescale") == null ? 1 : number("timescale", 1, 1_000_000_000);
         if (xml.getAttributeValue(null, "duration") != null) {
             set.segment = number("duration", 1, Long.MAX_VALUE / 2000) * 1000 / set.timescale;
         }
@@ -225,8 +224,7 @@
         if (set.content == Mpd.Content.VIDEO) {
             number("id", 0, 1000);
         }
-        set.representations.add(new Mpd.Representation(id, number("bandwidth", 1, 1L << 40),
-                text("codecs", "")));
+        set.representations.add(new Mpd.Representation(id, number("bandwidth", 1, 1L << 40), text("codecs", "")));
     }
 
     private Mpd checked() throws MpdFault {
@@ -242,8 +240,15 @@
             throw new MpdFault(0, "there is no AdaptationSet of video");
         }
         List<Mpd.Representation> video = mpd.representations();
-        return rung >= 0 ? mpd : new Mpd(duration, minBuffer, location, base,
-                Integer.parseInt(video.get(video.size() - 1).id()), mpd.sets());
+        return rung >= 0
+                ? mpd
+                : new Mpd(
+                        duration,
+                        minBuffer,
+                        location,
+                        base,
+                        Integer.parseInt(video.get(video.size() - 1).id()),
+                        mpd.sets());
     }
 
     private Mpd.AdaptationSet checked(SetSoFar each) throws MpdFault {
@@ -257,7 +262,8 @@
             throw new MpdFault(0, "SegmentTemplate@media must have $RepresentationID$");
         }
         for (int i = 1; i < each.representations.size(); i++) {
-            if (each.representations.get(i).bandwidth() <= each.representations.get(i - 1).bandwidth()) {
+            if (each.representations.get(i).bandwidth()
+                    <= each.representations.get(i - 1).bandwidth()) {
                 throw new MpdFault(0, "Representations must rise in bandwidth");
             }
         }
@@ -267,10 +273,10 @@
         if (each.runs == null && duration / each.segment > MOST_SEGMENTS) {
             throw new MpdFault(0, "more segments than a presentation has");
         }
-        Timeline timeline = each.runs == null ? Timeline.even(Math.max(1, duration), each.segment)
-                : new Timeline(each.runs);
-        return new Mpd.AdaptationSet(each.content, each.lang, timeline, each.initialization, each.media,
-                List.copyOf(each.representations));
+        Timeline timeline =
+                each.runs == null ? Timeline.even(Math.max(1, duration), each.segment) : new Timeline(each.runs);
+        return new Mpd.AdaptationSet(
+                each.content, each.lang, timeline, each.initialization, each.media, List.copyOf(each.representations));
     }
 
     private String text(String name, String fallback) {
--- a/wire/src/main/java/spanrill/wire/dash/MpdValidator.java
+++ b/wire/src/main/java/spanrill/wire/dash/MpdValidator.java
@@ -21,11 +21,11 @@
  */
 public final class MpdValidator {
     private static final int MOST_FINDINGS = 50;
-    private static final Pattern DURATION = Pattern.compile(
-            "P(?=.)(\\d+Y)?(\\d+M)?(\\d+D)?(T(?=\\d)(\\d+H)?(\\d+M)?(\\d+(\\.\\d+)?S)?)?");
+    private static final Pattern DURATION =
+            Pattern.compile("P(?=.)(\\d+Y)?(\\d+M)?(\\d+D)?(T(?=\\d)(\\d+H)?(\\d+M)?(\\d+(\\.\\d+)?S)?)?");
     private static final Pattern UNSIGNED = Pattern.compile("\\d{1,18}");
-    private static final Pattern CODECS = Pattern.compile("[A-Za-z0-9]{2,8}(\\.[A-Za-z0-9.-]+)?"
-            + "(,[A-Za-z0-9]{2,8}(\\.[A-Za-z0-9.-]+)?)*");
+    private static final Pattern CODECS =
+            Pattern.compile("[A-Za-z0-9]{2,8}(\\.[A-Za-z0-9.-]+)?" + "(,[A-Za-z0-9]{2,8}(\\.[A-Za-z0-9.-]+)?)*");
 
     /**
      * Something that is wrong.
@@ -33,11 +33,10 @@
      * @param line where, from 1; 0 for the document as a whole
      * @param text what, with the clause that asks for it
      */
-    public record Finding(int line, String text) { }
+    public record Finding(int line, String text) {}
 
     /** What an element of the schema is like. */
-    private record Shape(List<String> children, Map<String, Pattern> required, Map<String,
-            Pattern> optional) { }
+    private record Shape(List<String> children, Map<String, Pattern> required, Map<String, Pattern> optional) {}
 
     private static final Pattern ANY = Pattern.compile(".*", Pattern.DOTALL);
     private static final Map<String, Shape> SHAPES = new HashMap<>();
@@ -45,35 +44,91 @@
     static {
         // Children in the order of the schema (5.3.1.3, 5.3.2.3, 5.3.3.3, 5.3.5.3, 5.3.9); descriptors of
         // any kind.
-        shape("MPD", List.of("ProgramInformation", "BaseURL", "Location", "PatchLocation", "Metrics",
-                "Period"),
+        shape(
+                "MPD",
+                List.of("ProgramInformation", "BaseURL", "Location", "PatchLocation", "Metrics", "Period"),
                 Map.of("profiles", ANY, "minBufferTime", DURATION),
                 Map.of("type", Pattern.compile("static|dynamic"), "mediaPresentationDuration", DURATION));
-        shape("Period", List.of("BaseURL", "SegmentBase", "SegmentList", "SegmentTemplate", "AssetIdentifier",
-                "EventStream", "AdaptationSet", "Subset", "SupplementalProperty"), Map.of(),
+        shape(
+                "Period",
+                List.of(
+                        "BaseURL",
+                        "SegmentBase",
+                        "SegmentList",
+                        "SegmentTemplate",
+                        "AssetIdentifier",
+                        "EventStream",
+                        "AdaptationSet",
+                        "Subset",
+                        "SupplementalProperty"),
+                Map.of(),
                 Map.of("start", DURATION, "duration", DURATION));
-        shape("AdaptationSet", List.of("FramePacking", "AudioChannelConfiguration", "ContentProtection",
-                "EssentialProperty", "SupplementalProperty", "InbandEventStream", "Accessibility", "Role",
+        shape(
+                "AdaptationSet",
+                List.of(
+                        "FramePacking",
+                        "AudioChannelConfiguration",
+                        "ContentProtection",
+                        "EssentialProperty",
+                        "SupplementalProperty",
+                        "InbandEventStream",
+                        "Accessibility",
+                        "Role",
                         "Rating",
-                "Viewpoint", "ContentComponent", "BaseURL", "SegmentBase", "SegmentList", "SegmentTemplate",
-                "Representation"), Map.of(), Map.of("id", UNSIGNED, "segmentAlignment",
-                Pattern.compile("true|false|\\d+"), "bitstreamSwitching", Pattern.compile("true|false"),
-                "startWithSAP", Pattern.compile("[0-6]"), "codecs", CODECS));
-        shape("Representation", List.of("FramePacking", "AudioChannelConfiguration", "ContentProtection",
-                "EssentialProperty", "SupplementalProperty", "InbandEventStream", "BaseURL",
-                "SubRepresentation", "SegmentBase", "SegmentList", "SegmentTemplate"),
-                Map.of("id", Pattern.compile("\\S+"), "bandwidth", UNSIGNED), Map.of("codecs", CODECS));
-        shape("SegmentTemplate", List.of("Initialization", "RepresentationIndex", "SegmentTimeline"),
-                Map.of("media", ANY), Map.of("timescale", UNSIGNED, "duration", UNSIGNED, "startNumber",
+                        "Viewpoint",
+                        "ContentComponent",
+                        "BaseURL",
+                        "SegmentBase",
+                        "SegmentList",
+                        "SegmentTemplate",
+                        "Representation"),
+                Map.of(),
+                Map.of(
+                        "id",
                         UNSIGNED,
-                "presentationTimeOffset", UNSIGNED));
+                        "segmentAlignment",
+                        Pattern.compile("true|false|\\d+"),
+                        "bitstreamSwitching",
+                        Pattern.compile("true|false"),
+                        "startWithSAP",
+                        Pattern.compile("[0-6]"),
+                        "codecs",
+                        CODECS));
+        shape(
+                "Representation",
+                List.of(
+                        "FramePacking",
+                        "AudioChannelConfiguration",
+                        "ContentProtection",
+                        "EssentialProperty",
+                        "SupplementalProperty",
+                        "InbandEventStream",
+                        "BaseURL",
+                        "SubRepresentation",
+                        "SegmentBase",
+                        "SegmentList",
+                        "SegmentTemplate"),
+                Map.of("id", Pattern.compile("\\S+"), "bandwidth", UNSIGNED),
+                Map.of("codecs", CODECS));
+        shape(
+                "SegmentTemplate",
+                List.of("Initialization", "RepresentationIndex", "SegmentTimeline"),
+                Map.of("media", ANY),
+                Map.of(
+                        "timescale",
+                        UNSIGNED,
+                        "duration",
+                        UNSIGNED,
+                        "startNumber",
+                        UNSIGNED,
+                        "presentationTimeOffset",
+                        UNSIGNED));
         shape("SegmentTimeline", List.of("S"), Map.of(), Map.of());
-        shape("S", List.of(), Map.of("d", UNSIGNED), Map.of("t", UNSIGNED, "r",
-                Pattern.compile("-?\\d{1,9}")));
+        shape("S", List.of(), Map.of("d", UNSIGNED), Map.of("t", UNSIGNED, "r", Pattern.compile("-?\\d{1,9}")));
     }
 
-    private static void shape(String name, List<String> children, Map<String, Pattern> required,
-            Map<String, Pattern> optional) {
+    private static void shape(
+            String name, List<String> children, Map<String, Pattern> required, Map<String, Pattern> optional) {
         SHAPES.put(name, new Shape(children, required, optional));
     }
 
@@ -95,7 +150,7 @@
     private final Set<String> sets = new HashSet<>();
     private XMLStreamReader xml;
 
-    private MpdValidator() { }
+    private MpdValidator() {}
 
     /** What is wrong with a document, in its order; empty when nothing is. */
     public static List<Finding> check(String text) {
@@ -106,8 +161,11 @@
 
     private void found(String text) {
         if (findings.size() < MOST_FINDINGS) {
-            findings.add(new Finding(xml == null || xml.getLocation() == null ? 0
-                    : Math.max(0, xml.getLocation().getLineNumber()), text));
+            findings.add(new Finding(
+                    xml == null || xml.getLocation() == null
+                            ? 0
+                            : Math.max(0, xml.getLocation().getLineNumber()),
+                    text));
         }
     }
 
@@ -132,7 +190,7 @@
                         begin(xml.getLocalName());
                     }
                     case XMLStreamConstants.END_ELEMENT -> end(open.pop());
-                    default -> { }
+                    default -> {}
                 }
             }
         } catch (XMLStreamException e) {
@@ -184,10 +242,11 @@
             }
         });
         element.attributes.forEach((name, value) -> {
-            Pattern pattern = shape.required().getOrDefault(name, shape.optional().get(name));
+            Pattern pattern =
+                    shape.required().getOrDefault(name, shape.optional().get(name));
             if (pattern != null && !pattern.matcher(value).matches()) {
-                found(element.name + "@" + name + " can't be \"" + (value.length() > 40
-                        ? value.substring(0, 40) + "..." : value) + "\"");
+                found(element.name + "@" + name + " can't be \""
+                        + (value.length() > 40 ? value.substring(0, 40) + "..." : value) + "\"");
             }
         });
     }
@@ -231,15 +290,15 @@
                 }
             }
             case "SegmentTemplate" -> template(parent, element);
-            default -> { }
+            default -> {}
         }
     }
 
     private void template(Open parent, Open element) {
         parent.template = true;
         String media = element.attributes.getOrDefault("media", "");
-        String left = media.replace("$$", "").replaceAll(
-                "\\$(RepresentationID|(Number|Time|Bandwidth)(%0\\d+d)?)\\$", "");
+        String left =
+                media.replace("$$", "").replaceAll("\\$(RepresentationID|(Number|Time|Bandwidth)(%0\\d+d)?)\\$", "");
         if (left.contains("$")) {
             found("SegmentTemplate@media has an unknown identifier (5.3.9.4.4)");
         }
@@ -280,7 +339,7 @@
                     found("a Representation without a SegmentTemplate (8.4.2)");
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 }
--- a/wire/src/main/java/spanrill/wire/dash/MpdWriter.java
+++ b/wire/src/main/java/spanrill/wire/dash/MpdWriter.java
@@ -12,7 +12,7 @@
 public final class MpdWriter {
     private static final XMLOutputFactory FACTORY = XMLOutputFactory.newInstance();
 
-    private MpdWriter() { }
+    private MpdWriter() {}
 
     /** The document's text. */
     public static String write(Mpd mpd) {
@@ -22,9 +22,16 @@
             xml.writeStartDocument("UTF-8", "1.0");
             xml.writeStartElement("MPD");
             xml.writeDefaultNamespace(MpdParser.NAMESPACE);
-            attributes(xml, "profiles", "urn:mpeg:dash:profile:isoff-live:2011", "type", "static",
-                    "mediaPresentationDuration", seconds(mpd.durationMs()),
-                    "minBufferTime", seconds(mpd.minBufferMs()));
+            attributes(
+                    xml,
+                    "profiles",
+                    "urn:mpeg:dash:profile:isoff-live:2011",
+                    "type",
+                    "static",
+                    "mediaPresentationDuration",
+                    seconds(mpd.durationMs()),
+                    "minBufferTime",
+                    seconds(mpd.minBufferMs()));
             text(xml, "BaseURL", mpd.baseUrl());
             text(xml, "Location", mpd.location());
             xml.writeStartElement("Period");
@@ -40,12 +47,21 @@
         return out.toString();
     }
 
-    private static void set(XMLStreamWriter xml, Mpd mpd, Mpd.AdaptationSet set, int id)
-            throws XMLStreamException {
+    private static void set(XMLStreamWriter xml, Mpd mpd, Mpd.AdaptationSet set, int id) throws XMLStreamException {
         boolean video = set.content() == Mpd.Content.VIDEO;
         xml.writeStartElement("AdaptationSet");
-        attributes(xml, "id", Integer.toString(id), "contentType", set.content().word(), "mimeType",
-                set.content().word() + "/mp4", "segmentAlignment", "true", "startWithSAP", "1");
+        attributes(
+                xml,
+                "id",
+                Integer.toString(id),
+                "contentType",
+                set.content().word(),
+                "mimeType",
+                set.content().word() + "/mp4",
+                "segmentAlignment",
+                "true",
+                "startWithSAP",
+                "1");
         if (set.lang() != null) {
             attributes(xml, "lang", set.lang());
         }
@@ -57,8 +73,7 @@
         segments(xml, set);
         for (Mpd.Representation each : set.representations()) {
             xml.writeEmptyElement("Representation");
-            attributes(xml, "id", each.id(), "codecs", each.codecs(), "bandwidth",
-                    Long.toString(each.bandwidth()));
+            attributes(xml, "id", each.id(), "codecs", each.codecs(), "bandwidth", Long.toString(each.bandwidth()));
         }
         xml.writeEndElement();
     }
@@ -67,13 +82,31 @@
         Timeline timeline = set.timeline();
         if (timeline.isEven()) {
             xml.writeEmptyElement("SegmentTemplate");
-            attributes(xml, "timescale", "1000", "duration", Long.toString(timeline.runs().get(0).lengthMs()),
-                    "startNumber", "1", "initialization", set.initialization(), "media", set.media());
+            attributes(
+                    xml,
+                    "timescale",
+                    "1000",
+                    "duration",
+                    Long.toString(timeline.runs().get(0).lengthMs()),
+                    "startNumber",
+                    "1",
+                    "initialization",
+                    set.initialization(),
+                    "media",
+                    set.media());
             return;
         }
         xml.writeStartElement("SegmentTemplate");
-        attributes(xml, "timescale", "1000", "startNumber", "1", "initialization", set.initialization(),
-                "media", set.media());
+        attributes(
+                xml,
+                "timescale",
+                "1000",
+                "startNumber",
+                "1",
+                "initialization",
+                set.initialization(),
+                "media",
+                set.media());
         xml.writeStartElement("SegmentTimeline");
         boolean first = true;
         for (Timeline.Run run : timeline.runs()) {
--- a/wire/src/main/java/spanrill/wire/dash/Timeline.java
+++ b/wire/src/main/java/spanrill/wire/dash/Timeline.java
@@ -67,7 +67,7 @@
             return new Timeline(runs);
         }
         int next = 0;
-        for (long left = durationMs; left > 0;) {
+        for (long left = durationMs; left > 0; ) {
             long length = Math.min(left, patternMs.get(next++ % patternMs.size()));
             runs.add(new Run(1, length));
             left -= length;
@@ -77,8 +77,10 @@
 
     /** True when all segments but the last have one length, and the last is not longer. */
     public boolean isEven() {
-        return runs.size() == 1 || (runs.size() == 2 && runs.get(1).count() == 1
-                && runs.get(1).lengthMs() < runs.get(0).lengthMs());
+        return runs.size() == 1
+                || (runs.size() == 2
+                        && runs.get(1).count() == 1
+                        && runs.get(1).lengthMs() < runs.get(0).lengthMs());
     }
 
     /** Segments. */
--- a/wire/src/main/java/spanrill/wire/http/Exchange.java
+++ b/wire/src/main/java/spanrill/wire/http/Exchange.java
@@ -167,7 +167,10 @@
             ByteBuf last = channel.alloc().buffer(8);
             HttpWriter.lastChunk(last);
             channel.write(last);
-        } else if (!chunked && left > 0 && left < Long.MAX_VALUE && !head.method().equals("HEAD")) {
+        } else if (!chunked
+                && left > 0
+                && left < Long.MAX_VALUE
+                && !head.method().equals("HEAD")) {
             abort();
             return;
         }
--- a/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
@@ -19,7 +19,11 @@
  */
 public final class HttpClientConnection extends ChannelInboundHandlerAdapter implements HttpParser.Sink {
     /** How an exchange was lost. */
-    public enum Loss { RESET, CLOSED, MALFORMED }
+    public enum Loss {
+        RESET,
+        CLOSED,
+        MALFORMED
+    }
 
     /** Takes the answer to one request. */
     public interface Listener {
@@ -27,7 +31,7 @@
         void head(ResponseHead head);
 
         /** Part of its body; lent for the call. */
-        default void data(ByteBuf part) { }
+        default void data(ByteBuf part) {}
 
         /** It is complete. */
         void end();
@@ -40,22 +44,30 @@
     private Channel channel;
     private Listener listener;
     private boolean reusable = true;
-    private Consumer<HttpClientConnection> onClosed = c -> { };
-    private Runnable onUnasked = () -> { };
+    private Consumer<HttpClientConnection> onClosed = c -> {};
+    private Runnable onUnasked = () -> {};
 
     private HttpClientConnection(HttpLimits limits) {
         parser = new HttpParser(HttpParser.Role.RESPONSE, limits, this);
     }
 
     /** Opens a connection; one of the two is called, on the loop. */
-    public static void open(EventLoop loop, InetSocketAddress address, int connectMs, HttpLimits limits,
-            Consumer<HttpClientConnection> opened, Consumer<Throwable> failed) {
+    public static void open(
+            EventLoop loop,
+            InetSocketAddress address,
+            int connectMs,
+            HttpLimits limits,
+            Consumer<HttpClientConnection> opened,
+            Consumer<Throwable> failed) {
         HttpClientConnection connection = new HttpClientConnection(limits);
-        ChannelFuture future = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture future = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(16 * 1024, 64 * 1024))
-                .handler(connection).connect(address);
+                .handler(connection)
+                .connect(address);
         future.addListener(f -> {
             if (f.isSuccess()) {
                 opened.accept(connection);
--- a/wire/src/main/java/spanrill/wire/http/HttpParser.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpParser.java
@@ -11,15 +11,18 @@
  */
 public final class HttpParser {
     /** What is parsed. */
-    public enum Role { REQUEST, RESPONSE }
+    public enum Role {
+        REQUEST,
+        RESPONSE
+    }
 
     /** Takes what was parsed. */
     public interface Sink {
         /** A request's head. */
-        default void request(RequestHead head) throws HttpFault { }
+        default void request(RequestHead head) throws HttpFault {}
 
         /** A final response's head; interim ones (1xx) are passed over. */
-        default void response(ResponseHead head) throws HttpFault { }
+        default void response(ResponseHead head) throws HttpFault {}
 
         /** Part of a body; the buffer is lent for the call: retain what is kept. */
         void body(ByteBuf part) throws HttpFault;
@@ -28,11 +31,22 @@
         void end() throws HttpFault;
     }
 
-    private enum State { START, HEADER, FIXED, CHUNK_SIZE, CHUNK, CHUNK_END, TRAILER, UNTIL_CLOSE, BROKEN }
+    private enum State {
+        START,
+        HEADER,
+        FIXED,
+        CHUNK_SIZE,
+        CHUNK,
+        CHUNK_END,
+        TRAILER,
+        UNTIL_CLOSE,
+        BROKEN
+    }
 
     private static final int MOST_INTERIM = 8;
     /** RFC 9110 section 9.1 has none above 7; the registry none above 17 (UPDATEREDIRECTREF). */
     private static final int MOST_METHOD = 20;
+
     private static final byte TLS_HANDSHAKE = 0x16;
 
     private final Role role;
@@ -153,7 +167,8 @@
         int bytes = stop - from;
         // The CR of a line's end may be the last byte kept, so it doesn't count towards the limit.
         if (lineLength + bytes > line.length) {
-            throw new HttpFault(state == State.START && role == Role.REQUEST ? 414 : 431,
+            throw new HttpFault(
+                    state == State.START && role == Role.REQUEST ? 414 : 431,
                     "a line is longer than " + limits.lineBytes() + " bytes");
         }
         in.readBytes(line, lineLength, bytes);
@@ -272,8 +287,7 @@
     }
 
     private void checkStatusLine() throws HttpFault {
-        if (first.length() < 12 || first.charAt(8) != ' ' || (first.length() > 12
-                && first.charAt(12) != ' ')) {
+        if (first.length() < 12 || first.charAt(8) != ' ' || (first.length() > 12 && first.charAt(12) != ' ')) {
             throw new HttpFault(400, "the status line is not version, status and reason");
         }
         checkVersion(first.substring(0, 8));
@@ -300,8 +314,11 @@
         int colon = 0;
         while (colon < length && line[colon] != ':') {
             if (!isToken((char) (line[colon] & 0xff))) {
-                throw new HttpFault(400, line[colon] == ' ' || line[colon] == '\t'
-                        ? "space before the colon of a header" : "a header name that is no token");
+                throw new HttpFault(
+                        400,
+                        line[colon] == ' ' || line[colon] == '\t'
+                                ? "space before the colon of a header"
+                                : "a header name that is no token");
             }
             colon++;
         }
@@ -324,7 +341,8 @@
         if (into.size() >= limits.headers()) {
             throw new HttpFault(431, "more than " + limits.headers() + " header fields");
         }
-        into.add(new String(line, 0, colon, StandardCharsets.US_ASCII),
+        into.add(
+                new String(line, 0, colon, StandardCharsets.US_ASCII),
                 new String(line, from, to - from, StandardCharsets.ISO_8859_1));
     }
 
@@ -351,14 +369,14 @@
         int status = Integer.parseInt(first.substring(9, 12));
         if (status < 200) {
             if (status == 101 || ++interim > MOST_INTERIM) {
-                throw new HttpFault(400, status == 101 ? "an upgrade that was not asked for"
-                        : "too many interim answers");
+                throw new HttpFault(
+                        400, status == 101 ? "an upgrade that was not asked for" : "too many interim answers");
             }
             reset();
             return false;
         }
-        sink.response(new ResponseHead(status, first.length() > 13 ? first.substring(13) : "",
-                first.charAt(7) - '0', headers));
+        sink.response(new ResponseHead(
+                status, first.length() > 13 ? first.substring(13) : "", first.charAt(7) - '0', headers));
         if (answersHead || status == 204 || status == 304) {
             return finish();
         }
@@ -455,7 +473,9 @@
     }
 
     private static boolean isToken(char c) {
-        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
+        return (c >= 'a' && c <= 'z')
+                || (c >= 'A' && c <= 'Z')
+                || (c >= '0' && c <= '9')
                 || "!#$%&'*+-.^_`|~".indexOf(c) >= 0;
     }
 }
--- a/wire/src/main/java/spanrill/wire/http/HttpServer.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpServer.java
@@ -14,7 +14,7 @@
     private static final int BACKLOG = 4096;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(64 * 1024, 256 * 1024);
 
-    private HttpServer() { }
+    private HttpServer() {}
 
     /**
      * Listens; the connections are served on the group's loops.
@@ -23,8 +23,13 @@
      * @param route takes each request
      * @param refused told of bytes that are no request; their sender is answered already
      */
-    public static ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, HttpLimits limits,
-            HttpServerHandler.Times times, Predicate<Channel> admit, Consumer<Exchange> route,
+    public static ChannelFuture bind(
+            EventLoopGroup group,
+            InetSocketAddress address,
+            HttpLimits limits,
+            HttpServerHandler.Times times,
+            Predicate<Channel> admit,
+            Consumer<Exchange> route,
             Consumer<HttpFault> refused) {
         return Listening.bind(group, address, BACKLOG, MARKS, channel -> {
             if (admit.test(channel)) {
--- a/wire/src/main/java/spanrill/wire/http/HttpServerHandler.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpServerHandler.java
@@ -26,7 +26,7 @@
      * @param idleMs a connection may rest so long between requests
      * @param waitingBytes pipelined bytes kept while an answer is under way
      */
-    public record Times(long messageMs, long idleMs, int waitingBytes) { }
+    public record Times(long messageMs, long idleMs, int waitingBytes) {}
 
     private final Consumer<Exchange> route;
     private final Consumer<HttpFault> refused;
@@ -44,8 +44,7 @@
     private boolean inputClosed;
 
     /** Hands each request to {@code route}; {@code refused} is told of bytes that are none. */
-    public HttpServerHandler(HttpLimits limits, Times times, Consumer<Exchange> route,
-            Consumer<HttpFault> refused) {
+    public HttpServerHandler(HttpLimits limits, Times times, Consumer<Exchange> route, Consumer<HttpFault> refused) {
         this.route = route;
         this.refused = refused;
         this.times = times;
@@ -100,8 +99,16 @@
         disarm();
         byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
         ByteBuf out = channel.alloc().buffer(256);
-        HttpWriter.response(out, status, Headers.of("content-type", "text/plain", "content-length",
-                Integer.toString(text.length), "connection", "close"));
+        HttpWriter.response(
+                out,
+                status,
+                Headers.of(
+                        "content-type",
+                        "text/plain",
+                        "content-length",
+                        Integer.toString(text.length),
+                        "connection",
+                        "close"));
         out.writeBytes(text);
         channel.write(out);
         Exchange.closeWhenFlushed(channel);
@@ -217,8 +224,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
             // A fault of this program must not take the front down; the peer sees its connection end.
-            Thread.currentThread().getUncaughtExceptionHandler().uncaughtException(Thread.currentThread(),
-                    cause);
+            Thread.currentThread().getUncaughtExceptionHandler().uncaughtException(Thread.currentThread(), cause);
         }
         ctx.close();
     }
--- a/wire/src/main/java/spanrill/wire/http/HttpWriter.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpWriter.java
@@ -11,7 +11,7 @@
 public final class HttpWriter {
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    private HttpWriter() { }
+    private HttpWriter() {}
 
     /** Writes a request's head. */
     public static void request(ByteBuf out, String method, String target, Headers headers) {
--- a/wire/src/main/java/spanrill/wire/platform/Cause.java
+++ b/wire/src/main/java/spanrill/wire/platform/Cause.java
@@ -23,5 +23,5 @@
     /** Recovery on timer expiry: moot, it never left. */
     public static final int TIMER_EXPIRY = 102;
 
-    private Cause() { }
+    private Cause() {}
 }
--- a/wire/src/main/java/spanrill/wire/platform/Figures.java
+++ b/wire/src/main/java/spanrill/wire/platform/Figures.java
@@ -44,7 +44,7 @@
                 case "viewer" -> viewer = hex("viewer", value);
                 case "again" -> again = whole("again", value) != 0;
                 case "at" -> at = word("at", value);
-                default -> { }
+                default -> {}
             }
         }
         if (home == null || copies == null || top == null || viewer == null) {
@@ -54,8 +54,8 @@
     }
 
     private static int whole(String name, String value) throws FieldFault {
-        boolean digits = !value.isEmpty() && value.length() <= 9 && value.chars().allMatch(c -> c >= '0'
-                && c <= '9');
+        boolean digits =
+                !value.isEmpty() && value.length() <= 9 && value.chars().allMatch(c -> c >= '0' && c <= '9');
         if (!digits) {
             throw new FieldFault(Cause.INVALID_CONTENTS, name + " is no whole number");
         }
@@ -71,8 +71,7 @@
 
     /** 16 hex digits. */
     static String hex(String name, String value) throws FieldFault {
-        boolean hex = value.length() == 16 && value.chars().allMatch(c -> Character.digit(c, 16) >= 0
-                && c < 128);
+        boolean hex = value.length() == 16 && value.chars().allMatch(c -> Character.digit(c, 16) >= 0 && c < 128);
         if (!hex) {
             throw new FieldFault(Cause.INVALID_CONTENTS, name + " is not 16 hex digits");
         }
--- a/wire/src/main/java/spanrill/wire/platform/Message.java
+++ b/wire/src/main/java/spanrill/wire/platform/Message.java
@@ -13,6 +13,7 @@
     public static final int MOST_BYTES = 16 * 1024;
     /** Type and session. */
     static final int LEAST_BYTES = 9;
+
     private static final int PARAMETER_HEAD = 3;
 
     private final MessageType type;
--- a/wire/src/main/java/spanrill/wire/platform/Parameter.java
+++ b/wire/src/main/java/spanrill/wire/platform/Parameter.java
@@ -25,5 +25,5 @@
     /** Description of a session; any bytes. */
     public static final int DESCRIPTION = 16;
 
-    private Parameter() { }
+    private Parameter() {}
 }
--- a/wire/src/main/java/spanrill/wire/platform/Report.java
+++ b/wire/src/main/java/spanrill/wire/platform/Report.java
@@ -7,7 +7,7 @@
 public final class Report {
     private static final int MOST_FIELDS = 16;
 
-    private Report() { }
+    private Report() {}
 
     /** The figures by name, null where there is no report; a part that is no figure is left out. */
     public static Map<String, Double> parse(String text) {
--- a/wire/src/main/java/spanrill/wire/platform/SetUp.java
+++ b/wire/src/main/java/spanrill/wire/platform/SetUp.java
@@ -11,8 +11,7 @@
  * @param figures the rest
  * @param description what the viewer describes, as it came
  */
-public record SetUp(long session, String className, double waitMs, String title, Figures figures,
-        byte[] description) {
+public record SetUp(long session, String className, double waitMs, String title, Figures figures, byte[] description) {
     private static final long MOST_WAIT_MS = 600_000;
 
     /** Reads a set-up of a viewer. */
--- a/wire/src/test/java/spanrill/wire/dash/MpdTest.java
+++ b/wire/src/test/java/spanrill/wire/dash/MpdTest.java
@@ -15,20 +15,39 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class MpdTest {
-    private static final Mpd MPD = mpd(Timeline.even(61_500, 2000), "/s/x/manifest.mpd", "/s/x/", 2,
+    private static final Mpd MPD = mpd(
+            Timeline.even(61_500, 2000),
+            "/s/x/manifest.mpd",
+            "/s/x/",
+            2,
             List.of(rung(1, 1_000_000), rung(2, 2_000_000)));
 
     private static Mpd.Representation rung(int id, long bandwidth) {
         return new Mpd.Representation(Integer.toString(id), bandwidth, "avc1.64001f");
     }
 
-    private static Mpd mpd(Timeline timeline, String location, String base, int rung,
-            List<Mpd.Representation> rungs) {
-        return new Mpd(timeline.durationMs(), 1000, location, base, rung, List.of(
-                new Mpd.AdaptationSet(Mpd.Content.VIDEO, null, timeline, "v/init.mp4",
-                "v/$RepresentationID$/$Number$.m4s", rungs),
-                new Mpd.AdaptationSet(Mpd.Content.AUDIO, "ja", timeline, "a/init.mp4", "a/$Number$.m4s",
-                List.of(new Mpd.Representation("audio", 64_000, "mp4a.40.2")))));
+    private static Mpd mpd(Timeline timeline, String location, String base, int rung, List<Mpd.Representation> rungs) {
+        return new Mpd(
+                timeline.durationMs(),
+                1000,
+                location,
+                base,
+                rung,
+                List.of(
+                        new Mpd.AdaptationSet(
+                                Mpd.Content.VIDEO,
+                                null,
+                                timeline,
+                                "v/init.mp4",
+                                "v/$RepresentationID$/$Number$.m4s",
+                                rungs),
+                        new Mpd.AdaptationSet(
+                                Mpd.Content.AUDIO,
+                                "ja",
+                                timeline,
+                                "a/init.mp4",
+                                "a/$Number$.m4s",
+                                List.of(new Mpd.Representation("audio", 64_000, "mp4a.40.2")))));
     }
 
     @Test
@@ -43,9 +62,12 @@
     }
 
     @Property(tries = 300, seed = "20261201")
-    void anySessionsMpdIsReadBack(@ForAll @LongRange(min = 1, max = 100_000_000) long duration,
-            @ForAll @LongRange(min = 100, max = 60_000) long segment, @ForAll @IntRange(max = 20) int floor,
-            @ForAll @IntRange(min = 1, max = 20) int rungs) throws MpdFault {
+    void anySessionsMpdIsReadBack(
+            @ForAll @LongRange(min = 1, max = 100_000_000) long duration,
+            @ForAll @LongRange(min = 100, max = 60_000) long segment,
+            @ForAll @IntRange(max = 20) int floor,
+            @ForAll @IntRange(min = 1, max = 20) int rungs)
+            throws MpdFault {
         List<Mpd.Representation> list = new java.util.ArrayList<>();
         for (int i = 0; i < rungs; i++) {
             list.add(rung(floor + i, 1000L * (i + 1)));
@@ -57,9 +79,10 @@
 
     /** Segments of any lengths are told by a timeline, and none is lost or added. */
     @Property(tries = 300, seed = "20261201")
-    void anyTimelineIsReadBack(@ForAll @Size(min = 1, max = 30) List<@LongRange(min = 1,
-            max = 9000) Long> pattern,
-            @ForAll @LongRange(min = 1, max = 300_000) long duration) throws MpdFault {
+    void anyTimelineIsReadBack(
+            @ForAll @Size(min = 1, max = 30) List<@LongRange(min = 1, max = 9000) Long> pattern,
+            @ForAll @LongRange(min = 1, max = 300_000) long duration)
+            throws MpdFault {
         Timeline timeline = Timeline.of(duration, pattern);
         assertEquals(duration, timeline.durationMs());
         long sum = 0;
@@ -77,25 +100,33 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"<Period |<Perio |can't stand in MPD",
-            "profiles=\"|x=\"|MPD@profiles",
-        "minBufferTime=\"PT1S\"|minBufferTime=\"1s\"|minBufferTime can't be",
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "<Period |<Perio |can't stand in MPD",
+                "profiles=\"|x=\"|MPD@profiles",
+                "minBufferTime=\"PT1S\"|minBufferTime=\"1s\"|minBufferTime can't be",
                 "id=\"2\"|id=\"1\"|is there twice",
-        "mediaPresentationDuration|x|must give MPD@mediaPresentationDuration",
+                "mediaPresentationDuration|x|must give MPD@mediaPresentationDuration",
                 "codecs=\"avc1.64001f\"||without codecs",
-        "mimeType=\"video/mp4\"||without mimeType", "$Number$|$Nummer$|unknown identifier",
-        "$Number$|1|one of $Number$ and $Time$", "duration=\"2000\"||one of @duration",
-        "bandwidth=\"64000\"|bandwidth=\"0\"|above 0",
+                "mimeType=\"video/mp4\"||without mimeType",
+                "$Number$|$Nummer$|unknown identifier",
+                "$Number$|1|one of $Number$ and $Time$",
+                "duration=\"2000\"||one of @duration",
+                "bandwidth=\"64000\"|bandwidth=\"0\"|above 0",
                 "<Location>|<Location/><BaseURL/><Location>|must come before",
-        "id=\"1\" contentType|id=\"0\" contentType|AdaptationSet@id 0",
+                "id=\"1\" contentType|id=\"0\" contentType|AdaptationSet@id 0",
                 "<MPD |<!DOCTYPE a><MPD |document type",
-        "v/init.mp4|v/$Number$.mp4|can't have $Number$", "</Period>||well-formed"})
+                "v/init.mp4|v/$Number$.mp4|can't have $Number$",
+                "</Period>||well-formed"
+            })
     void theValidatorNamesWhatIsWrong(String part, String by, String finding) {
         String text = MpdWriter.write(MPD);
         assertEquals(List.of(), MpdValidator.check(text));
         assertTrue(text.contains(part), text);
         String broken = text.replace(part, by == null ? "" : by);
-        assertTrue(MpdValidator.check(broken).stream().anyMatch(f -> f.text().contains(finding)),
+        assertTrue(
+                MpdValidator.check(broken).stream().anyMatch(f -> f.text().contains(finding)),
                 MpdValidator.check(broken).toString());
     }
 
@@ -115,23 +146,40 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"<MPD/>|the root is no MPD", "nonsense|is no well-formed XML",
-        "<!DOCTYPE a [<!ENTITY b 'c'>]><a>&b;</a>|a document type", "|there is no"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "<MPD/>|the root is no MPD",
+                "nonsense|is no well-formed XML",
+                "<!DOCTYPE a [<!ENTITY b 'c'>]><a>&b;</a>|a document type",
+                "|there is no"
+            })
     void otherTextsAreRefused(String text, String reason) {
-        MpdFault fault = assertThrows(MpdFault.class, () -> MpdParser.parse(text == null ? "<MPD xmlns=\""
-                + MpdParser.NAMESPACE + "\" mediaPresentationDuration=\"PT1S\" minBufferTime=\"PT1S\"/>"
-                : text));
+        MpdFault fault = assertThrows(
+                MpdFault.class,
+                () -> MpdParser.parse(
+                        text == null
+                                ? "<MPD xmlns=\"" + MpdParser.NAMESPACE
+                                        + "\" mediaPresentationDuration=\"PT1S\" minBufferTime=\"PT1S\"/>"
+                                : text));
         assertTrue(fault.getMessage().contains(reason), fault.getMessage());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"type=\"static\"|type=\"dynamic\"|MPD@type",
-        "PT61.500S|soon|no duration", "PT61.500S|PT-1S|out of range",
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "type=\"static\"|type=\"dynamic\"|MPD@type",
+                "PT61.500S|soon|no duration",
+                "PT61.500S|PT-1S|out of range",
                 "duration=\"2000\"|duration=\"0\"|from 1",
-        "$Number$|$Time$|$Number$", "id=\"2\"|id=\"1\"|each once", "2000000|999|must rise",
-        "<Representation id=\"audio\"|<S d=\"1\"/><Representation id=\"audio\"|in a SegmentTimeline",
-        "bandwidth=\"2000000\"|bandwidth=\"x\"|whole",
-        "<Period|<Period><Period|well-formed"})
+                "$Number$|$Time$|$Number$",
+                "id=\"2\"|id=\"1\"|each once",
+                "2000000|999|must rise",
+                "<Representation id=\"audio\"|<S d=\"1\"/><Representation id=\"audio\"|in a SegmentTimeline",
+                "bandwidth=\"2000000\"|bandwidth=\"x\"|whole",
+                "<Period|<Period><Period|well-formed"
+            })
     void brokenOnesAreRefusedWithTheReason(String part, String by, String reason) {
         String text = MpdWriter.write(MPD);
         assertTrue(text.contains(part));
@@ -143,7 +191,9 @@
     void depthAndSizeAreBounded() {
         String deep = "<MPD xmlns=\"" + MpdParser.NAMESPACE + "\" mediaPresentationDuration=\"PT1S\""
                 + " minBufferTime=\"PT1S\">" + "<a>".repeat(50);
-        assertTrue(assertThrows(MpdFault.class, () -> MpdParser.parse(deep)).getMessage().contains("deeper"));
+        assertTrue(assertThrows(MpdFault.class, () -> MpdParser.parse(deep))
+                .getMessage()
+                .contains("deeper"));
         assertThrows(MpdFault.class, () -> MpdParser.parse(" ".repeat(2_000_000)));
     }
 }
--- a/wire/src/test/java/spanrill/wire/http/EventStreamTest.java
+++ b/wire/src/test/java/spanrill/wire/http/EventStreamTest.java
@@ -33,10 +33,10 @@
 
     @Test
     void endlessLinesAndEventsAreFaults() {
-        EventStream stream = new EventStream(64, (id, data) -> { });
+        EventStream stream = new EventStream(64, (id, data) -> {});
         assertThrows(HttpFault.class, () -> stream.feed(Unpooled.wrappedBuffer(new byte[65])));
         byte[] line = "data: 0123456789\n".getBytes(StandardCharsets.UTF_8);
-        EventStream lines = new EventStream(64, (id, data) -> { });
+        EventStream lines = new EventStream(64, (id, data) -> {});
         assertThrows(HttpFault.class, () -> {
             for (int i = 0; i < 10; i++) {
                 lines.feed(Unpooled.wrappedBuffer(line));
--- a/wire/src/test/java/spanrill/wire/http/HttpServerHandlerTest.java
+++ b/wire/src/test/java/spanrill/wire/http/HttpServerHandlerTest.java
@@ -19,8 +19,8 @@
 class HttpServerHandlerTest {
     private final List<Exchange> came = new ArrayList<>();
     private final List<HttpFault> refused = new ArrayList<>();
-    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerHandler(HttpLimits.SERVER,
-            new HttpServerHandler.Times(1000, 5000, 200), came::add, refused::add));
+    private final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerHandler(
+            HttpLimits.SERVER, new HttpServerHandler.Times(1000, 5000, 200), came::add, refused::add));
 
     private void send(String text) {
         channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
@@ -47,8 +47,10 @@
         came.get(0).respond(200, new Headers(), "text/plain", "one");
         assertEquals(2, came.size());
         came.get(1).respond(404, new Headers(), new byte[0]);
-        assertEquals("HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 3\r\n\r\none"
-                + "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n", sent());
+        assertEquals(
+                "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 3\r\n\r\none"
+                        + "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+                sent());
         assertTrue(channel.isActive());
     }
 
@@ -127,7 +129,8 @@
     void moreBytesThanSaidAreAFault() {
         send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
         came.get(0).start(200, new Headers(), 2);
-        assertThrows(IllegalStateException.class,
+        assertThrows(
+                IllegalStateException.class,
                 () -> came.get(0).write(Unpooled.copiedBuffer("three", StandardCharsets.US_ASCII)));
     }
 
@@ -187,10 +190,10 @@
     @Test
     void aLineBreakInAHeaderIsAFaultOfTheProgram() {
         ByteBuf out = Unpooled.buffer();
-        assertThrows(IllegalArgumentException.class,
+        assertThrows(
+                IllegalArgumentException.class,
                 () -> HttpWriter.response(out, 200, Headers.of("x", "a\r\nset-cookie: b")));
-        assertThrows(IllegalArgumentException.class, () -> HttpWriter.request(out, "GET", "/a\r\nb",
-                new Headers()));
+        assertThrows(IllegalArgumentException.class, () -> HttpWriter.request(out, "GET", "/a\r\nb", new Headers()));
     }
 
     @Test
--- a/wire/src/test/java/spanrill/wire/platform/MessageDecoderTest.java
+++ b/wire/src/test/java/spanrill/wire/platform/MessageDecoderTest.java
@@ -48,14 +48,17 @@
     }
 
     private static Message setUp(long session) {
-        return new Message(MessageType.SET_UP, session).with(Parameter.CLASS, "paid")
-                .with(Parameter.WAIT, "1500").with(Parameter.DESCRIPTION, new byte[] {0, -1, 7});
+        return new Message(MessageType.SET_UP, session)
+                .with(Parameter.CLASS, "paid")
+                .with(Parameter.WAIT, "1500")
+                .with(Parameter.DESCRIPTION, new byte[] {0, -1, 7});
     }
 
     /** The page's form, byte by byte. */
     @Test
     void writesTheFormOfThePlatform() {
-        assertEquals("000d" + "0c" + "7f3a9c21e0b4d655" + "0f" + "0001" + "22",
+        assertEquals(
+                "000d" + "0c" + "7f3a9c21e0b4d655" + "0f" + "0001" + "22",
                 text(new Message(MessageType.RELEASE, 0x7f3a9c21e0b4d655L).withCause(Cause.NO_CIRCUIT)));
     }
 
@@ -86,9 +89,17 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"0000", "0008", "4001", "ffff", "0009" + "01" + "0000000000000001" + "0000",
-        "000b" + "01" + "0000000000000001" + "0100", "000d" + "01" + "0000000000000001" + "0100020a",
-        "000d" + "01" + "0000000000000001" + "01ffff0a"})
+    @ValueSource(
+            strings = {
+                "0000",
+                "0008",
+                "4001",
+                "ffff",
+                "0009" + "01" + "0000000000000001" + "0000",
+                "000b" + "01" + "0000000000000001" + "0100",
+                "000d" + "01" + "0000000000000001" + "0100020a",
+                "000d" + "01" + "0000000000000001" + "01ffff0a"
+            })
     void whatCanNotBeFramedIsAFault(String hex) {
         byte[] stream = ByteBufUtil.decodeHexDump(hex);
         assertThrows(FrameFault.class, () -> read(stream));
@@ -97,19 +108,23 @@
     @Test
     void unknownTypesAndParametersAreHandedOn() {
         List<Message> read = new ArrayList<>();
-        new MessageDecoder().feed(Unpooled.wrappedBuffer(ByteBufUtil.decodeHexDump(
-                "000d" + "63" + "0000000000000001" + "c800010a")), read::add);
+        new MessageDecoder()
+                .feed(
+                        Unpooled.wrappedBuffer(
+                                ByteBufUtil.decodeHexDump("000d" + "63" + "0000000000000001" + "c800010a")),
+                        read::add);
         assertEquals(MessageType.UNKNOWN, read.get(0).type());
         assertTrue(read.get(0).has(0xc8));
     }
 
     @Test
     void theLongestMessageIsReadAndNothingLonger() {
-        Message longest = new Message(MessageType.ANSWER, 1).with(Parameter.DESCRIPTION,
-                new byte[Message.MOST_BYTES - 9 - 3]);
+        Message longest =
+                new Message(MessageType.ANSWER, 1).with(Parameter.DESCRIPTION, new byte[Message.MOST_BYTES - 9 - 3]);
         assertEquals(1, read(bytes(longest), 5, 700, 9000).size());
-        assertThrows(IllegalStateException.class, () -> longest.with(200,
-                new byte[0]).write(Unpooled.buffer()));
+        assertThrows(
+                IllegalStateException.class,
+                () -> longest.with(200, new byte[0]).write(Unpooled.buffer()));
     }
 
     /** A sender who states 16 KiB and sends a byte at a time must not choose our memory. */
@@ -125,8 +140,7 @@
     }
 
     @Property(tries = 300, seed = "20261201")
-    void roundTripsInAnyPieces(@ForAll @Size(max = 5) List<@IntRange(max = 400) Integer> sizes,
-            @ForAll long seed) {
+    void roundTripsInAnyPieces(@ForAll @Size(max = 5) List<@IntRange(max = 400) Integer> sizes, @ForAll long seed) {
         Random random = new Random(seed);
         List<String> sent = new ArrayList<>();
         ByteBuf out = Unpooled.buffer();
@@ -146,9 +160,8 @@
 
     /** The fuzz target: any bytes are read, or are a fault; nothing else happens. */
     @Property(tries = 2000, seed = "20261201")
-    void anyBytesAreMessagesOrAFault(@ForAll @Size(max = 80) byte[] noise,
-            @ForAll @IntRange(max = 80) int cut,
-            @ForAll boolean framed) {
+    void anyBytesAreMessagesOrAFault(
+            @ForAll @Size(max = 80) byte[] noise, @ForAll @IntRange(max = 80) int cut, @ForAll boolean framed) {
         byte[] stream = noise.clone();
         if (framed && stream.length > 11) {
             stream[0] = 0;
--- a/wire/src/test/java/spanrill/wire/platform/SetUpTest.java
+++ b/wire/src/test/java/spanrill/wire/platform/SetUpTest.java
@@ -16,8 +16,11 @@
     private static final String FIGURES = "home:4;copies:3;top:4;viewer:00000000b4d65521";
 
     private static Message message(String className, String wait, String title, String figures) {
-        return new Message(MessageType.SET_UP, 7).with(Parameter.CLASS, className).with(Parameter.WAIT, wait)
-                .with(Parameter.TITLE, title).with(Parameter.FIGURES, figures)
+        return new Message(MessageType.SET_UP, 7)
+                .with(Parameter.CLASS, className)
+                .with(Parameter.WAIT, wait)
+                .with(Parameter.TITLE, title)
+                .with(Parameter.FIGURES, figures)
                 .with(Parameter.DESCRIPTION, new byte[] {1, 2});
     }
 
@@ -38,28 +41,37 @@
     }
 
     @ParameterizedTest
-    @CsvSource(nullValues = "-", value = {"-,1500,7f3a9c21e0b4d655,F,96", "paid,-,7f3a9c21e0b4d655,F,96",
-        "paid,1500,-,F,96", "paid,1500,7f3a9c21e0b4d655,-,96", "paid,soon,7f3a9c21e0b4d655,F,100",
-        "paid,NaN,7f3a9c21e0b4d655,F,100", "paid,-5,7f3a9c21e0b4d655,F,100",
-        "paid,1e12,7f3a9c21e0b4d655,F,100",
-        "paid,1500,7f3a,F,100", "paid,1500,7f3a9c21e0b4d6zz,F,100",
-        "paid,1500,7f3a9c21e0b4d655,home:4;copies:3,96",
-        "paid,1500,7f3a9c21e0b4d655,home:-4;copies:3;top:4;viewer:00000000b4d65521,100",
-        "paid,1500,7f3a9c21e0b4d655,home:4;home:5;copies:3;top:4;viewer:00000000b4d65521,100",
-        "paid,1500,7f3a9c21e0b4d655,home:99999999999;copies:3;top:4;viewer:00000000b4d65521,100",
-        "paid,1500,7f3a9c21e0b4d655,home,100"})
-    void wrongFieldsAreFaultsWithACause(String className, String wait, String title, String figures,
-            int cause) {
+    @CsvSource(
+            nullValues = "-",
+            value = {
+                "-,1500,7f3a9c21e0b4d655,F,96",
+                "paid,-,7f3a9c21e0b4d655,F,96",
+                "paid,1500,-,F,96",
+                "paid,1500,7f3a9c21e0b4d655,-,96",
+                "paid,soon,7f3a9c21e0b4d655,F,100",
+                "paid,NaN,7f3a9c21e0b4d655,F,100",
+                "paid,-5,7f3a9c21e0b4d655,F,100",
+                "paid,1e12,7f3a9c21e0b4d655,F,100",
+                "paid,1500,7f3a,F,100",
+                "paid,1500,7f3a9c21e0b4d6zz,F,100",
+                "paid,1500,7f3a9c21e0b4d655,home:4;copies:3,96",
+                "paid,1500,7f3a9c21e0b4d655,home:-4;copies:3;top:4;viewer:00000000b4d65521,100",
+                "paid,1500,7f3a9c21e0b4d655,home:4;home:5;copies:3;top:4;viewer:00000000b4d65521,100",
+                "paid,1500,7f3a9c21e0b4d655,home:99999999999;copies:3;top:4;viewer:00000000b4d65521,100",
+                "paid,1500,7f3a9c21e0b4d655,home,100"
+            })
+    void wrongFieldsAreFaultsWithACause(String className, String wait, String title, String figures, int cause) {
         String given = "F".equals(figures) ? FIGURES : figures;
-        FieldFault fault = assertThrows(FieldFault.class, () -> SetUp.of(message(className, wait, title,
-                given)));
+        FieldFault fault = assertThrows(FieldFault.class, () -> SetUp.of(message(className, wait, title, given)));
         assertEquals(cause, fault.releaseCause());
     }
 
     @Test
     void aParameterThatComesTwiceOrNoSessionIsAFault() {
-        assertThrows(FieldFault.class, () -> SetUp.of(message("paid", "1500", "7f3a9c21e0b4d655", FIGURES)
-                .with(Parameter.CLASS, "free")));
+        assertThrows(
+                FieldFault.class,
+                () -> SetUp.of(
+                        message("paid", "1500", "7f3a9c21e0b4d655", FIGURES).with(Parameter.CLASS, "free")));
         assertThrows(FieldFault.class, () -> SetUp.of(new Message(MessageType.SET_UP, 0)));
     }
 
