--- a/cli/src/main/java/spanrill/cli/SoakCommand.java
+++ b/cli/src/main/java/spanrill/cli/SoakCommand.java
@@ -40,7 +40,10 @@
             description = "seeds to play (default: ${DEFAULT-VALUE})")
     private String seeds;
 
-    @Option(names = "--kind", paramLabel = "KIND", description = "${COMPLETION-CANDIDATES}; by turns where not given")
+    @Option(
+            names = "--kind",
+            paramLabel = "KIND",
+            description = "${COMPLETION-CANDIDATES}; by executor where not given")
     private TrialKind kind;
 
     @Option(
--- a/core/src/main/java/spanrill/setup/SetupReader.java
+++ b/core/src/main/java/spanrill/setup/SetupReader.java
@@ -11,7 +11,7 @@
 import spanrill.SessionControl.Settings;
 import spanrill.SessionControl.Tenant;
 
-/** Turns the operators' settings of an instance into the module's; keys that it does not know are ignored. */
+/** SerialExecutor the operators' settings of an instance into the module's; keys that it does not know are ignored. */
 public final class SetupReader {
     private final Pairs pairs;
 
--- a/decisions/src/main/java/spanrill/decisions/WaitingRoom.java
+++ b/decisions/src/main/java/spanrill/decisions/AdmissionQueue.java
@@ -18,7 +18,7 @@
  * <p>Used before a request is taken (its token is not verified yet); whom the module refuses is not
  * decided here.
  */
-public final class WaitingRoom<T> {
+public final class AdmissionQueue<T> {
     /** Weight of a new service time in the average. */
     private static final double WEIGHT = 0.1;
 
@@ -43,7 +43,7 @@
      * @param servers who serve at once
      * @param serviceMs a first guess at how long one takes
      */
-    public WaitingRoom(int most, int servers, double serviceMs) {
+    public AdmissionQueue(int most, int servers, double serviceMs) {
         if (most < 1 || servers < 1 || !(serviceMs > 0)) {
             throw new IllegalArgumentException("a room needs places, servers and a service time");
         }
--- a/decisions/src/main/java/spanrill/decisions/ViewerRoom.java
+++ b/decisions/src/main/java/spanrill/decisions/ConnectionEviction.java
@@ -3,14 +3,14 @@
 import java.util.List;
 
 /** Which viewers' connection makes place for a new one, and which takes what is owed on no other. */
-public final class ViewerRoom {
+public final class ConnectionEviction {
     /** None. */
     public static final int NONE = -1;
 
     // A viewer's set-up follows its connection at once, but may be under way or lie unread for so long.
     private static final double YOUNG_MS = 300;
 
-    private ViewerRoom() {}
+    private ConnectionEviction() {}
 
     /** What has come on a connection so far. */
     public enum Brought {
--- a/decisions/src/main/java/spanrill/decisions/LinkChoice.java
+++ b/decisions/src/main/java/spanrill/decisions/ConnectionSelector.java
@@ -7,7 +7,7 @@
  * that can't be read spoils whatever else is open on its connection. Past the most for one server they share
  * the least loaded one.
  */
-public final class LinkChoice {
+public final class ConnectionSelector {
     /** Open a new connection. */
     public static final int NEW = -1;
     /** None may be opened and none can be shared. */
@@ -22,7 +22,7 @@
      * @param idleMostMs one idle for longer takes nothing: the server may be closing it
      * @param mostOnOne set-ups open on one connection at most
      */
-    public LinkChoice(double idleMostMs, int mostOnOne) {
+    public ConnectionSelector(double idleMostMs, int mostOnOne) {
         this.idleMostMs = idleMostMs;
         this.mostOnOne = mostOnOne;
     }
--- a/decisions/src/main/java/spanrill/decisions/RecentlyOver.java
+++ b/decisions/src/main/java/spanrill/decisions/ExpiringMap.java
@@ -7,7 +7,7 @@
  * What is over but may still be asked for: kept for a time, and at most so many; the oldest goes first. Each
  * call costs a constant, taken together.
  */
-public final class RecentlyOver<T> {
+public final class ExpiringMap<T> {
     private record Kept<T>(T what, double until) {}
 
     private final double keptMs;
@@ -15,7 +15,7 @@
     private final LinkedHashMap<String, Kept<T>> all = new LinkedHashMap<>();
 
     /** Keeps each for {@code keptMs}, {@code most} of them at most. */
-    public RecentlyOver(double keptMs, int most) {
+    public ExpiringMap(double keptMs, int most) {
         if (!(keptMs > 0) || most < 1) {
             throw new IllegalArgumentException("something must be kept for some time");
         }
--- a/decisions/src/main/java/spanrill/decisions/SilenceWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/FailureDetector.java
@@ -6,7 +6,7 @@
  * come up and stay silent. So after a silence it is tested on an open connection; without an answer new
  * connections are tried, each with a test; when three of them brought nothing, the server is gone.
  */
-public final class SilenceWatch {
+public final class FailureDetector {
     /** What to do now. */
     public enum Step {
         /** Nothing. */
@@ -39,7 +39,7 @@
      * @param silentMs a silence of so long is tested
      * @param answerMs an answer, or a connection, that takes longer stays out
      */
-    public SilenceWatch(double silentMs, double answerMs) {
+    public FailureDetector(double silentMs, double answerMs) {
         this.silentMs = silentMs;
         this.answerMs = answerMs;
     }
--- a/decisions/src/main/java/spanrill/decisions/DescriptorShares.java
+++ b/decisions/src/main/java/spanrill/decisions/FileDescriptorBudget.java
@@ -5,7 +5,7 @@
  * peers come on top; servers have a share of their own, so that no crowd of connections can take the way to
  * them.
  */
-public final class DescriptorShares {
+public final class FileDescriptorBudget {
     // The runtime's own files, the loop, the bulletin (two connections at a change), and room for closing
     // ones.
     private static final int RESERVE = 40;
@@ -15,7 +15,7 @@
     private final int servers;
 
     /** Shares out so many. */
-    public DescriptorShares(int sockets) {
+    public FileDescriptorBudget(int sockets) {
         int free = Math.max(16, sockets - RESERVE);
         viewers = (int) (VIEWERS * free);
         servers = free - viewers;
--- a/decisions/src/main/java/spanrill/decisions/OwedReleases.java
+++ b/decisions/src/main/java/spanrill/decisions/PendingReleases.java
@@ -11,7 +11,7 @@
  * again: the connection that took it may have been ending, or may not be a viewers' at all. Bounded in
  * number, time and tries.
  */
-public final class OwedReleases<T> {
+public final class PendingReleases<T> {
     private final double keepMs;
     private final double againMs;
     private final int most;
@@ -51,7 +51,7 @@
      * @param tries so many times in all
      * @param most so many at once; the oldest goes first
      */
-    public OwedReleases(double keepMs, double againMs, int tries, int most) {
+    public PendingReleases(double keepMs, double againMs, int tries, int most) {
         this.keepMs = keepMs;
         this.againMs = againMs;
         this.tries = tries;
--- a/decisions/src/main/java/spanrill/decisions/UnreadTime.java
+++ b/decisions/src/main/java/spanrill/decisions/ReceiveDelayEstimator.java
@@ -5,12 +5,12 @@
  * loop was busy, or the process was held back by its share of a core, bytes waited in the socket. The loop
  * tells that it goes round; the time since it last did, past its usual round, is taken off the wait.
  */
-public final class UnreadTime {
+public final class ReceiveDelayEstimator {
     private final double roundMs;
     private double lastRound = Double.NaN;
 
     /** A loop that goes round at least each {@code roundMs}. */
-    public UnreadTime(double roundMs) {
+    public ReceiveDelayEstimator(double roundMs) {
         this.roundMs = roundMs;
     }
 
--- a/decisions/src/main/java/spanrill/decisions/SaidReleases.java
+++ b/decisions/src/main/java/spanrill/decisions/UnacknowledgedReleases.java
@@ -11,7 +11,7 @@
  * that ends takes with it what was written last; what the peer has spoken of, or what was written long enough
  * before the end, has arrived. Bounded; the oldest goes first.
  */
-public final class SaidReleases {
+public final class UnacknowledgedReleases {
     private final double arrivedMs;
     private final int most;
     private final Map<Long, Double> said = new LinkedHashMap<>();
@@ -22,7 +22,7 @@
      * @param arrivedMs what was written so long before the end of its connection has arrived
      * @param most so many are kept
      */
-    public SaidReleases(double arrivedMs, int most) {
+    public UnacknowledgedReleases(double arrivedMs, int most) {
         this.arrivedMs = arrivedMs;
         this.most = most;
     }
--- a/decisions/src/main/java/spanrill/decisions/BulletinWatch.java
+++ b/decisions/src/main/java/spanrill/decisions/WatchRetryPolicy.java
@@ -5,7 +5,7 @@
  * comments (one a second) allow. What it would have told counts as told 2 s after a break and 4 s after a
  * stop, so the waits stay well within those.
  */
-public final class BulletinWatch {
+public final class WatchRetryPolicy {
     private static final double LEAST_MS = 60;
     private static final double MOST_MS = 600;
     private static final double SILENT_MS = 2200;
@@ -24,7 +24,7 @@
     private boolean brokeOnce;
 
     /** Waits are drawn from the seed. */
-    public BulletinWatch(long seed) {
+    public WatchRetryPolicy(long seed) {
         backoff = new Backoff(LEAST_MS, MOST_MS, seed);
     }
 
--- a/decisions/src/test/java/spanrill/decisions/WaitingRoomTest.java
+++ b/decisions/src/test/java/spanrill/decisions/AdmissionQueueTest.java
@@ -15,12 +15,12 @@
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 
-class WaitingRoomTest {
+class AdmissionQueueTest {
     private final List<String> shed = new ArrayList<>();
 
     @Test
     void theEarliestDeadlineIsServedFirst() {
-        WaitingRoom<String> room = new WaitingRoom<>(10, 1, 1);
+        AdmissionQueue<String> room = new AdmissionQueue<>(10, 1, 1);
         room.come(0, "late", 300, 1);
         room.come(0, "early", 100, 1);
         room.come(0, "middle", 200, 3);
@@ -33,7 +33,7 @@
 
     @Test
     void whoCanNotBeServedInTimeIsShedAtOnce() {
-        WaitingRoom<String> room = new WaitingRoom<>(10, 1, 50);
+        AdmissionQueue<String> room = new AdmissionQueue<>(10, 1, 50);
         assertEquals(List.of("hopeless"), room.come(0, "hopeless", 40, 9));
         room.come(0, "a", 100, 1);
         room.come(0, "b", 500, 1);
@@ -43,7 +43,7 @@
 
     @Test
     void whenFullTheLeastWorthGoesAndOfEqualsTheLatest() {
-        WaitingRoom<String> room = new WaitingRoom<>(2, 1, 1);
+        AdmissionQueue<String> room = new AdmissionQueue<>(2, 1, 1);
         room.come(0, "paid", 300, 3);
         room.come(0, "soon", 100, 1);
         assertEquals(List.of("late"), room.come(0, "late", 200, 1));
@@ -53,7 +53,7 @@
 
     @Test
     void whoLeftIsNeitherServedNorShed() {
-        WaitingRoom<String> room = new WaitingRoom<>(2, 1, 1);
+        AdmissionQueue<String> room = new AdmissionQueue<>(2, 1, 1);
         room.come(0, "a", 300, 3);
         assertTrue(room.left("a"));
         assertFalse(room.left("a"));
@@ -64,7 +64,7 @@
 
     @Test
     void theWaitFollowsWhatServiceTakes() {
-        WaitingRoom<Integer> room = new WaitingRoom<>(1000, 2, 1);
+        AdmissionQueue<Integer> room = new AdmissionQueue<>(1000, 2, 1);
         for (int i = 0; i < 200; i++) {
             room.served(4);
         }
@@ -78,7 +78,7 @@
     @Property(tries = 500, seed = "20261201")
     void nobodyIsLostOrToldTwice(@ForAll long seed) {
         Random random = new Random(seed);
-        WaitingRoom<Integer> room = new WaitingRoom<>(8, 2, 5);
+        AdmissionQueue<Integer> room = new AdmissionQueue<>(8, 2, 5);
         Set<Integer> told = new HashSet<>();
         Set<Integer> waiting = new HashSet<>();
         double now = 0;
@@ -117,7 +117,7 @@
     @Test
     void goodputDoesNotFallUnderOverload() {
         for (int load : new int[] {1, 2, 4, 16}) {
-            WaitingRoom<Integer> room = new WaitingRoom<>(1000, 1, 2);
+            AdmissionQueue<Integer> room = new AdmissionQueue<>(1000, 1, 2);
             double free = 0;
             int good = 0;
             int served = 0;
--- a/decisions/src/test/java/spanrill/decisions/EndsAndTimesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/EndsAndTimesTest.java
@@ -44,7 +44,7 @@
     @Property(tries = 300, seed = "20261201")
     void whatIsOverIsKeptForItsTime(
             @ForAll List<@IntRange(min = 0, max = 9) Integer> ids, @ForAll @IntRange(min = 1, max = 5) int most) {
-        RecentlyOver<Integer> kept = new RecentlyOver<>(100, most);
+        ExpiringMap<Integer> kept = new ExpiringMap<>(100, most);
         Map<String, double[]> plain = new HashMap<>();
         double now = 0;
         for (int i = 0; i < ids.size(); i++) {
--- a/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeChoicesTest.java
@@ -8,35 +8,35 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import spanrill.SessionControl.Outcome;
-import spanrill.decisions.LinkChoice.Link;
-import spanrill.decisions.SilenceWatch.Step;
-import spanrill.decisions.ViewerRoom.Brought;
+import spanrill.decisions.ConnectionEviction.Brought;
+import spanrill.decisions.ConnectionSelector.Link;
+import spanrill.decisions.FailureDetector.Step;
 
 /** The choices that a front node makes itself. */
 class NodeChoicesTest {
     @Test
     void aSetUpGetsAConnectionOfItsOwnWhileThereIsRoom() {
-        LinkChoice choice = new LinkChoice(5000, 2);
+        ConnectionSelector choice = new ConnectionSelector(5000, 2);
         Link busy = new Link(1, 0, true);
-        assertEquals(LinkChoice.NEW, choice.choose(List.of(), true));
-        assertEquals(LinkChoice.NEW, choice.choose(List.of(busy), true));
+        assertEquals(ConnectionSelector.NEW, choice.choose(List.of(), true));
+        assertEquals(ConnectionSelector.NEW, choice.choose(List.of(busy), true));
         assertEquals(1, choice.choose(List.of(busy, new Link(0, 100, true), new Link(0, 900, true)), true));
         assertEquals(0, choice.choose(List.of(busy, new Link(2, 0, true)), false));
-        assertEquals(LinkChoice.NONE, choice.choose(List.of(new Link(2, 0, true)), false));
+        assertEquals(ConnectionSelector.NONE, choice.choose(List.of(new Link(2, 0, true)), false));
     }
 
     /** One idle for long may be closing at the other end; one that was spoilt tells nothing. */
     @Test
     void idleAndSpoiltConnectionsTakeNothing() {
-        LinkChoice choice = new LinkChoice(5000, 2);
+        ConnectionSelector choice = new ConnectionSelector(5000, 2);
         List<Link> links = List.of(new Link(0, 5001, true), new Link(0, 0, false));
-        assertEquals(LinkChoice.NEW, choice.choose(links, true));
-        assertEquals(LinkChoice.NONE, choice.choose(links, false));
+        assertEquals(ConnectionSelector.NEW, choice.choose(links, true));
+        assertEquals(ConnectionSelector.NONE, choice.choose(links, false));
     }
 
     @Test
     void aSilentServerIsTestedThenTriedThenGone() {
-        SilenceWatch watch = new SilenceWatch(3000, 250);
+        FailureDetector watch = new FailureDetector(3000, 250);
         watch.heard(0);
         assertEquals(Step.NONE, watch.look(2999));
         assertEquals(Step.TEST, watch.look(3000));
@@ -53,7 +53,7 @@
      */
     @Test
     void aRefusedConnectionMeansGoneUnlessAnOlderOneStillTells() {
-        SilenceWatch watch = new SilenceWatch(3000, 250);
+        FailureDetector watch = new FailureDetector(3000, 250);
         watch.heard(0);
         assertTrue(watch.refused(10, false));
         assertFalse(watch.refused(10, true));
@@ -62,7 +62,7 @@
 
     @Test
     void anythingHeardEndsTheSuspicion() {
-        SilenceWatch watch = new SilenceWatch(3000, 250);
+        FailureDetector watch = new FailureDetector(3000, 250);
         watch.heard(0);
         watch.look(3000);
         watch.look(3300);
@@ -75,7 +75,7 @@
 
     @Test
     void theBulletinIsAskedAgainWellWithinWhatCountsAsTold() {
-        BulletinWatch watch = new BulletinWatch(7);
+        WatchRetryPolicy watch = new WatchRetryPolicy(7);
         watch.asked(0);
         watch.heard(10);
         assertFalse(watch.due(2000), "comments come each second");
@@ -96,7 +96,7 @@
     /** A process held back by its share of a core reads late: the viewer's wait has run on meanwhile. */
     @Test
     void timeThatBytesLayUnreadIsTakenOffTheWait() {
-        UnreadTime unread = new UnreadTime(20);
+        ReceiveDelayEstimator unread = new ReceiveDelayEstimator(20);
         assertEquals(0, unread.at(50), "not known yet");
         unread.round(100);
         assertEquals(0, unread.at(115));
@@ -107,38 +107,40 @@
 
     @Test
     void whoBroughtNothingMakesRoomFirstAndWhoWaitsNever() {
-        ViewerRoom.Held waits = new ViewerRoom.Held(1, 0, Brought.NOTHING, 9000);
-        ViewerRoom.Held stands = new ViewerRoom.Held(0, 1, Brought.SERVICE, 9000);
-        ViewerRoom.Held idle = new ViewerRoom.Held(0, 0, Brought.SERVICE, 5000);
-        ViewerRoom.Held recent = new ViewerRoom.Held(0, 0, Brought.SERVICE, 50);
-        ViewerRoom.Held tested = new ViewerRoom.Held(0, 0, Brought.LITTLE, 100);
-        ViewerRoom.Held testedLongAgo = new ViewerRoom.Held(0, 0, Brought.LITTLE, 8000);
-        ViewerRoom.Held silent = new ViewerRoom.Held(0, 0, Brought.NOTHING, 300);
-        ViewerRoom.Held young = new ViewerRoom.Held(0, 0, Brought.NOTHING, 299);
-        List<ViewerRoom.Held> all =
+        ConnectionEviction.Held waits = new ConnectionEviction.Held(1, 0, Brought.NOTHING, 9000);
+        ConnectionEviction.Held stands = new ConnectionEviction.Held(0, 1, Brought.SERVICE, 9000);
+        ConnectionEviction.Held idle = new ConnectionEviction.Held(0, 0, Brought.SERVICE, 5000);
+        ConnectionEviction.Held recent = new ConnectionEviction.Held(0, 0, Brought.SERVICE, 50);
+        ConnectionEviction.Held tested = new ConnectionEviction.Held(0, 0, Brought.LITTLE, 100);
+        ConnectionEviction.Held testedLongAgo = new ConnectionEviction.Held(0, 0, Brought.LITTLE, 8000);
+        ConnectionEviction.Held silent = new ConnectionEviction.Held(0, 0, Brought.NOTHING, 300);
+        ConnectionEviction.Held young = new ConnectionEviction.Held(0, 0, Brought.NOTHING, 299);
+        List<ConnectionEviction.Held> all =
                 new ArrayList<>(List.of(waits, stands, young, idle, recent, tested, testedLongAgo, silent));
-        for (ViewerRoom.Held next : List.of(silent, testedLongAgo, tested, idle, young)) {
-            int chosen = ViewerRoom.toClose(all);
+        for (ConnectionEviction.Held next : List.of(silent, testedLongAgo, tested, idle, young)) {
+            int chosen = ConnectionEviction.toClose(all);
             assertEquals(next, all.get(chosen));
             all.remove(chosen);
         }
-        assertEquals(ViewerRoom.NONE, ViewerRoom.toClose(all), "the last that may tell, waits, stands");
+        assertEquals(ConnectionEviction.NONE, ConnectionEviction.toClose(all), "the last that may tell, waits, stands");
     }
 
     @Test
     void whatIsOwedGoesWhereSomethingUsefulCameLastAndThenElsewhere() {
-        List<ViewerRoom.Way> ways =
-                List.of(new ViewerRoom.Way(true, 5), new ViewerRoom.Way(false, 9), new ViewerRoom.Way(true, 7));
-        assertEquals(2, ViewerRoom.toTell(ways, ViewerRoom.NONE));
-        assertEquals(0, ViewerRoom.toTell(ways, 2));
-        assertEquals(2, ViewerRoom.toTell(ways, 0));
-        assertEquals(0, ViewerRoom.toTell(ways.subList(0, 2), 0), "no other");
-        assertEquals(ViewerRoom.NONE, ViewerRoom.toTell(ways.subList(1, 2), 1));
+        List<ConnectionEviction.Way> ways = List.of(
+                new ConnectionEviction.Way(true, 5),
+                new ConnectionEviction.Way(false, 9),
+                new ConnectionEviction.Way(true, 7));
+        assertEquals(2, ConnectionEviction.toTell(ways, ConnectionEviction.NONE));
+        assertEquals(0, ConnectionEviction.toTell(ways, 2));
+        assertEquals(2, ConnectionEviction.toTell(ways, 0));
+        assertEquals(0, ConnectionEviction.toTell(ways.subList(0, 2), 0), "no other");
+        assertEquals(ConnectionEviction.NONE, ConnectionEviction.toTell(ways.subList(1, 2), 1));
     }
 
     @Test
     void aStartWaitsForWhatWasMissedButNotForLong() {
-        BulletinWatch told = new BulletinWatch(1);
+        WatchRetryPolicy told = new WatchRetryPolicy(1);
         told.asked(0);
         assertFalse(told.caughtUp(90));
         told.answered(90);
@@ -146,16 +148,16 @@
         told.heard(180);
         assertFalse(told.caughtUp(195), "more may follow at once");
         assertTrue(told.caughtUp(200));
-        BulletinWatch empty = new BulletinWatch(1);
+        WatchRetryPolicy empty = new WatchRetryPolicy(1);
         empty.asked(0);
         empty.answered(10);
         assertFalse(empty.caughtUp(100));
         assertTrue(empty.caughtUp(110), "nothing was missed");
-        BulletinWatch silent = new BulletinWatch(1);
+        WatchRetryPolicy silent = new WatchRetryPolicy(1);
         silent.asked(0);
         assertFalse(silent.caughtUp(1400));
         assertTrue(silent.caughtUp(1500));
-        BulletinWatch down = new BulletinWatch(1);
+        WatchRetryPolicy down = new WatchRetryPolicy(1);
         down.asked(0);
         down.broken(5);
         assertTrue(down.caughtUp(6));
@@ -164,11 +166,11 @@
     @Test
     void serversKeepDescriptorsOfTheirOwn() {
         for (int sockets : new int[] {64, 256, 1024}) {
-            DescriptorShares shares = new DescriptorShares(sockets);
+            FileDescriptorBudget shares = new FileDescriptorBudget(sockets);
             assertTrue(shares.viewers() + shares.servers() < sockets);
             assertTrue(shares.servers() * 3 >= shares.viewers());
         }
-        assertTrue(new DescriptorShares(256).viewers() >= 256 / 3 + 20, "a third, and peers beyond it");
+        assertTrue(new FileDescriptorBudget(256).viewers() >= 256 / 3 + 20, "a third, and peers beyond it");
     }
 
     @Test
--- a/decisions/src/test/java/spanrill/decisions/SaidReleasesTest.java
+++ b/decisions/src/test/java/spanrill/decisions/UnacknowledgedReleasesTest.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-class SaidReleasesTest {
-    private final SaidReleases said = new SaidReleases(1000, 3);
+class UnacknowledgedReleasesTest {
+    private final UnacknowledgedReleases said = new UnacknowledgedReleases(1000, 3);
 
     @Test
     void whatWasSaidLastIsLostWithItsConnection() {
--- a/emulator/src/main/java/spanrill/emulator/Front.java
+++ b/emulator/src/main/java/spanrill/emulator/Front.java
@@ -9,13 +9,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import spanrill.check.TapEvent;
-import spanrill.session.Agenda;
 import spanrill.session.CoreSettings;
 import spanrill.session.EventSink;
 import spanrill.session.Scheduler;
 import spanrill.session.Session;
 import spanrill.session.SessionCore;
-import spanrill.session.TokenMemory;
+import spanrill.session.SpentTokenStore;
+import spanrill.session.VirtualTimeScheduler;
 
 /**
  * One front: the core that serves viewers, on the agenda's clock. It may die, which ends its timers and loses
@@ -23,7 +23,7 @@
  */
 final class Front {
     /** A token as the disk has it. */
-    private record Kept(TokenMemory.Fate fate, double expiresAt) {}
+    private record Kept(SpentTokenStore.Fate fate, double expiresAt) {}
 
     private final World world;
     private final int number;
@@ -92,7 +92,7 @@
         double now = world.now();
         disk.forEach((token, kept) -> {
             if (kept.expiresAt() > now) {
-                core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
+                core.restore(token, kept.fate() == SpentTokenStore.Fate.USED, kept.expiresAt());
             }
         });
         world.tap().put(new TapEvent.FrontUp(now, number));
@@ -192,7 +192,7 @@
         public Timer after(double ms, Runnable action) {
             int ofLife = life;
             boolean[] cancelled = {false};
-            Agenda.Entry entry = world.after(
+            VirtualTimeScheduler.Entry entry = world.after(
                     ms,
                     () -> run(ofLife, () -> {
                         if (!cancelled[0]) {
@@ -207,7 +207,7 @@
     }
 
     /** The disk: what was acknowledged is there in the next life. */
-    private final class Disk implements TokenMemory {
+    private final class Disk implements SpentTokenStore {
         @Override
         public void taken(String tokenId, double expiresAt, Consumer<Boolean> then) {
             disk.put(tokenId, new Kept(Fate.TAKEN, expiresAt));
--- a/emulator/src/main/java/spanrill/emulator/Viewer.java
+++ b/emulator/src/main/java/spanrill/emulator/Viewer.java
@@ -12,10 +12,10 @@
 import spanrill.model.player.Player;
 import spanrill.model.player.Player.Next;
 import spanrill.model.player.Traits;
-import spanrill.session.Agenda;
 import spanrill.session.Session;
 import spanrill.session.ViewerCall;
 import spanrill.session.ViewerRequest;
+import spanrill.session.VirtualTimeScheduler;
 
 /** One viewer in virtual time: does what its {@link Player} says, as one on sockets does. */
 final class Viewer {
@@ -40,7 +40,7 @@
     private int frontLife;
     private long ask;
     private boolean waiting;
-    private Agenda.Entry patience;
+    private VirtualTimeScheduler.Entry patience;
     private Call call;
     private String session;
     private Download download;
--- a/emulator/src/main/java/spanrill/emulator/World.java
+++ b/emulator/src/main/java/spanrill/emulator/World.java
@@ -14,9 +14,9 @@
 import spanrill.model.link.LinkNetwork;
 import spanrill.model.player.FrontChoice;
 import spanrill.model.trouble.Effect;
-import spanrill.session.Agenda;
 import spanrill.session.SessionCore;
 import spanrill.session.Title;
+import spanrill.session.VirtualTimeScheduler;
 
 /** All that a day has: its clock, boxes, links, list, fronts and viewers, and what goes wrong with them. */
 final class World {
@@ -25,7 +25,7 @@
 
     private final Day day;
     private final Costs costs;
-    private final Agenda agenda = new Agenda();
+    private final VirtualTimeScheduler agenda = new VirtualTimeScheduler();
     private final Tap tap;
     private final Halls halls;
     private final HallWatch watch;
@@ -147,7 +147,7 @@
         return agenda.ran();
     }
 
-    Agenda.Entry after(double ms, Runnable action) {
+    VirtualTimeScheduler.Entry after(double ms, Runnable action) {
         return agenda.after(ms, action);
     }
 
--- a/front/src/main/java/spanrill/front/FrontDaemon.java
+++ b/front/src/main/java/spanrill/front/FrontDaemon.java
@@ -23,7 +23,7 @@
 import spanrill.loop.Clock;
 import spanrill.loop.LoopScheduler;
 import spanrill.session.SessionCore;
-import spanrill.session.TokenMemory;
+import spanrill.session.SpentTokenStore;
 import spanrill.wire.http.HttpFault;
 import spanrill.wire.http.HttpLimits;
 import spanrill.wire.http.HttpServer;
@@ -66,7 +66,7 @@
         core.onReady(() -> ready.complete(null));
         tokens.kept().forEach((token, kept) -> {
             if (kept.expiresAt() > clock.now()) {
-                core.restore(token, kept.fate() == TokenMemory.Fate.USED, kept.expiresAt());
+                core.restore(token, kept.fate() == SpentTokenStore.Fate.USED, kept.expiresAt());
             }
         });
         gate = new TokenGate(
--- a/front/src/main/java/spanrill/front/box/BoxPool.java
+++ b/front/src/main/java/spanrill/front/box/BoxPool.java
@@ -109,7 +109,7 @@
         }
     }
 
-    /** Ends all that rests, and turns away what waits. */
+    /** Ends all that rests, and executor away what waits. */
     void close(Consumer<Taker> turnAway) {
         queue.forEach(turnAway);
         queue.clear();
--- a/front/src/main/java/spanrill/front/store/TokenStore.java
+++ b/front/src/main/java/spanrill/front/store/TokenStore.java
@@ -16,14 +16,14 @@
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
 import spanrill.front.EventLog;
-import spanrill.session.TokenMemory;
+import spanrill.session.SpentTokenStore;
 
 /**
  * Tokens in an MVStore file. One thread writes: it takes all that waits, commits and syncs once (group
  * commit), then lets those go on who waited for it. After a kill the file opens at its last commit; what was
  * acknowledged is in it.
  */
-public final class TokenStore implements TokenMemory, AutoCloseable {
+public final class TokenStore implements SpentTokenStore, AutoCloseable {
     private static final int WAITING = 50_000;
     private static final long SWEEP_MS = 10_000;
     private static final double SLOW_MS = 100;
@@ -148,7 +148,7 @@
         }
     }
 
-    /** Forgets tokens that have expired: their date alone turns them away. */
+    /** Forgets tokens that have expired: their date alone executor them away. */
     private void sweep() {
         long now = System.currentTimeMillis();
         if (now - sweptAt >= SWEEP_MS) {
--- a/front/src/main/java/spanrill/front/token/TokenGate.java
+++ b/front/src/main/java/spanrill/front/token/TokenGate.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import spanrill.decisions.WaitingRoom;
+import spanrill.decisions.AdmissionQueue;
 
 /**
  * Verifies tokens off the front's loop: an ES256 signature takes this JVM about 1.5 ms, which would hold
  * every
  * session up during a flash crowd. Signatures found right are remembered, so that a viewer's retries cost
  * nothing; dates, title and class are looked at each time. Who waits and who is told that there is no room is
- * decided by a {@link WaitingRoom}.
+ * decided by a {@link AdmissionQueue}.
  */
 public final class TokenGate implements AutoCloseable {
     private static final int REMEMBERED = 20_000;
@@ -64,7 +64,7 @@
 
     private final TokenKeys keys;
     private final Time time;
-    private final WaitingRoom<Waiting> room;
+    private final AdmissionQueue<Waiting> room;
     private final List<Thread> workers = new ArrayList<>();
     private final Cache<String, TokenKeys.Signed> right = Caffeine.newBuilder()
             .maximumSize(REMEMBERED)
@@ -75,7 +75,7 @@
     public TokenGate(TokenKeys keys, int threads, int waiting, Time time) {
         this.keys = keys;
         this.time = time;
-        room = new WaitingRoom<>(waiting, threads, FIRST_GUESS_MS);
+        room = new AdmissionQueue<>(waiting, threads, FIRST_GUESS_MS);
         for (int i = 0; i < threads; i++) {
             Thread thread = new Thread(this::work, "front-token-" + i);
             thread.setDaemon(true);
--- a/front/src/test/java/spanrill/front/TokenStoreTest.java
+++ b/front/src/test/java/spanrill/front/TokenStoreTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import spanrill.front.store.TokenStore;
-import spanrill.session.TokenMemory.Fate;
+import spanrill.session.SpentTokenStore.Fate;
 
 class TokenStoreTest {
     private static final double LATER = 4e12;
--- a/model/src/main/java/spanrill/model/link/FlowBucket.java
+++ b/model/src/main/java/spanrill/model/link/FlowBucket.java
@@ -1,7 +1,7 @@
 package spanrill.model.link;
 
 /**
- * Turns what a link grants a flow into bytes that may be written now. What was granted while nothing was
+ * SerialExecutor what a link grants a flow into bytes that may be written now. What was granted while nothing was
  * asked
  * for (between two segments) may be caught up for a short time; a link can't give it much later.
  */
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -18,23 +18,23 @@
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
 import spanrill.decisions.ConnectionBudget;
-import spanrill.decisions.DescriptorShares;
+import spanrill.decisions.FailureDetector;
+import spanrill.decisions.FileDescriptorBudget;
 import spanrill.decisions.GracefulShutdown;
-import spanrill.decisions.SilenceWatch;
 import spanrill.loop.Clock;
 import spanrill.loop.LoopScheduler;
-import spanrill.loop.NextRound;
-import spanrill.node.bulletin.BulletinClient;
+import spanrill.loop.NextEventLoopIteration;
+import spanrill.node.client.ClientListener;
 import spanrill.node.config.NodeConfig;
-import spanrill.node.config.Roster;
+import spanrill.node.config.ServerListUpdate;
+import spanrill.node.discovery.DiscoveryClient;
+import spanrill.node.server.ConnectionPools;
 import spanrill.node.server.ServerLimits;
-import spanrill.node.server.ServerTable;
 import spanrill.node.session.SessionHost;
-import spanrill.node.viewer.ViewerListener;
 import spanrill.session.EventSink;
 import spanrill.session.Scheduler;
 
-/** A front node that runs: one event loop with viewers, sessions, servers and the bulletin. */
+/** A front node that runs: one event loop with viewers, sessions, servers and discovery. */
 public final class FrontNode implements AutoCloseable {
     private static final long STOP_LOOK_MS = 20;
     private static final long START_LOOK_MS = 5;
@@ -44,16 +44,16 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final NextRound nextRound = new NextRound(loop);
+    private final NextEventLoopIteration nextIteration = new NextEventLoopIteration(loop);
     private final NodeConfig config;
     private final EventSink log;
     private final Scheduler scheduler;
-    private final ViewerListener viewers;
-    private final ServerTable servers;
+    private final ClientListener viewers;
+    private final ConnectionPools servers;
     private final SessionHost host;
-    private final BulletinClient bulletin;
+    private final DiscoveryClient discovery;
     private volatile Channel listening;
-    private final List<Roster> early = new ArrayList<>();
+    private final List<ServerListUpdate> early = new ArrayList<>();
     private boolean begun;
     private ScheduledFuture<?> stopping;
 
@@ -61,9 +61,9 @@
         this.config = config;
         this.log = log;
         scheduler = new LoopScheduler(loop, new Clock());
-        DescriptorShares shares = new DescriptorShares(config.sockets());
-        viewers = new ViewerListener(loop, new ConnectionBudget(shares.viewers()), config.retryAfter(), log, trace);
-        servers = new ServerTable(loop, limits(config), new ConnectionBudget(shares.servers()), log, trace);
+        FileDescriptorBudget shares = new FileDescriptorBudget(config.sockets());
+        viewers = new ClientListener(loop, new ConnectionBudget(shares.viewers()), config.retryAfter(), log, trace);
+        servers = new ConnectionPools(loop, limits(config), new ConnectionBudget(shares.servers()), log, trace);
         host = new SessionHost(
                 config.settings(),
                 scheduler,
@@ -72,8 +72,8 @@
                 servers,
                 viewers::any,
                 actions -> new Control(config.settings(), config.seed(), actions));
-        bulletin = new BulletinClient(loop, log, config.bulletin(), config.knownNo(), config.seed(), this::told);
-        loop.submit(bulletin::start).syncUninterruptibly();
+        discovery = new DiscoveryClient(loop, log, config.discovery(), config.knownNo(), config.seed(), this::told);
+        loop.submit(discovery::start).syncUninterruptibly();
         meanwhile.run();
         Promise<Void> caughtUp = loop.newPromise();
         loop.execute(() -> awaitList(caughtUp));
@@ -100,7 +100,7 @@
         return new ServerLimits(
                 (int) Math.ceil(config.connectMs()),
                 config.idleMs(),
-                SilenceWatch.silentMs(
+                FailureDetector.silentMs(
                         config.settings().tellMs(), config.settings().seeMs()),
                 Math.min(MOST_ON_ONE, config.maxStreams()),
                 config.mayTest());
@@ -127,7 +127,7 @@
     }
 
     /**
-     * Prepares a node that does not listen yet. The bulletin is asked first, since what it told counts
+     * Prepares a node that does not listen yet. Discovery is asked first, since what it told counts
      * whether it was asked or not; this returns once that is known, or can't be had, and {@code meanwhile}
      * has run.
      */
@@ -136,14 +136,14 @@
     }
 
     private void awaitList(Promise<Void> caughtUp) {
-        if (bulletin.caughtUp()) {
+        if (discovery.caughtUp()) {
             caughtUp.setSuccess(null);
         } else {
             loop.schedule(() -> awaitList(caughtUp), START_LOOK_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private void begin(List<Roster> known) {
+    private void begin(List<ServerListUpdate> known) {
         host.start();
         servers.begin(host);
         known.forEach(event -> listed(event, event.whole() ? ListKind.KEPT : ListKind.CHANGES));
@@ -152,8 +152,8 @@
         early.clear();
     }
 
-    /** Events of the bulletin; those that come before the module has started wait. */
-    private void told(Roster event) {
+    /** Events of discovery; those that come before the module has started wait. */
+    private void told(ServerListUpdate event) {
         if (begun) {
             listed(event, event.whole() ? ListKind.WHOLE : ListKind.CHANGES);
         } else {
@@ -164,9 +164,9 @@
         }
     }
 
-    private void listed(Roster event, ListKind kind) {
+    private void listed(ServerListUpdate event, ListKind kind) {
         List<Server> list = new ArrayList<>();
-        for (Roster.Member member : event.members()) {
+        for (ServerListUpdate.Member member : event.members()) {
             Server server = member.server();
             list.add(server);
             if (server.state() == ServerState.GONE) {
@@ -183,12 +183,12 @@
         }
         host.servers(kind, list);
         // After the module has heard it: what comes back unsent goes elsewhere.
-        servers.takeBack();
+        servers.withdrawUnsent();
     }
 
-    /** Takes up what a new configuration changes: where the bulletin is asked. */
+    /** Takes up what a new configuration changes: where discovery is asked. */
     public void reconfigure(NodeConfig fresh) {
-        loop.execute(() -> bulletin.moved(fresh.bulletin()));
+        loop.execute(() -> discovery.moved(fresh.discovery()));
     }
 
     /**
@@ -215,10 +215,10 @@
                 new GracefulShutdown.View(
                         viewers.size(),
                         host.open(),
-                        host.moving() + servers.owed(),
-                        viewers.unsent() || servers.unsent()))) {
+                        host.moving() + servers.pendingReleases(),
+                        viewers.hasUnflushed() || servers.hasUnflushed()))) {
             // What has arrived is read first: a request that lies unread is not to cross the end.
-            case DRAIN -> nextRound.execute(() -> drain(began + shutdown.answerByMs(), NONE_ACCEPTED));
+            case DRAIN -> nextIteration.execute(() -> drain(began + shutdown.answerByMs(), NONE_ACCEPTED));
             case END -> {
                 stopping.cancel(false);
                 log.info(
@@ -239,7 +239,7 @@
     private void drain(double answerBy, long acceptedBefore) {
         long accepted = viewers.accepted();
         if (accepted != acceptedBefore && scheduler.now() < answerBy) {
-            nextRound.execute(() -> drain(answerBy, accepted));
+            nextIteration.execute(() -> drain(answerBy, accepted));
             return;
         }
         log.info("shutdown.drain", "connections", viewers.size(), "open", host.open());
@@ -265,8 +265,8 @@
     }
 
     /** True while something that was said lies in buffers of this process; may be asked from any thread. */
-    boolean unsent() {
-        return loop.submit(() -> viewers.unsent() || servers.unsent())
+    boolean hasUnflushed() {
+        return loop.submit(() -> viewers.hasUnflushed() || servers.hasUnflushed())
                 .syncUninterruptibly()
                 .getNow();
     }
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -14,14 +14,14 @@
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServiceClass;
 import spanrill.node.config.NodeConfig;
-import spanrill.node.config.Roster;
+import spanrill.node.config.ServerListUpdate;
 import spanrill.node.session.Attempt;
+import spanrill.node.session.ClientLink;
 import spanrill.node.session.End;
 import spanrill.node.session.ServerSide;
 import spanrill.node.session.SessionHost;
-import spanrill.node.session.ViewerLink;
-import spanrill.session.Agenda;
 import spanrill.session.EventSink;
+import spanrill.session.VirtualTimeScheduler;
 import spanrill.wire.platform.FieldFault;
 import spanrill.wire.platform.Message;
 import spanrill.wire.platform.MessageDecoder;
@@ -39,7 +39,7 @@
     private static final double ANSWER_MS = 60;
     private static final double LASTS_MS = 1500;
 
-    private final Agenda time = new Agenda();
+    private final VirtualTimeScheduler time = new VirtualTimeScheduler();
     private final NodeConfig config;
     private final SessionHost host;
     private final Sink viewer = new Sink();
@@ -66,7 +66,7 @@
     private int play(int sessions, double mostMs) {
         long until = System.nanoTime() + (long) (mostMs * 1e6);
         host.start();
-        for (Roster event : config.known()) {
+        for (ServerListUpdate event : config.known()) {
             List<Server> list = new ArrayList<>();
             event.members().forEach(member -> list.add(member.server()));
             host.servers(event.whole() ? ListKind.KEPT : ListKind.CHANGES, list);
@@ -147,7 +147,7 @@
         public void standing(String server, int sessions) {}
     }
 
-    private static final class Sink implements ViewerLink {
+    private static final class Sink implements ClientLink {
         @Override
         public boolean open() {
             return true;
--- a/node/src/main/java/spanrill/node/bulletin/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The bulletin: server-sent events with the list of servers. On the event loop only. */
-package spanrill.node.bulletin;
--- a/node/src/main/java/spanrill/node/viewer/ViewerConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -1,4 +1,4 @@
-package spanrill.node.viewer;
+package spanrill.node.client;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFutureListener;
@@ -15,14 +15,14 @@
 import spanrill.decisions.ClientConnectionState.Intake;
 import spanrill.decisions.ClientConnectionState.Phase;
 import spanrill.decisions.CloseReason;
+import spanrill.decisions.ConnectionEviction;
+import spanrill.decisions.ConnectionEviction.Brought;
 import spanrill.decisions.ConnectionTimeouts;
 import spanrill.decisions.RecentAnswers;
-import spanrill.decisions.ViewerRoom;
-import spanrill.decisions.ViewerRoom.Brought;
 import spanrill.loop.Clock;
+import spanrill.node.session.ClientLink;
 import spanrill.node.session.End;
 import spanrill.node.session.SessionHost;
-import spanrill.node.session.ViewerLink;
 import spanrill.wire.platform.Cause;
 import spanrill.wire.platform.FieldFault;
 import spanrill.wire.platform.FrameFault;
@@ -36,7 +36,7 @@
  * One client connection: many sessions, each message checked before the sessions see it. How it ends is
  * decided by its {@link ClientConnectionState}; this class carries that out.
  */
-final class ViewerConnection extends ChannelInboundHandlerAdapter implements ViewerLink {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientLink {
     /** More unflushed bytes than this, and the client reads far slower than it asks. */
     private static final long MOST_UNFLUSHED_BYTES = 256 * 1024;
     /** A client that has read nothing for this long while its buffer is full does not read. */
@@ -44,7 +44,7 @@
     /** The first request follows a new connection at once, but may be under way for so long; ms. */
     private static final double REQUEST_UNDER_WAY_MS = 300;
 
-    private final ViewerListener listener;
+    private final ClientListener listener;
     private final SessionHost host;
     private final boolean retryAfter;
     private final MessageDecoder decoder = new MessageDecoder();
@@ -71,7 +71,7 @@
     private int discardedRequests;
     private SocketChannel channel;
 
-    ViewerConnection(ViewerListener listener, SessionHost host, boolean retryAfter) {
+    ClientConnection(ClientListener listener, SessionHost host, boolean retryAfter) {
         this.listener = listener;
         this.host = host;
         this.retryAfter = retryAfter;
@@ -327,7 +327,7 @@
     }
 
     /** True while something lies in buffers of this process. */
-    boolean unsent() {
+    boolean hasUnflushed() {
         ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
         return out != null && !out.isEmpty();
     }
@@ -335,8 +335,8 @@
     // ---- its end
 
     /** What counts where a descriptor is needed for a new connection. */
-    ViewerRoom.Held held(double now) {
-        return new ViewerRoom.Held(
+    ConnectionEviction.Held held(double now) {
+        return new ConnectionEviction.Held(
                 openRequests.size(),
                 standing,
                 served ? Brought.SERVICE : proven ? Brought.LITTLE : Brought.NOTHING,
@@ -405,7 +405,7 @@
         boolean begun = messageMs(now) > 0 && messageMs(now) < REQUEST_UNDER_WAY_MS;
         boolean fresh = messages == 0 && now - acceptedAt < REQUEST_UNDER_WAY_MS;
         return new ClientConnectionState.View(
-                openRequests.size(), served && host.releasesPending(), unsent(), begun || fresh, written);
+                openRequests.size(), served && host.releasesPending(), hasUnflushed(), begun || fresh, written);
     }
 
     /** Closes the socket of a connection whose output was shut down before. */
--- a/node/src/main/java/spanrill/node/viewer/ViewerListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -1,4 +1,4 @@
-package spanrill.node.viewer;
+package spanrill.node.client;
 
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -15,20 +15,20 @@
 import spanrill.decisions.ClientConnectionState.Phase;
 import spanrill.decisions.CloseReason;
 import spanrill.decisions.ConnectionBudget;
-import spanrill.decisions.UnreadTime;
-import spanrill.decisions.ViewerRoom;
+import spanrill.decisions.ConnectionEviction;
+import spanrill.decisions.ReceiveDelayEstimator;
 import spanrill.loop.Clock;
-import spanrill.loop.NextRound;
+import spanrill.loop.NextEventLoopIteration;
+import spanrill.node.session.ClientLink;
 import spanrill.node.session.SessionHost;
-import spanrill.node.session.ViewerLink;
 import spanrill.session.EventSink;
 import spanrill.wire.Listening;
 import spanrill.wire.platform.Message;
 
 /** Listens for viewers and for the platform's tests. */
-public final class ViewerListener {
+public final class ClientListener {
     private static final int BACKLOG = 1024;
-    private static final long LOOK_MS = 100;
+    private static final long TICK_MS = 100;
     private static final long ROUND_MS = 20;
     /** Descriptors of connections that are closing; taken from the reserve of the descriptor shares. */
     private static final int MOST_CLOSING = 12;
@@ -37,22 +37,22 @@
 
     private final EventLoop loop;
     private final ConnectionBudget budget;
-    private final UnreadTime unread = new UnreadTime(ROUND_MS);
+    private final ReceiveDelayEstimator unread = new ReceiveDelayEstimator(ROUND_MS);
     private final EventSink log;
     private final EventSink trace;
     private final boolean retryAfter;
-    private final Set<ViewerConnection> connections = new LinkedHashSet<>();
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
     /** Connections whose output is shut down, the oldest first; they no longer count against the budget. */
-    private final Set<ViewerConnection> closing = new LinkedHashSet<>();
+    private final Set<ClientConnection> closing = new LinkedHashSet<>();
 
     private SessionHost host;
-    private ViewerConnection lastGiven;
+    private ClientConnection lastGiven;
     private long accepted;
     /** When a shutdown gives the last answers, on the clock of {@link Clock#ticks}; NaN: none is on. */
     private double answerBy = Double.NaN;
 
     /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
-    public ViewerListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log, EventSink trace) {
+    public ClientListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log, EventSink trace) {
         this.loop = loop;
         this.budget = budget;
         this.retryAfter = retryAfter;
@@ -64,8 +64,8 @@
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
         host = told;
         // After a round that reads: one that lay unread while the loop was busy must not be taken for idle.
-        NextRound nextRound = new NextRound(loop);
-        loop.scheduleAtFixedRate(() -> nextRound.execute(this::look), LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        NextEventLoopIteration nextIteration = new NextEventLoopIteration(loop);
+        loop.scheduleAtFixedRate(() -> nextIteration.execute(this::onTick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> unread.round(Clock.ticks()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
         return Listening.bind(group, address, BACKLOG, MARKS, this::accept);
     }
@@ -79,7 +79,7 @@
             }
             return;
         }
-        ViewerConnection connection = new ViewerConnection(this, host, retryAfter);
+        ClientConnection connection = new ClientConnection(this, host, retryAfter);
         connections.add(connection);
         channel.closeFuture().addListener(f -> forget(connection));
         channel.pipeline().addLast(connection);
@@ -88,7 +88,7 @@
         }
     }
 
-    private void forget(ViewerConnection connection) {
+    private void forget(ClientConnection connection) {
         connections.remove(connection);
         if (!closing.remove(connection)) {
             budget.closed();
@@ -99,7 +99,7 @@
     }
 
     /** The output of a connection is shut down; it waits for its client's end. */
-    void closing(ViewerConnection connection) {
+    void closing(ClientConnection connection) {
         if (closing.add(connection)) {
             budget.closed();
         }
@@ -125,20 +125,21 @@
 
     /** Lets a connection go on which nobody waits, for a new one. */
     private boolean makeRoom() {
-        List<ViewerConnection> all =
+        List<ClientConnection> all =
                 connections.stream().filter(c -> c.phase() == Phase.OPEN).toList();
         double now = Clock.ticks();
-        int chosen = ViewerRoom.toClose(all.stream().map(c -> c.held(now)).toList());
-        if (chosen == ViewerRoom.NONE) {
+        int chosen =
+                ConnectionEviction.toClose(all.stream().map(c -> c.held(now)).toList());
+        if (chosen == ConnectionEviction.NONE) {
             return false;
         }
         all.get(chosen).drain(CloseReason.EVICTED);
         return budget.open() < budget.most();
     }
 
-    private void look() {
+    private void onTick() {
         double now = Clock.ticks();
-        for (ViewerConnection connection : Set.copyOf(connections)) {
+        for (ClientConnection connection : Set.copyOf(connections)) {
             connection.onTick(now);
         }
     }
@@ -154,17 +155,17 @@
     }
 
     /** True while something that was said to a viewer lies in buffers of this process. */
-    public boolean unsent() {
-        return connections.stream().anyMatch(ViewerConnection::unsent);
+    public boolean hasUnflushed() {
+        return connections.stream().anyMatch(ClientConnection::hasUnflushed);
     }
 
-    void came(ViewerConnection on, Message message) {
+    void came(ClientConnection on, Message message) {
         if (trace.keeps()) {
             trace.info("came", "on", on, "type", message.type(), "id", hex(message.session()));
         }
     }
 
-    void sent(ViewerConnection on, long session, int cause) {
+    void sent(ClientConnection on, long session, int cause) {
         if (trace.keeps()) {
             trace.info("released", "on", on, "id", hex(session), "cause", cause);
         }
@@ -196,26 +197,26 @@
         }
     }
 
-    void rejected(ViewerConnection on, long session, String why) {
+    void rejected(ClientConnection on, long session, String why) {
         if (trace.keeps()) {
             trace.info("request.reject", "conn", on, "id", hex(session), "reason", why);
         }
     }
 
     /** A connection on which a usual viewer was served: it can take what is owed. */
-    void good(ViewerConnection connection) {
+    void good(ClientConnection connection) {
         host.linkReady(connection);
     }
 
     /** A connection that can take a release whose own is gone, or null. */
-    public ViewerLink any() {
-        List<ViewerConnection> all = new ArrayList<>(connections);
-        int chosen = ViewerRoom.toTell(
+    public ClientLink any() {
+        List<ClientConnection> all = new ArrayList<>(connections);
+        int chosen = ConnectionEviction.toTell(
                 all.stream()
-                        .map(c -> new ViewerRoom.Way(c.served() && c.open(), c.usefulAt()))
+                        .map(c -> new ConnectionEviction.Way(c.served() && c.open(), c.usefulAt()))
                         .toList(),
                 all.indexOf(lastGiven));
-        lastGiven = chosen == ViewerRoom.NONE ? null : all.get(chosen);
+        lastGiven = chosen == ConnectionEviction.NONE ? null : all.get(chosen);
         return lastGiven;
     }
 }
--- a/node/src/main/java/spanrill/node/viewer/ClosedConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClosedConnection.java
@@ -1,4 +1,4 @@
-package spanrill.node.viewer;
+package spanrill.node.client;
 
 import spanrill.decisions.CloseReason;
 
--- a/node/src/main/java/spanrill/node/viewer/package-info.java
+++ b/node/src/main/java/spanrill/node/client/package-info.java
@@ -1,2 +1,2 @@
 /** The viewers' side: listener, connections, their limits, answers. On the event loop only. */
-package spanrill.node.viewer;
+package spanrill.node.client;
--- a/node/src/main/java/spanrill/node/config/NodeConfig.java
+++ b/node/src/main/java/spanrill/node/config/NodeConfig.java
@@ -18,7 +18,7 @@
  * @param listen where viewers connect
  * @param seed for random numbers
  * @param sockets file descriptors that the process may hold
- * @param bulletin where the bulletin is asked
+ * @param discovery where discovery is asked
  * @param knownNo number of the last event that is known
  * @param known the events so far
  * @param settings the module's settings
@@ -34,9 +34,9 @@
         InetSocketAddress listen,
         long seed,
         int sockets,
-        InetSocketAddress bulletin,
+        InetSocketAddress discovery,
         long knownNo,
-        List<Roster> known,
+        List<ServerListUpdate> known,
         Settings settings,
         double connectMs,
         double idleMs,
@@ -60,9 +60,9 @@
     }
 
     static NodeConfig of(Pairs pairs) {
-        List<Roster> known = new ArrayList<>();
+        List<ServerListUpdate> known = new ArrayList<>();
         for (int i = 0; i < pairs.count("known.items"); i++) {
-            known.add(Roster.of(pairs.at("known.items." + i + ".")));
+            known.add(ServerListUpdate.of(pairs.at("known.items." + i + ".")));
         }
         long last = known.isEmpty() ? 0 : known.get(known.size() - 1).no();
         Pairs settings = pairs.at("settings.");
@@ -77,10 +77,10 @@
         boolean retryAfter = allows(settings, "limits.retry_after");
         return new NodeConfig(
                 pairs.text("name"),
-                Roster.address(pairs, "listen", 0),
+                ServerListUpdate.address(pairs, "listen", 0),
                 seed(pairs),
                 sockets,
-                Roster.address(pairs, "bulletin"),
+                ServerListUpdate.address(pairs, "bulletin"),
                 pairs.has("known.no") ? (long) pairs.number("known.no") : last,
                 known,
                 new SetupReader(settings).settings(),
--- a/node/src/main/java/spanrill/node/config/Roster.java
+++ b/node/src/main/java/spanrill/node/config/ServerListUpdate.java
@@ -9,13 +9,13 @@
 import spanrill.setup.SetupFault;
 
 /**
- * One event of the bulletin.
+ * One event of discovery.
  *
  * @param no its number, from 1
  * @param whole true for the whole list, false for what has changed
  * @param members the servers
  */
-public record Roster(long no, boolean whole, List<Member> members) {
+public record ServerListUpdate(long no, boolean whole, List<Member> members) {
     /**
      * A server as listed.
      *
@@ -32,7 +32,7 @@
      * @throws SetupFault naming the first field that is missing or wrong; nothing of the event may be used
      *     then
      */
-    public static Roster of(Pairs event) {
+    public static ServerListUpdate of(Pairs event) {
         Pairs roster = event.at("roster.");
         long no = (long) event.number("no");
         if (no < 1) {
@@ -46,7 +46,7 @@
         for (int i = 0; i < count; i++) {
             members.add(member(roster.at("members." + i + ".")));
         }
-        return new Roster(no, bool(roster, "complete"), members);
+        return new ServerListUpdate(no, bool(roster, "complete"), members);
     }
 
     private static boolean bool(Pairs pairs, String key) {
--- a/node/src/main/java/spanrill/node/bulletin/BulletinClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package spanrill.node.bulletin;
+package spanrill.node.discovery;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -6,10 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import spanrill.decisions.BulletinWatch;
+import spanrill.decisions.WatchRetryPolicy;
 import spanrill.loop.Clock;
 import spanrill.node.config.JsonPairs;
-import spanrill.node.config.Roster;
+import spanrill.node.config.ServerListUpdate;
 import spanrill.session.EventSink;
 import spanrill.setup.SetupFault;
 import spanrill.wire.http.EventStream;
@@ -20,19 +20,19 @@
 import spanrill.wire.http.ResponseHead;
 
 /**
- * Follows the bulletin: one connection at a time, resumed after the last event that was applied. When it is
- * asked again is decided by {@link BulletinWatch}.
+ * Follows discovery: one connection at a time, resumed after the last event that was applied. When it is
+ * asked again is decided by {@link WatchRetryPolicy}.
  */
-public final class BulletinClient {
+public final class DiscoveryClient {
     private static final String PATH = "/bulletins";
     private static final int CONNECT_MS = 500;
     private static final int MOST_EVENT = 1 << 20;
-    private static final long LOOK_MS = 100;
+    private static final long TICK_MS = 100;
 
     private final EventLoop loop;
     private final EventSink log;
-    private final Consumer<Roster> told;
-    private final BulletinWatch watch;
+    private final Consumer<ServerListUpdate> told;
+    private final WatchRetryPolicy watch;
     private InetSocketAddress address;
     private long last;
     private Stream stream;
@@ -43,20 +43,25 @@
      * @param last number of the last event that is known
      * @param told takes each new event, in order
      */
-    public BulletinClient(
-            EventLoop loop, EventSink log, InetSocketAddress address, long last, long seed, Consumer<Roster> told) {
+    public DiscoveryClient(
+            EventLoop loop,
+            EventSink log,
+            InetSocketAddress address,
+            long last,
+            long seed,
+            Consumer<ServerListUpdate> told) {
         this.loop = loop;
         this.log = log;
         this.address = address;
         this.last = last;
         this.told = told;
-        watch = new BulletinWatch(seed);
+        watch = new WatchRetryPolicy(seed);
     }
 
     /** Begins to ask. */
     public void start() {
         ask();
-        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::onTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** From now on it is asked elsewhere, at once. */
@@ -71,7 +76,7 @@
         return watch.caughtUp(Clock.ticks());
     }
 
-    private void look() {
+    private void onTick() {
         if (watch.due(Clock.ticks())) {
             drop();
             ask();
@@ -96,7 +101,7 @@
         });
     }
 
-    /** One answer of the bulletin. */
+    /** One answer of discovery. */
     private final class Stream implements HttpClientConnection.Listener {
         private final EventStream events = new EventStream(MOST_EVENT, this::event);
         private HttpClientConnection connection;
@@ -133,7 +138,7 @@
         @Override
         public void head(ResponseHead head) {
             if (head.status() != 200) {
-                log.info("bulletin.refused", "status", head.status());
+                log.info("discovery.refused", "status", head.status());
                 broken();
             } else if (stream == this) {
                 watch.answered(Clock.ticks());
@@ -149,7 +154,7 @@
             try {
                 events.feed(part);
             } catch (HttpFault fault) {
-                log.info("bulletin.malformed", "reason", fault.getMessage());
+                log.info("discovery.malformed", "reason", fault.getMessage());
                 broken();
             }
         }
@@ -158,12 +163,12 @@
             if (stream != this) {
                 return;
             }
-            Roster roster;
+            ServerListUpdate roster;
             try {
-                roster = Roster.of(JsonPairs.read(data.getBytes(StandardCharsets.UTF_8)));
+                roster = ServerListUpdate.of(JsonPairs.read(data.getBytes(StandardCharsets.UTF_8)));
             } catch (SetupFault fault) {
                 // The list in force stays whole; the same event is asked for again.
-                log.info("bulletin.malformed", "id", id, "reason", fault.getMessage());
+                log.info("discovery.malformed", "id", id, "reason", fault.getMessage());
                 broken();
                 return;
             }
@@ -171,7 +176,7 @@
                 return;
             }
             if (roster.no() > last + 1 && !roster.whole()) {
-                log.info("bulletin.gap", "after", last, "came", roster.no());
+                log.info("discovery.gap", "after", last, "came", roster.no());
                 broken();
                 return;
             }
--- a/node/src/main/java/spanrill/node/server/Server.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Set;
 import spanrill.decisions.ConnectionBudget;
-import spanrill.decisions.LinkChoice;
+import spanrill.decisions.ConnectionSelector;
+import spanrill.decisions.FailureDetector;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
-import spanrill.decisions.SilenceWatch;
 import spanrill.loop.Clock;
-import spanrill.loop.NextRound;
+import spanrill.loop.NextEventLoopIteration;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
@@ -22,7 +22,7 @@
 import spanrill.wire.platform.Parameter;
 
 /** One server id: its connections and what is owed to it. Connections are the id's, never the address's. */
-final class Server {
+final class ConnectionPool {
     // Idle connections take nothing past this share of the server's idle time, and are closed a little later.
     private static final double IDLE_SHARE = 0.5;
     private static final int MOST_OWED = 4096;
@@ -32,16 +32,16 @@
 
     private final String id;
     private final EventLoop loop;
-    private final NextRound nextRound;
+    private final NextEventLoopIteration nextIteration;
     private final ServerLimits limits;
     private final ConnectionBudget budget;
     private final SessionHost host;
     private final EventSink log;
     private final EventSink trace;
-    private final LinkChoice choice;
-    private final SilenceWatch silence;
-    private final List<ServerLink> links = new ArrayList<>();
-    private final Set<Long> owedReleases = new LinkedHashSet<>();
+    private final ConnectionSelector choice;
+    private final FailureDetector silence;
+    private final List<ServerConnection> links = new ArrayList<>();
+    private final Set<Long> pendingReleases = new LinkedHashSet<>();
     private InetSocketAddress address;
     private int most = 2;
     private int standing;
@@ -51,11 +51,11 @@
     private double openAfter;
     private boolean refusedLast;
 
-    Server(
+    ConnectionPool(
             String id,
             InetSocketAddress address,
             EventLoop loop,
-            NextRound nextRound,
+            NextEventLoopIteration nextIteration,
             ServerLimits limits,
             ConnectionBudget budget,
             SessionHost host,
@@ -64,14 +64,14 @@
         this.id = id;
         this.address = address;
         this.loop = loop;
-        this.nextRound = nextRound;
+        this.nextIteration = nextIteration;
         this.limits = limits;
         this.budget = budget;
         this.host = host;
         this.log = log;
         this.trace = trace;
-        choice = new LinkChoice(IDLE_SHARE * limits.idleMs(), limits.mostOnOne());
-        silence = new SilenceWatch(limits.silentMs(), limits.connectMs());
+        choice = new ConnectionSelector(IDLE_SHARE * limits.idleMs(), limits.mostOnOne());
+        silence = new FailureDetector(limits.silentMs(), limits.connectMs());
     }
 
     String id() {
@@ -86,7 +86,7 @@
         trace.info("listed", "server", id, "address", at);
         if (!at.equals(address)) {
             address = at;
-            links.forEach(ServerLink::retire);
+            links.forEach(ServerConnection::retire);
         }
         draining = drains;
         gone = false;
@@ -96,7 +96,7 @@
     /** The list tells late: a server that it calls gone ended before, and with it all that stood there. */
     void gone() {
         if (!gone) {
-            links.forEach(ServerLink::retire);
+            links.forEach(ServerConnection::retire);
         }
         trace.info("gone", "server", id, "standing", standing, "links", links.size());
         gone = true;
@@ -122,13 +122,13 @@
     // ---- what sessions ask
 
     void setUp(Attempt attempt) {
-        List<LinkChoice.Link> seen = new ArrayList<>();
+        List<ConnectionSelector.Link> seen = new ArrayList<>();
         double now = Clock.ticks();
-        for (ServerLink link : links) {
-            seen.add(new LinkChoice.Link(link.open(), now - link.usedAt(), link.usable()));
+        for (ServerConnection link : links) {
+            seen.add(new ConnectionSelector.Link(link.open(), now - link.usedAt(), link.usable()));
         }
         int chosen = choice.choose(seen, !replaced && links.size() < most && budget.open() < budget.most());
-        if (chosen == LinkChoice.NONE) {
+        if (chosen == ConnectionSelector.NONE) {
             // A lack of room here says nothing against the server; that another has its address does.
             host.ended(
                     attempt,
@@ -136,13 +136,13 @@
                     null);
             return;
         }
-        ServerLink link = chosen == LinkChoice.NEW ? open() : links.get(chosen);
+        ServerConnection link = chosen == ConnectionSelector.NEW ? open() : links.get(chosen);
         link.setUp(attempt);
     }
 
     /** True when nothing of it was written. */
     boolean giveUp(Attempt attempt) {
-        for (ServerLink link : links) {
+        for (ServerConnection link : links) {
             if (link.holds(attempt)) {
                 return link.giveUp(attempt);
             }
@@ -151,29 +151,29 @@
     }
 
     /** What waits for a connection to come up: it is no longer to be sent. */
-    List<Attempt> takeBack() {
+    List<Attempt> withdrawUnsent() {
         List<Attempt> all = new ArrayList<>();
-        links.forEach(link -> all.addAll(link.takeBack()));
+        links.forEach(link -> all.addAll(link.withdrawUnsent()));
         return all;
     }
 
     /** True while a release waits for a connection that is coming up. */
-    boolean owes() {
-        return !owedReleases.isEmpty() && links.stream().anyMatch(link -> !link.connected());
+    boolean hasPendingReleases() {
+        return !pendingReleases.isEmpty() && links.stream().anyMatch(link -> !link.connected());
     }
 
     /** True while something lies in buffers of this process. */
-    boolean unsent() {
-        return links.stream().anyMatch(ServerLink::unsent);
+    boolean hasUnflushed() {
+        return links.stream().anyMatch(ServerConnection::hasUnflushed);
     }
 
     void release(long session) {
-        ServerLink link = live();
+        ServerConnection link = live();
         if (link != null) {
             link.release(session);
         } else if (!gone && !replaced) {
             releaseLater(session);
-            reach();
+            ensureConnection();
         }
     }
 
@@ -181,8 +181,8 @@
      * A session may stand here though nobody knows it: its answer was lost with its connection, or could not
      * be read. It is released when there is a connection; none is opened for it.
      */
-    void mayStand(long session) {
-        ServerLink link = live();
+    void possiblyEstablished(long session) {
+        ServerConnection link = live();
         if (link != null) {
             link.release(session);
         } else if (!gone && !replaced) {
@@ -196,13 +196,13 @@
     }
 
     private void releaseLater(long session) {
-        if (owedReleases.size() < MOST_OWED) {
-            owedReleases.add(session);
+        if (pendingReleases.size() < MOST_OWED) {
+            pendingReleases.add(session);
         }
     }
 
     void rung(long session, int rung) {
-        ServerLink link = holding(session);
+        ServerConnection link = holding(session);
         link = link == null ? live() : link;
         if (link != null) {
             link.send(new Message(MessageType.RUNG, session).with(Parameter.RUNG, Integer.toString(rung)));
@@ -216,12 +216,12 @@
         standing = sessions;
         if (sessions > 0 && links.isEmpty()) {
             // News of them can only come on a connection.
-            reach();
+            ensureConnection();
         }
     }
 
-    private ServerLink holding(long session) {
-        for (ServerLink link : links) {
+    private ServerConnection holding(long session) {
+        for (ServerConnection link : links) {
             if (link.carries(session)) {
                 return link;
             }
@@ -230,9 +230,9 @@
     }
 
     /** A connection that stands, the one heard from last. */
-    private ServerLink live() {
-        ServerLink best = null;
-        for (ServerLink link : links) {
+    private ServerConnection live() {
+        ServerConnection best = null;
+        for (ServerConnection link : links) {
             if (link.connected()
                     && (best == null
                             || link.usable() && !best.usable()
@@ -245,16 +245,16 @@
 
     // ---- connections
 
-    private ServerLink open() {
+    private ServerConnection open() {
         budget.opened();
-        ServerLink link = new ServerLink(this, host, nextRound);
+        ServerConnection link = new ServerConnection(this, host, nextIteration);
         links.add(link);
         link.connect(loop, address, limits.connectMs());
         return link;
     }
 
     /** Opens a connection where there is none, so that news of sessions there can come. */
-    private void reach() {
+    private void ensureConnection() {
         double now = Clock.ticks();
         if (links.size() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
             openAfter = now + limits.connectMs();
@@ -262,7 +262,7 @@
         }
     }
 
-    void opened(ServerLink link) {
+    void opened(ServerConnection link) {
         refusedLast = false;
         if (!limits.mayTest()) {
             // The best word of it that may be asked for.
@@ -270,8 +270,8 @@
         } else if (silence.suspect()) {
             link.send(new Message(MessageType.TEST, 0).withCause(0));
         }
-        owedReleases.forEach(link::release);
-        owedReleases.clear();
+        pendingReleases.forEach(link::release);
+        pendingReleases.clear();
     }
 
     void heard() {
@@ -279,7 +279,7 @@
     }
 
     /** A connection has ended, or never came up. */
-    void ended(ServerLink link, boolean refused) {
+    void ended(ServerConnection link, boolean refused) {
         if (!links.remove(link)) {
             return;
         }
@@ -297,19 +297,19 @@
                 standing);
         budget.closed();
         refusedLast = refused;
-        if (refused && silence.refused(Clock.ticks(), links.stream().anyMatch(ServerLink::connected))) {
+        if (refused && silence.refused(Clock.ticks(), links.stream().anyMatch(ServerConnection::connected))) {
             dead("refused");
         } else {
             lostIfDead();
             if (standing > 0 && !link.retired()) {
                 // Lost by the other end: a server that died is told from one that lives by a new connection.
-                reach();
+                ensureConnection();
             }
         }
     }
 
     private void lostIfDead() {
-        if (replaced && links.stream().noneMatch(ServerLink::connected)) {
+        if (replaced && links.stream().noneMatch(ServerConnection::connected)) {
             dead("replaced");
         }
     }
@@ -322,10 +322,10 @@
     }
 
     /** A look now and then; {@code each}: connections that one server may have. */
-    void look(int each) {
+    void onTick(int each) {
         most = Math.min(each, MOST_LINKS);
         double now = Clock.ticks();
-        for (ServerLink link : List.copyOf(links)) {
+        for (ServerConnection link : List.copyOf(links)) {
             boolean idle = link.connected() && link.open() == 0;
             boolean needed = standing > 0 && links.size() == 1 && link.usable();
             if (idle
@@ -340,17 +340,17 @@
         }
         if (links.isEmpty()) {
             lostIfDead();
-            reach();
+            ensureConnection();
             return;
         }
         if (refusedLast) {
             // One more refusal after a while in which nothing came tells a death from a listener that was
             // full.
-            reach();
+            ensureConnection();
         }
         switch (silence.look(now)) {
             case TEST -> {
-                ServerLink link = limits.mayTest() ? live() : null;
+                ServerConnection link = limits.mayTest() ? live() : null;
                 if (link != null) {
                     link.send(new Message(MessageType.TEST, 0).withCause(0));
                 }
--- a/node/src/main/java/spanrill/node/server/ServerTable.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -15,30 +15,31 @@
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
-import spanrill.loop.NextRound;
+import spanrill.loop.NextEventLoopIteration;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.ServerSide;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
 
 /** All servers that were ever told of and still matter, by id. */
-public final class ServerTable implements ServerSide {
-    private static final long LOOK_MS = 200;
+public final class ConnectionPools implements ServerSide {
+    private static final long TICK_MS = 200;
 
     private final EventLoop loop;
     private final ServerLimits limits;
     private final ConnectionBudget budget;
     private final EventSink log;
     private final EventSink trace;
-    private final NextRound nextRound;
-    private final Map<String, Server> servers = new HashMap<>();
+    private final NextEventLoopIteration nextIteration;
+    private final Map<String, ConnectionPool> servers = new HashMap<>();
     private final Set<Attempt> unsent = new LinkedHashSet<>();
     private SessionHost host;
 
     /** Connections are opened on the loop, within the budget. */
-    public ServerTable(EventLoop loop, ServerLimits limits, ConnectionBudget budget, EventSink log, EventSink trace) {
+    public ConnectionPools(
+            EventLoop loop, ServerLimits limits, ConnectionBudget budget, EventSink log, EventSink trace) {
         this.loop = loop;
-        nextRound = new NextRound(loop);
+        nextIteration = new NextEventLoopIteration(loop);
         this.limits = limits;
         this.budget = budget;
         this.log = log;
@@ -48,15 +49,15 @@
     /** Begins; what comes of attempts is told to the host. */
     public void begin(SessionHost told) {
         host = told;
-        loop.scheduleAtFixedRate(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::onTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     /** A server is listed at an address; {@code draining}: nothing new goes there. */
     public void listed(String id, InetSocketAddress address, boolean draining) {
-        Server listed = servers.computeIfAbsent(
-                id, i -> new Server(i, address, loop, nextRound, limits, budget, host, log, trace));
+        ConnectionPool listed = servers.computeIfAbsent(
+                id, i -> new ConnectionPool(i, address, loop, nextIteration, limits, budget, host, log, trace));
         listed.listed(address, draining);
-        for (Server other : servers.values()) {
+        for (ConnectionPool other : servers.values()) {
             if (!other.id().equals(id) && other.address().equals(address)) {
                 // A new server has taken the address: nothing that is opened there reaches the old one.
                 other.replaced();
@@ -66,7 +67,7 @@
 
     /** The list says that a server is gone. */
     public void gone(String id) {
-        Server server = servers.get(id);
+        ConnectionPool server = servers.get(id);
         if (server != null) {
             server.gone();
         }
@@ -76,36 +77,38 @@
     public void only(List<spanrill.SessionControl.Server> list) {
         Set<String> named = new HashSet<>();
         list.forEach(server -> named.add(server.id()));
-        servers.values().stream().filter(server -> !named.contains(server.id())).forEach(Server::gone);
+        servers.values().stream().filter(server -> !named.contains(server.id())).forEach(ConnectionPool::gone);
     }
 
     /**
      * Takes back what waits for a connection to a server that is leaving: a connection may come up later than
      * new set-ups may reach it.
      */
-    public void takeBack() {
-        for (Server server : List.copyOf(servers.values())) {
+    public void withdrawUnsent() {
+        for (ConnectionPool server : List.copyOf(servers.values())) {
             if (server.leaving()) {
-                server.takeBack().forEach(this::unoffered);
+                server.withdrawUnsent().forEach(this::unoffered);
             }
         }
     }
 
     /** Connections on which a release is yet to go out, or the proof that it can't. */
-    public int owed() {
-        return (int) servers.values().stream().filter(Server::owes).count();
+    public int pendingReleases() {
+        return (int) servers.values().stream()
+                .filter(ConnectionPool::hasPendingReleases)
+                .count();
     }
 
     /** True while something that was said lies in buffers of this process. */
-    public boolean unsent() {
-        return !unsent.isEmpty() || servers.values().stream().anyMatch(Server::unsent);
+    public boolean hasUnflushed() {
+        return !unsent.isEmpty() || servers.values().stream().anyMatch(ConnectionPool::hasUnflushed);
     }
 
-    private void look() {
-        List<Server> done = new ArrayList<>();
+    private void onTick() {
+        List<ConnectionPool> done = new ArrayList<>();
         int each = Math.max(2, budget.most() / Math.max(1, servers.size()));
-        for (Server server : new ArrayList<>(servers.values())) {
-            server.look(each);
+        for (ConnectionPool server : new ArrayList<>(servers.values())) {
+            server.onTick(each);
             if (server.finished()) {
                 done.add(server);
             }
@@ -117,7 +120,7 @@
     @Override
     public void setUp(Attempt attempt) {
         if (unsent.isEmpty()) {
-            nextRound.execute(this::send);
+            nextIteration.execute(this::send);
         }
         unsent.add(attempt);
     }
@@ -131,12 +134,12 @@
         }
         if (!unsent.isEmpty()) {
             // What came of one made another, while more were left: it has its own round to wait for.
-            nextRound.execute(this::send);
+            nextIteration.execute(this::send);
         }
     }
 
     private void send(Attempt attempt) {
-        Server server = servers.get(attempt.server());
+        ConnectionPool server = servers.get(attempt.server());
         if (server == null) {
             host.ended(attempt, Outcome.CONNECT_FAILED, null);
         } else if (server.leaving()) {
@@ -155,13 +158,13 @@
         if (unsent.remove(attempt)) {
             return true;
         }
-        Server server = servers.get(attempt.server());
+        ConnectionPool server = servers.get(attempt.server());
         return server != null && server.giveUp(attempt);
     }
 
     @Override
     public void release(String id, long session) {
-        Server server = servers.get(id);
+        ConnectionPool server = servers.get(id);
         if (server != null) {
             server.release(session);
         }
@@ -169,7 +172,7 @@
 
     @Override
     public void rung(String id, long session, int rung) {
-        Server server = servers.get(id);
+        ConnectionPool server = servers.get(id);
         // A set-up that is still to go out takes its rung with it.
         if (server != null && unsent.stream().noneMatch(attempt -> attempt.session() == session)) {
             server.rung(session, rung);
@@ -178,7 +181,7 @@
 
     @Override
     public void standing(String id, int sessions) {
-        Server server = servers.get(id);
+        ConnectionPool server = servers.get(id);
         if (server != null) {
             server.standing(sessions);
         }
--- a/node/src/main/java/spanrill/node/server/ServerLink.java
+++ b/node/src/main/java/spanrill/node/server/ServerConnection.java
@@ -28,9 +28,9 @@
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.ReleaseMeaning;
-import spanrill.decisions.SaidReleases;
+import spanrill.decisions.UnacknowledgedReleases;
 import spanrill.loop.Clock;
-import spanrill.loop.NextRound;
+import spanrill.loop.NextEventLoopIteration;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.SessionHost;
 import spanrill.setup.SetupReader;
@@ -47,19 +47,19 @@
  * One connection to a server. A connection that carried what can't be read is closed, and one whose answer
  * stayed out takes nothing new: neither tells what became of the rest.
  */
-final class ServerLink extends ChannelInboundHandlerAdapter {
+final class ServerConnection extends ChannelInboundHandlerAdapter {
     // A release has to be heard within 1 s, so what was written so long before the end has been.
     private static final double ARRIVED_MS = 1000;
     private static final int MOST_SAID = 512;
 
-    private final Server server;
+    private final ConnectionPool server;
     private final SessionHost host;
     private final MessageDecoder decoder = new MessageDecoder();
     private final Map<Long, Attempt> open = new LinkedHashMap<>();
     // Of those open, the ones of which nothing was written yet.
     private final Set<Attempt> unwritten = new LinkedHashSet<>();
-    private final SaidReleases said = new SaidReleases(ARRIVED_MS, MOST_SAID);
-    private final NextRound nextRound;
+    private final UnacknowledgedReleases unacknowledged = new UnacknowledgedReleases(ARRIVED_MS, MOST_SAID);
+    private final NextEventLoopIteration nextIteration;
     private Channel channel;
     private boolean connected;
     private boolean suspect;
@@ -71,10 +71,10 @@
     private double usedAt = Clock.ticks();
     private double heardAt = usedAt;
 
-    ServerLink(Server server, SessionHost host, NextRound nextRound) {
+    ServerConnection(ConnectionPool server, SessionHost host, NextEventLoopIteration nextIteration) {
         this.server = server;
         this.host = host;
-        this.nextRound = nextRound;
+        this.nextIteration = nextIteration;
     }
 
     void connect(EventLoop loop, InetSocketAddress address, int connectMs) {
@@ -104,7 +104,7 @@
         heardAt = Clock.ticks();
         server.opened(this);
         // What came while this connection did is read first: the viewers may have left.
-        nextRound.execute(this::writeWaiting);
+        nextIteration.execute(this::writeWaiting);
     }
 
     private void writeWaiting() {
@@ -130,7 +130,7 @@
     }
 
     /** True while something lies in buffers of this process. */
-    boolean unsent() {
+    boolean hasUnflushed() {
         ChannelOutboundBuffer out = connected ? channel.unsafe().outboundBuffer() : null;
         return out != null && !out.isEmpty();
     }
@@ -197,7 +197,7 @@
 
     /** Releases a session that stands, or may. */
     void release(long session) {
-        said.said(Clock.ticks(), session);
+        unacknowledged.said(Clock.ticks(), session);
         send(new Message(MessageType.RELEASE, session).withCause(Cause.NORMAL_CLEARING));
     }
 
@@ -213,7 +213,7 @@
     }
 
     /** What waits for the connection to come up; it is open here no longer. */
-    List<Attempt> takeBack() {
+    List<Attempt> withdrawUnsent() {
         List<Attempt> waiting = List.copyOf(unwritten);
         unwritten.clear();
         waiting.forEach(attempt -> open.remove(attempt.session()));
@@ -262,7 +262,7 @@
             case ANSWER -> answer(message);
             case RELEASE -> release(message);
             case NOTE -> note(message);
-            case RELEASE_HEARD -> said.heard(message.session());
+            case RELEASE_HEARD -> unacknowledged.heard(message.session());
             default -> {}
         }
         return !over;
@@ -279,7 +279,7 @@
         if (description == null || message.repeated()) {
             // Framed well, yet no answer: what else comes here can't be trusted either.
             suspect = true;
-            server.mayStand(attempt.session());
+            server.possiblyEstablished(attempt.session());
             host.ended(attempt, Outcome.RESET, null);
             return;
         }
@@ -287,7 +287,7 @@
     }
 
     private void release(Message message) {
-        said.heard(message.session());
+        unacknowledged.heard(message.session());
         Attempt attempt = open.remove(message.session());
         if (attempt != null) {
             usedAt = heardAt;
@@ -350,11 +350,11 @@
         open.clear();
         unwritten.clear();
         server.ended(this, refused);
-        server.releaseAgain(said.lost(Clock.ticks()));
+        server.releaseAgain(unacknowledged.lost(Clock.ticks()));
         for (Attempt attempt : lost) {
             boolean never = unsent.contains(attempt);
             if (!never) {
-                server.mayStand(attempt.session());
+                server.possiblyEstablished(attempt.session());
             }
             host.ended(attempt, OutcomeTable.read(never ? Stage.CONNECTING : Stage.WRITTEN, event), null);
         }
--- a/node/src/main/java/spanrill/node/session/ViewerLink.java
+++ b/node/src/main/java/spanrill/node/session/ClientLink.java
@@ -1,7 +1,7 @@
 package spanrill.node.session;
 
 /** A viewers' connection as sessions see it. What is sent on one that has ended is dropped. */
-public interface ViewerLink {
+public interface ClientLink {
     /** True while what is sent may arrive. */
     boolean open();
 
--- a/node/src/main/java/spanrill/node/session/ViewerReleases.java
+++ b/node/src/main/java/spanrill/node/session/ClientReleases.java
@@ -1,12 +1,12 @@
 package spanrill.node.session;
 
 import java.util.function.Supplier;
-import spanrill.decisions.OwedReleases;
+import spanrill.decisions.PendingReleases;
 import spanrill.session.EventSink;
-import spanrill.session.Turns;
+import spanrill.session.SerialExecutor;
 
 /** Tells viewers that their sessions are over, on whatever connection there is, until they have heard it. */
-final class ViewerReleases {
+final class ClientReleases {
     // The rules give 8 s from the end of a session to its release.
     private static final double OWED_MS = 8000;
     private static final int MOST_OWED = 8192;
@@ -15,28 +15,28 @@
     private static final int TRIES = 5;
     private static final double LOOK_MS = 100;
 
-    private final Turns turns;
+    private final SerialExecutor executor;
     private final EventSink trace;
-    private final Supplier<ViewerLink> anyLink;
-    private final OwedReleases<End> owed = new OwedReleases<>(OWED_MS, HEARD_MS, TRIES, MOST_OWED);
+    private final Supplier<ClientLink> anyLink;
+    private final PendingReleases<End> owed = new PendingReleases<>(OWED_MS, HEARD_MS, TRIES, MOST_OWED);
     private boolean looking;
 
-    ViewerReleases(Turns turns, EventSink trace, Supplier<ViewerLink> anyLink) {
-        this.turns = turns;
+    ClientReleases(SerialExecutor executor, EventSink trace, Supplier<ClientLink> anyLink) {
+        this.executor = executor;
         this.trace = trace;
         this.anyLink = anyLink;
     }
 
     /** The connection that reaches a session's viewer: its own while that is open, or null. */
-    ViewerLink linkTo(NodeSession session) {
+    ClientLink linkTo(NodeSession session) {
         return session.link.open() ? session.link : anyLink.get();
     }
 
     /** A session that stood is over. */
     void tell(NodeSession session, End end) {
-        ViewerLink link = linkTo(session);
+        ClientLink link = linkTo(session);
         trace.info("tellOver", "id", session.name(), "end", end, "own", link == session.link, "link", link != null);
-        OwedReleases.Owed<End> one = owed.add(turns.now(), session.id(), end);
+        PendingReleases.Owed<End> one = owed.add(executor.now(), session.id(), end);
         if (link != null) {
             send(one, link);
         }
@@ -44,9 +44,9 @@
     }
 
     /** A viewers' connection can take what is owed. */
-    void ready(ViewerLink link) {
+    void ready(ClientLink link) {
         if (!owed.isEmpty()) {
-            owed.due(turns.now()).forEach(one -> send(one, link));
+            owed.due(executor.now()).forEach(one -> send(one, link));
         }
     }
 
@@ -60,13 +60,13 @@
         return owed.size();
     }
 
-    private void send(OwedReleases.Owed<End> one, ViewerLink link) {
-        owed.sent(turns.now(), one);
+    private void send(PendingReleases.Owed<End> one, ClientLink link) {
+        owed.sent(executor.now(), one);
         link.release(one.session(), one.end(), 0);
     }
 
     private void look() {
-        ViewerLink link = anyLink.get();
+        ClientLink link = anyLink.get();
         if (link != null) {
             ready(link);
         }
@@ -78,7 +78,7 @@
     private void lookLater() {
         if (!looking && !owed.isEmpty()) {
             looking = true;
-            turns.after(LOOK_MS, now -> look());
+            executor.schedule(LOOK_MS, now -> look());
         }
     }
 }
--- a/node/src/main/java/spanrill/node/session/NodeSession.java
+++ b/node/src/main/java/spanrill/node/session/NodeSession.java
@@ -14,7 +14,7 @@
     /** Kept until the answer only: descriptions may be long, sessions last. */
     private SetUp setUp;
 
-    ViewerLink link;
+    ClientLink link;
     Attempt attempt;
     String server;
     int rung = -1;
@@ -23,7 +23,7 @@
     Scheduler.Timer deadline;
     Scheduler.Timer giveUp;
 
-    NodeSession(SetUp setUp, ViewerLink link, boolean once) {
+    NodeSession(SetUp setUp, ClientLink link, boolean once) {
         id = setUp.session();
         name = HexFormat.of().toHexDigits(id);
         viewer = setUp.figures().viewer();
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -18,18 +18,18 @@
 import spanrill.SessionControl.Request;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
+import spanrill.decisions.ExpiringMap;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Stage;
-import spanrill.decisions.RecentlyOver;
 import spanrill.decisions.SessionState.Event;
 import spanrill.decisions.SessionState.Phase;
 import spanrill.session.EventSink;
 import spanrill.session.Scheduler;
-import spanrill.session.Turns;
+import spanrill.session.SerialExecutor;
 import spanrill.wire.platform.SetUp;
 
 /**
- * Hosts the module: turns what viewers and servers send into its events, carries out its actions, and owns
+ * Hosts the module: executor what viewers and servers send into its events, carries out its actions, and owns
  * the rules that it can't see: one answer to each request, one attempt out, releases owed to either side.
  *
  * <p>It decides nothing about where a session goes, its rung, moves or refusals.
@@ -54,19 +54,19 @@
     private final SessionControl.Settings settings;
     private final Map<String, Boolean> onceByClass = new HashMap<>();
     private final Scheduler scheduler;
-    private final Turns turns;
+    private final SerialExecutor executor;
     private final EventSink log;
     private final EventSink trace;
     private final ServerSide servers;
-    private final ViewerReleases releases;
+    private final ClientReleases releases;
     private final SessionControl control;
     private final Map<Long, NodeSession> sessions = new HashMap<>();
     private final Map<String, NodeSession> byName = new HashMap<>();
     private final Map<String, Set<NodeSession>> standing = new HashMap<>();
     private final Set<String> listed = new HashSet<>();
     private final Map<Long, NodeSession> moving = new HashMap<>();
-    private final RecentlyOver<Boolean> moved = new RecentlyOver<>(RETURN_MS, MOST_MOVED);
-    private final RecentlyOver<Boolean> releasedEarly = new RecentlyOver<>(EARLY_MS, MOST_EARLY);
+    private final ExpiringMap<Boolean> moved = new ExpiringMap<>(RETURN_MS, MOST_MOVED);
+    private final ExpiringMap<Boolean> releasedEarly = new ExpiringMap<>(EARLY_MS, MOST_EARLY);
     /** No answer is given after this time, ms on the scheduler's clock: the process is about to end. */
     private double answerBy = Double.POSITIVE_INFINITY;
 
@@ -82,22 +82,22 @@
             EventSink log,
             EventSink trace,
             ServerSide servers,
-            Supplier<ViewerLink> anyLink,
+            Supplier<ClientLink> anyLink,
             Function<SessionControl.Actions, SessionControl> module) {
         this.settings = settings;
         this.scheduler = scheduler;
         this.log = log;
         this.trace = trace;
         this.servers = servers;
-        turns = new Turns(scheduler, log);
-        releases = new ViewerReleases(turns, trace, anyLink);
+        executor = new SerialExecutor(scheduler, log);
+        releases = new ClientReleases(executor, trace, anyLink);
         settings.classes().forEach(c -> onceByClass.put(c.name(), c.once()));
         control = module.apply(new Asked());
     }
 
     /** Starts the module. */
     public void start() {
-        turns.tell(control::start);
+        executor.execute(control::start);
     }
 
     /** A list of servers came. */
@@ -112,7 +112,7 @@
                 listed.add(server.id());
             }
         }
-        turns.tell(now -> control.servers(now, kind, list));
+        executor.execute(now -> control.servers(now, kind, list));
     }
 
     // ---- viewers
@@ -132,7 +132,7 @@
     }
 
     /** True while a session has this id that was set up on this connection. */
-    public boolean isOn(long id, ViewerLink link) {
+    public boolean isOn(long id, ClientLink link) {
         NodeSession session = sessions.get(id);
         return session != null && session.link == link;
     }
@@ -142,14 +142,14 @@
      *
      * @param waitMs time left until the viewer gives up
      */
-    public void setUp(SetUp setUp, ViewerLink link, double waitMs) {
+    public void setUp(SetUp setUp, ClientLink link, double waitMs) {
         double leftMs = Math.min(waitMs, answerBy - scheduler.now());
         NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
         sessions.put(session.id(), session);
         byName.put(session.name(), session);
         trace.info("request", "id", session.name(), "class", setUp.className(), "left", leftMs);
-        session.deadline = turns.after(leftMs + NET_MS, now -> overdue(now, session));
-        turns.tell(now -> {
+        session.deadline = executor.schedule(leftMs + NET_MS, now -> overdue(now, session));
+        executor.execute(now -> {
             if (session.state().answerOwed()) {
                 control.request(now, request(session, leftMs));
             }
@@ -157,7 +157,7 @@
     }
 
     /** A session that plays at a server already. */
-    public void standsAt(SetUp setUp, ViewerLink link) {
+    public void standsAt(SetUp setUp, ClientLink link) {
         NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
         session.server = setUp.figures().at();
         trace.info("takenOver", "id", session.name(), "server", session.server);
@@ -168,12 +168,12 @@
         Request request = request(session, setUp.waitMs());
         session.settled();
         stands(session);
-        turns.tell(now -> control.takenOver(now, request, session.server));
+        executor.execute(now -> control.takenOver(now, request, session.server));
         if (withdrawnBefore(session.id())) {
             // Its viewer ended it while no node held it: its server has not heard of that.
             released(session.id());
         } else if (!listed.contains(session.server)) {
-            turns.after(UNLISTED_MS, now -> unlisted(session));
+            executor.schedule(UNLISTED_MS, now -> unlisted(session));
         }
     }
 
@@ -222,7 +222,7 @@
             servers.release(server, id);
             // A give-up may have crossed the answer: the viewer then holds a session that is over.
             releases.tell(session, End.OVER);
-            turns.tell(now -> control.gone(now, session.name()));
+            executor.execute(now -> control.gone(now, session.name()));
         }
         return true;
     }
@@ -244,11 +244,11 @@
         }
         forget(session);
         session.link.withdrawn(session.id());
-        turns.tell(now -> control.gone(now, session.name()));
+        executor.execute(now -> control.gone(now, session.name()));
     }
 
     /** A viewers' connection can take what is owed. */
-    public void linkReady(ViewerLink link) {
+    public void linkReady(ClientLink link) {
         releases.ready(link);
     }
 
@@ -278,7 +278,7 @@
         session.link.answer(session.id(), description);
         session.settled();
         stands(session);
-        turns.tell(now -> control.playing(now, session.name(), session.server, took));
+        executor.execute(now -> control.playing(now, session.name(), session.server, took));
     }
 
     /** An attempt ended before its answer. */
@@ -290,7 +290,7 @@
         session.attemptOver();
         session.state().attemptEnded(outcome);
         trace.info("attemptEnded", "id", session.name(), "server", attempt.server(), "outcome", outcome, "load", load);
-        turns.tell(now ->
+        executor.execute(now ->
                 control.ended(now, session.name(), !session.state().answerOwed(), outcome, attempt.server(), load));
     }
 
@@ -315,7 +315,7 @@
         if (outcome != Outcome.CANCELLED) {
             releases.tell(session, outcome == Outcome.OK ? End.OVER : End.CUT);
         }
-        turns.tell(now -> control.ended(now, session.name(), true, outcome, server, load));
+        executor.execute(now -> control.ended(now, session.name(), true, outcome, server, load));
     }
 
     /** A server is gone with all that stood there. */
@@ -340,7 +340,7 @@
                 return;
             }
             trace.info("note", "server", server, "kind", kind, "value", value);
-            turns.tell(now -> control.note(now, session.name(), server, kind, value));
+            executor.execute(now -> control.note(now, session.name(), server, kind, value));
         }
     }
 
@@ -366,7 +366,7 @@
 
     /** Fails those of these requests that are still open. */
     public void failAll(List<Long> ids) {
-        turns.tell(now -> ids.forEach(id -> {
+        executor.execute(now -> ids.forEach(id -> {
             NodeSession session = sessions.get(id);
             if (session != null) {
                 overdue(now, session);
@@ -379,7 +379,7 @@
      */
     public void answerWithin(double ms) {
         answerBy = scheduler.now() + ms;
-        turns.after(ms, now -> List.copyOf(sessions.values()).forEach(session -> overdue(now, session)));
+        executor.schedule(ms, now -> List.copyOf(sessions.values()).forEach(session -> overdue(now, session)));
     }
 
     /** Sessions held, open or standing. */
@@ -474,14 +474,14 @@
             trace.info("send", "id", request, "server", server, "rung", session.rung);
             Attempt attempt = new Attempt(session, server, until);
             session.attempt = attempt;
-            session.giveUp = turns.after(until - session.sentAt, now -> due(attempt));
+            session.giveUp = executor.schedule(until - session.sentAt, now -> due(attempt));
             servers.setUp(attempt);
         }
 
         /** Due, but what came in time may lie unread: one more round of the loop reads it. */
         private void due(Attempt attempt) {
             if (attempt.owner().attempt == attempt) {
-                attempt.owner().giveUp = turns.after(UNREAD_MS, now -> timeOut(attempt));
+                attempt.owner().giveUp = executor.schedule(UNREAD_MS, now -> timeOut(attempt));
             }
         }
 
@@ -516,12 +516,12 @@
             moving.put(session.id(), session);
             trace.info("move", "id", request, "server", server);
             moved.over(scheduler.now(), session.viewer(), true);
-            ViewerLink link = releases.linkTo(session);
+            ClientLink link = releases.linkTo(session);
             if (link != null) {
                 link.move(session.id());
             }
-            turns.after(link == null ? 0 : MOVED_MS, now -> unmoved(session, server));
-            turns.tell(now -> control.ended(now, session.name(), true, Outcome.CANCELLED, server, null));
+            executor.schedule(link == null ? 0 : MOVED_MS, now -> unmoved(session, server));
+            executor.execute(now -> control.ended(now, session.name(), true, Outcome.CANCELLED, server, null));
         }
 
         @Override
@@ -548,7 +548,7 @@
 
         @Override
         public void timer(String token, double delayMs) {
-            turns.after(delayMs, now -> control.timer(now, token));
+            executor.schedule(delayMs, now -> control.timer(now, token));
         }
 
         @Override
--- a/node/src/test/java/spanrill/node/CrossingsTest.java
+++ b/node/src/test/java/spanrill/node/CrossingsTest.java
@@ -196,7 +196,7 @@
     @Test
     void whatWaitsForAConnectionIsTakenBackWhenItsServerDrains() throws Exception {
         LateServer late = keep(new LateServer());
-        ScriptedBulletin.Asked asked = bulletin.next(SOON);
+        ScriptedDiscovery.Asked asked = discovery.next(SOON);
         asked.tell(
                 2,
                 TestConfig.event(
@@ -223,7 +223,7 @@
     @Test
     void aConnectionGivenUpWhileItComesUpEndsNoSession() throws Exception {
         LateServer late = keep(new LateServer());
-        ScriptedBulletin.Asked asked = bulletin.next(SOON);
+        ScriptedDiscovery.Asked asked = discovery.next(SOON);
         asked.tell(2, TestConfig.event(2, false, TestConfig.member("s-3", late.port(), "SERVING")));
         Wire viewer = viewer();
         settle();
@@ -282,8 +282,8 @@
     /** What refuses to tell may go on talking: none of it is the list. */
     @Test
     void whatFollowsARefusalOfTheBulletinIsNotTaken() throws Exception {
-        bulletin.next(SOON);
-        ScriptedBulletin refusing = keep(new ScriptedBulletin(
+        discovery.next(SOON);
+        ScriptedDiscovery refusing = keep(new ScriptedDiscovery(
                 "503 Service Unavailable",
                 "id: 2\ndata: " + TestConfig.event(2, false, one.member("DELETED"), two.member("DELETED")) + "\n\n"));
         node.reconfigure(config(refusing.port(), one.member("SERVING")));
@@ -295,9 +295,9 @@
     /** The address moves on while the connection to it is still coming up; then it comes up. */
     @Test
     void aBulletinThatComesUpAfterTheMoveIsNotAsked() throws Exception {
-        bulletin.next(SOON);
-        ScriptedBulletin old = keep(new ScriptedBulletin());
-        ScriptedBulletin fresh = keep(new ScriptedBulletin());
+        discovery.next(SOON);
+        ScriptedDiscovery old = keep(new ScriptedDiscovery());
+        ScriptedDiscovery fresh = keep(new ScriptedDiscovery());
         whileHeld(() -> {
             node.reconfigure(config(old.port(), one.member("SERVING")));
             node.reconfigure(config(fresh.port(), one.member("SERVING")));
@@ -309,7 +309,7 @@
     /** What was told since the configuration was written counts: it is asked for before viewers come. */
     @Test
     void aStartAsksForTheListBeforeItServes() throws Exception {
-        ScriptedBulletin own = keep(new ScriptedBulletin());
+        ScriptedDiscovery own = keep(new ScriptedDiscovery());
         NodeConfig config = config(own.port(), one.member("SERVING"), two.member("SERVING"));
         node.close();
         node = FrontNode.start(config, EventSink.none(), EventSink.none(), () -> {
@@ -366,7 +366,7 @@
         both((wire, message) -> big(wire, message));
         Wire slow = keep(Wire.reading(node.address().getPort(), 4096));
         List<Long> asked = new ArrayList<>();
-        for (int i = 0; i < 400 && !node.unsent(); i++) {
+        for (int i = 0; i < 400 && !node.hasUnflushed(); i++) {
             asked.add(ask(slow, "free"));
             assertNotNull(atServer());
         }
--- a/node/src/test/java/spanrill/node/FrontNodeTest.java
+++ b/node/src/test/java/spanrill/node/FrontNodeTest.java
@@ -16,7 +16,7 @@
 import spanrill.wire.platform.MessageType;
 import spanrill.wire.platform.Parameter;
 
-/** The node's whole path: calm service, servers that end, the bulletin, a stop. */
+/** The node's whole path: calm service, servers that end, discovery, a stop. */
 class FrontNodeTest extends NodeBench {
     // ---- calm service
 
@@ -123,22 +123,22 @@
         assertTrue(more == null || second.next(600) == null, "heard: no further one but what crossed");
     }
 
-    // ---- the bulletin
+    // ---- discovery
 
     @Test
     void followsTheBulletinOverBreaksCopiesAndCutOffEvents() throws Exception {
-        ScriptedBulletin.Asked first = bulletin.next(SOON);
+        ScriptedDiscovery.Asked first = discovery.next(SOON);
         assertEquals("/bulletins", first.path());
         assertEquals("1", first.lastId());
         first.tell(2, TestConfig.event(2, false, one.member("DRAINING")));
         first.tell(2, TestConfig.event(2, false, one.member("DRAINING")));
         first.write("id: 3\ndata: {\"no\":3,\"roster\":{\"revi");
         first.socket().close();
-        ScriptedBulletin.Asked second = bulletin.next(SOON);
+        ScriptedDiscovery.Asked second = discovery.next(SOON);
         assertEquals("2", second.lastId(), "the event that was cut off was not applied");
         // Of a wrong type: refused whole, and asked for again.
         second.tell(3, TestConfig.event(3, false, two.member("DRAINING")).replace("\"cell\":0", "\"cell\":\"x\""));
-        ScriptedBulletin.Asked third = bulletin.next(SOON);
+        ScriptedDiscovery.Asked third = discovery.next(SOON);
         assertEquals("2", third.lastId());
         Wire viewer = viewer();
         for (int i = 0; i < 5; i++) {
@@ -149,23 +149,23 @@
 
     @Test
     void aGapLeadsToANewRequest() throws Exception {
-        ScriptedBulletin.Asked first = bulletin.next(SOON);
+        ScriptedDiscovery.Asked first = discovery.next(SOON);
         first.tell(7, TestConfig.event(7, false, one.member("DRAINING")));
-        assertEquals("1", bulletin.next(SOON).lastId());
+        assertEquals("1", discovery.next(SOON).lastId());
     }
 
     @Test
     void aBulletinThatStopsIsAskedAgain() throws Exception {
-        bulletin.next(SOON);
-        assertNotNull(bulletin.next(3500), "silent for more than two comments");
+        discovery.next(SOON);
+        assertNotNull(discovery.next(3500), "silent for more than two comments");
     }
 
     @Test
     void aNewConfigurationMovesTheBulletinAndKeepsSessions() throws Exception {
-        bulletin.next(SOON);
+        discovery.next(SOON);
         Wire viewer = viewer();
         playing(viewer, "free");
-        ScriptedBulletin other = keep(new ScriptedBulletin());
+        ScriptedDiscovery other = keep(new ScriptedDiscovery());
         node.reconfigure(config(other.port(), one.member("SERVING")));
         assertEquals("1", other.next(SOON).lastId());
         assertEquals(1, node.sessions());
@@ -177,7 +177,7 @@
      */
     @Test
     void whatTheListCallsGoneHasEnded() throws Exception {
-        ScriptedBulletin.Asked asked = bulletin.next(SOON);
+        ScriptedDiscovery.Asked asked = discovery.next(SOON);
         Wire viewer = viewer();
         long id = ask(viewer, "free");
         ScriptedServer.Got got = atServer();
--- a/node/src/test/java/spanrill/node/NodeBench.java
+++ b/node/src/test/java/spanrill/node/NodeBench.java
@@ -22,7 +22,7 @@
 import spanrill.wire.platform.MessageType;
 import spanrill.wire.platform.Parameter;
 
-/** A node between scripted viewers, servers and bulletin, judged from what crossed the sockets. */
+/** A node between scripted viewers, servers and discovery, judged from what crossed the sockets. */
 @Timeout(30)
 abstract class NodeBench {
     static final long SOON = 3000;
@@ -34,7 +34,7 @@
 
     ScriptedServer one;
     ScriptedServer two;
-    ScriptedBulletin bulletin;
+    ScriptedDiscovery discovery;
     FrontNode node;
     long ids = 100;
 
@@ -42,9 +42,9 @@
     void start() throws Exception {
         one = keep(new ScriptedServer("s-1", judge));
         two = keep(new ScriptedServer("s-2", judge));
-        bulletin = keep(new ScriptedBulletin());
+        discovery = keep(new ScriptedDiscovery());
         node = FrontNode.start(
-                config(bulletin.port(), one.member("SERVING"), two.member("SERVING")),
+                config(discovery.port(), one.member("SERVING"), two.member("SERVING")),
                 EventSink.none(),
                 EventSink.none());
     }
@@ -63,10 +63,10 @@
         return peer;
     }
 
-    NodeConfig config(int bulletinPort, String... members) throws IOException {
+    NodeConfig config(int discoveryPort, String... members) throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(
-                file, adjust(TestConfig.json(freePort(), bulletinPort, List.of(TestConfig.event(1, true, members)))));
+                file, adjust(TestConfig.json(freePort(), discoveryPort, List.of(TestConfig.event(1, true, members)))));
         return NodeConfig.read(file);
     }
 
--- a/node/src/test/java/spanrill/node/ScriptedBulletin.java
+++ b/node/src/test/java/spanrill/node/ScriptedDiscovery.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
-/** A bulletin on loopback: each request is put in a queue, what is told is what the test writes. */
-final class ScriptedBulletin implements AutoCloseable {
+/** Discovery on loopback: each request is put in a queue, what is told is what the test writes. */
+final class ScriptedDiscovery implements AutoCloseable {
     private final String status;
     private final String body;
     private final ServerSocket listening;
@@ -30,12 +30,12 @@
         }
     }
 
-    ScriptedBulletin() throws IOException {
+    ScriptedDiscovery() throws IOException {
         this("200 OK", ": hello\n\n");
     }
 
     /** One whose answers have a status of their own and begin with a body. */
-    ScriptedBulletin(String status, String body) throws IOException {
+    ScriptedDiscovery(String status, String body) throws IOException {
         this.status = status;
         this.body = body;
         listening = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
--- a/node/src/test/java/spanrill/node/TestConfig.java
+++ b/node/src/test/java/spanrill/node/TestConfig.java
@@ -14,7 +14,7 @@
                 + "\",\"size\":1,\"up_since_ms\":0}";
     }
 
-    /** An event of the bulletin. */
+    /** An event of discovery. */
     public static String event(long no, boolean whole, String... members) {
         return "{\"no\":" + no + ",\"roster\":{\"revision\":" + no + ",\"complete\":" + whole
                 + ",\"members\":["
@@ -22,7 +22,7 @@
     }
 
     /** The whole file. */
-    public static String json(int listen, int bulletin, List<String> events) {
+    public static String json(int listen, int discovery, List<String> events) {
         return """
                 {"name":"n0","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":128,"sockets":%d},"bulletin":"127.0.0.1:%d",
@@ -43,11 +43,11 @@
                    "retry_after":true},
                   "penalties":{"cross_zone":0.0},
                   "safety":{"cold":4000.0,"cold_share":0.4,"tip_multiple":2.0,"fall":500.0}}}
-                """.formatted(listen, 256, bulletin, events.size(), String.join(",", events));
+                """.formatted(listen, 256, discovery, events.size(), String.join(",", events));
     }
 
     /** The same as bytes. */
-    public static byte[] bytes(int listen, int bulletin, List<String> events) {
-        return json(listen, bulletin, events).getBytes(StandardCharsets.UTF_8);
+    public static byte[] bytes(int listen, int discovery, List<String> events) {
+        return json(listen, discovery, events).getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/node/src/test/java/spanrill/node/session/SessionHostTest.java
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -93,7 +93,7 @@
         public void standing(String server, int sessions) {}
     }
 
-    private static final class Near implements ViewerLink {
+    private static final class Near implements ClientLink {
         private final List<String> heard = new ArrayList<>();
         private final List<Long> withdrawn = new ArrayList<>();
         private byte[] description;
--- a/session/src/main/java/spanrill/session/Attempts.java
+++ b/session/src/main/java/spanrill/session/Attempts.java
@@ -17,14 +17,14 @@
         void ended(double now, Session session, Outcome outcome, Load load);
     }
 
-    private final Turns turns;
+    private final SerialExecutor executor;
     private final SessionTable table;
     private final EventSink log;
     private final Owner owner;
     private BoxSide boxes;
 
-    Attempts(Turns turns, SessionTable table, EventSink log, Owner owner) {
-        this.turns = turns;
+    Attempts(SerialExecutor executor, SessionTable table, EventSink log, Owner owner) {
+        this.executor = executor;
         this.table = table;
         this.log = log;
         this.owner = owner;
@@ -38,11 +38,11 @@
     void send(Session session, double until, String box) {
         session.state.on(Event.SEND);
         session.box = box;
-        session.sentAt = turns.now();
+        session.sentAt = executor.now();
         String key = session.moduleRequest + "." + session.state.attempts();
         table.attempt(session, key);
         boolean goesOn = session.phase() == Phase.MOVING_SET_UP;
-        session.until = turns.after(until - session.sentAt, now -> timedOut(now, session, key));
+        session.until = executor.schedule(until - session.sentAt, now -> timedOut(now, session, key));
         session.attempt = boxes.setUp(
                 new BoxSide.Order(
                         box,
@@ -54,12 +54,12 @@
                 new BoxSide.AttemptListener() {
                     @Override
                     public void plays() {
-                        turns.tell(now -> playing(now, session, key));
+                        executor.execute(now -> playing(now, session, key));
                     }
 
                     @Override
                     public void ended(Outcome outcome, Load load) {
-                        turns.tell(now -> attemptEnded(now, session, key, outcome, load));
+                        executor.execute(now -> attemptEnded(now, session, key, outcome, load));
                     }
                 });
     }
--- a/session/src/main/java/spanrill/session/Turns.java
+++ b/session/src/main/java/spanrill/session/SerialExecutor.java
@@ -8,14 +8,14 @@
  * side that answers at once) waits until that event is over: the module is never entered from
  * within its own calls.
  */
-public final class Turns {
+public final class SerialExecutor {
     private final Scheduler scheduler;
     private final EventSink log;
     private final ArrayDeque<DoubleConsumer> waiting = new ArrayDeque<>();
     private boolean inside;
 
     /** Events are given their time by the scheduler; faults within them go to the log. */
-    public Turns(Scheduler scheduler, EventSink log) {
+    public SerialExecutor(Scheduler scheduler, EventSink log) {
         this.scheduler = scheduler;
         this.log = log;
     }
@@ -26,7 +26,7 @@
     }
 
     /** Tells an event, now or when the one at hand is over. */
-    public void tell(DoubleConsumer event) {
+    public void execute(DoubleConsumer event) {
         waiting.add(event);
         if (inside) {
             return;
@@ -47,15 +47,15 @@
     }
 
     /** Tells an event after a time. */
-    public Scheduler.Timer after(double ms, DoubleConsumer event) {
-        return scheduler.after(ms, () -> tell(event));
+    public Scheduler.Timer schedule(double ms, DoubleConsumer event) {
+        return scheduler.after(ms, () -> execute(event));
     }
 
     /** Tells an event again and again. */
-    public void every(double ms, DoubleConsumer event) {
+    public void scheduleRepeatedly(double ms, DoubleConsumer event) {
         scheduler.after(ms, () -> {
-            tell(event);
-            every(ms, event);
+            execute(event);
+            scheduleRepeatedly(ms, event);
         });
     }
 }
--- a/session/src/main/java/spanrill/session/SessionCore.java
+++ b/session/src/main/java/spanrill/session/SessionCore.java
@@ -36,19 +36,20 @@
      * @param names makes public names of sessions, each once and hard to guess
      * @param policy makes the module
      */
-    public record Host(Scheduler scheduler, EventSink log, TokenMemory memory, Supplier<String> names, Policy policy) {
+    public record Host(
+            Scheduler scheduler, EventSink log, SpentTokenStore memory, Supplier<String> names, Policy policy) {
         /** A host of the module itself. */
-        public Host(Scheduler scheduler, EventSink log, TokenMemory memory, Supplier<String> names) {
+        public Host(Scheduler scheduler, EventSink log, SpentTokenStore memory, Supplier<String> names) {
             this(scheduler, log, memory, names, Control::new);
         }
     }
 
-    private final Turns turns;
+    private final SerialExecutor executor;
     private final EventSink log;
     private final SessionControl control;
-    private final TokenDesk tokens;
+    private final TokenAdmission tokens;
     private final SessionTable table = new SessionTable();
-    private final SessionLives lives;
+    private final SessionLifecycle lives;
     private Map<String, Title> titles = Map.of();
     private Runnable onReady = () -> {};
     private boolean listed;
@@ -56,10 +57,10 @@
     /** A core on a host; {@link #begin} starts it. */
     public SessionCore(CoreSettings settings, Host host) {
         log = host.log();
-        turns = new Turns(host.scheduler(), log);
+        executor = new SerialExecutor(host.scheduler(), log);
         control = host.policy().create(settings.module(), settings.seed(), this);
-        tokens = new TokenDesk(new Admission(settings.tokens(), settings.sameMs()), host.memory());
-        lives = new SessionLives(settings, control, turns, log, host.names(), tokens, table);
+        tokens = new TokenAdmission(new Admission(settings.tokens(), settings.sameMs()), host.memory());
+        lives = new SessionLifecycle(settings, control, executor, log, host.names(), tokens, table);
     }
 
     /** A token remembered from before the process began; before {@link #begin}. */
@@ -69,7 +70,7 @@
 
     /** Starts the module, with the box side that carries out what it decides. */
     public void begin(BoxSide side) {
-        turns.tell(control::start);
+        executor.execute(control::start);
         lives.begin(side);
     }
 
@@ -78,7 +79,7 @@
     /** A list of boxes came, or failed to. */
     public void servers(ListKind kind, List<Server> servers) {
         listed |= kind != ListKind.FAILED;
-        turns.tell(now -> control.servers(now, kind, servers));
+        executor.execute(now -> control.servers(now, kind, servers));
         lookWhetherReady();
     }
 
@@ -115,7 +116,7 @@
             call.unusable(ready() ? ViewerCall.Unusable.NO_TITLE : ViewerCall.Unusable.NOT_READY);
             return;
         }
-        double now = turns.now();
+        double now = executor.now();
         Admission.Verdict verdict = tokens.offer(now, wish.tokenId());
         switch (verdict.kind()) {
             case NEW -> lives.take(now, wish, title, call, verdict.again());
@@ -134,7 +135,7 @@
 
     /** The session of this public name, in play or over a short while ago, or null. */
     public Session session(String id) {
-        return table.known(turns.now(), id);
+        return table.known(executor.now(), id);
     }
 
     /** A sign of life of a session's player. */
@@ -149,7 +150,7 @@
 
     /** Its viewer ended it. */
     public void finish(Session session) {
-        turns.tell(now -> lives.end(now, session, SessionEnd.ENDED));
+        executor.execute(now -> lives.end(now, session, SessionEnd.ENDED));
     }
 
     // ---- boxes
@@ -158,7 +159,7 @@
     public void note(String box, String key, NoteKind kind, double value) {
         Session session = table.ofKey(key);
         if (session != null && session.phase() == Phase.PLAYING) {
-            turns.tell(now -> {
+            executor.execute(now -> {
                 if (session.phase() == Phase.PLAYING && key.equals(session.key)) {
                     control.note(now, session.moduleRequest, box, kind, value);
                 }
@@ -168,12 +169,12 @@
 
     /** The box ended an attempt, or doesn't know it any more. */
     public void lost(String key, SessionEnd why) {
-        turns.tell(now -> lives.lose(now, table.ofKey(key), why));
+        executor.execute(now -> lives.lose(now, table.ofKey(key), why));
     }
 
     /** A box went away with all it played. */
     public void boxLost(String box, SessionEnd why) {
-        turns.tell(now -> table.playingAt(box).forEach(session -> lives.lose(now, session, why)));
+        executor.execute(now -> table.playingAt(box).forEach(session -> lives.lose(now, session, why)));
     }
 
     /** True while sessions play or are set up at a box. */
@@ -215,7 +216,7 @@
 
     @Override
     public void timer(String token, double delayMs) {
-        turns.after(delayMs, now -> control.timer(now, token));
+        executor.schedule(delayMs, now -> control.timer(now, token));
     }
 
     @Override
--- a/session/src/main/java/spanrill/session/SessionLives.java
+++ b/session/src/main/java/spanrill/session/SessionLifecycle.java
@@ -19,44 +19,44 @@
  * moves and when it is over. Which step a session may take is decided by its state, where it goes by the
  * module.
  */
-final class SessionLives implements Attempts.Owner {
+final class SessionLifecycle implements Attempts.Owner {
     private static final double IDLE_LOOK_MS = 250;
 
     private final CoreSettings settings;
     private final SessionControl control;
-    private final Turns turns;
+    private final SerialExecutor executor;
     private final EventSink log;
     private final Supplier<String> names;
-    private final TokenDesk tokens;
+    private final TokenAdmission tokens;
     private final SessionTable table;
     private final Attempts attempts;
     private final IdleWatch idle;
     private final Map<ViewerCall, Session> calls = new IdentityHashMap<>();
     private BoxSide boxes;
 
-    SessionLives(
+    SessionLifecycle(
             CoreSettings settings,
             SessionControl control,
-            Turns turns,
+            SerialExecutor executor,
             EventSink log,
             Supplier<String> names,
-            TokenDesk tokens,
+            TokenAdmission tokens,
             SessionTable table) {
         this.settings = settings;
         this.control = control;
-        this.turns = turns;
+        this.executor = executor;
         this.log = log;
         this.names = names;
         this.tokens = tokens;
         this.table = table;
-        attempts = new Attempts(turns, table, log, this);
+        attempts = new Attempts(executor, table, log, this);
         idle = new IdleWatch(settings.idleMs());
     }
 
     void begin(BoxSide side) {
         boxes = side;
         attempts.begin(side);
-        turns.every(IDLE_LOOK_MS, this::lookForIdle);
+        executor.scheduleRepeatedly(IDLE_LOOK_MS, this::lookForIdle);
     }
 
     // ---- the request
@@ -68,10 +68,10 @@
         await(session, call);
         table.add(session);
         AnswerTime time = type.time();
-        session.net = turns.after(time.net(now, wish.arrivedAt()), at -> overdue(at, session));
+        session.net = executor.schedule(time.net(now, wish.arrivedAt()), at -> overdue(at, session));
         tokens.taken(
                 session,
-                safe -> turns.tell(at -> {
+                safe -> executor.execute(at -> {
                     if (!session.state.answerOwed()) {
                         return;
                     }
@@ -122,7 +122,7 @@
         if (session == null) {
             return;
         }
-        turns.tell(now -> {
+        executor.execute(now -> {
             if (session.waiting.remove(call) && session.waiting.isEmpty() && session.state.answerOwed()) {
                 attempts.callOff(session);
                 session.state.on(Event.LEAVE);
@@ -153,7 +153,7 @@
         session.retryAfterMs = retryAfterMs;
         List<ViewerCall> due = answered(session);
         boolean refused = event == Event.REFUSE;
-        close(turns.now(), session, SessionEnd.of(refused, owed));
+        close(executor.now(), session, SessionEnd.of(refused, owed));
         for (ViewerCall call : due) {
             if (refused) {
                 call.refused(retryAfterMs);
@@ -238,14 +238,14 @@
         session.moves++;
         int move = session.moves;
         log.info("session.moves", "session", session.id(), "from", box);
-        turns.tell(now -> control.ended(now, request, true, Outcome.CANCELLED, box, null));
+        executor.execute(now -> control.ended(now, request, true, Outcome.CANCELLED, box, null));
         boxes.release(box, session.key, load -> comeBack(session, move));
-        turns.after(settings.moveReturnMs(), now -> comeBack(session, move));
+        executor.schedule(settings.moveReturnMs(), now -> comeBack(session, move));
     }
 
     /** The old box gave a moved session up, or had its time to: it asks anew, once. */
     private void comeBack(Session session, int move) {
-        turns.tell(now -> {
+        executor.execute(now -> {
             if (session.phase() == Phase.MOVING
                     && session.moves == move
                     && !(session.id() + "-" + move).equals(session.moduleRequest)) {
@@ -259,7 +259,7 @@
     /** A sign of life of a session's player. */
     void seen(Session session) {
         if (session.state.inPlay()) {
-            idle.seen(turns.now(), session.id());
+            idle.seen(executor.now(), session.id());
         }
     }
 
@@ -284,7 +284,7 @@
                 boxes.release(
                         box,
                         key,
-                        load -> turns.tell(at -> {
+                        load -> executor.execute(at -> {
                             table.forgetModule(request);
                             control.ended(at, request, true, Outcome.OK, box, load);
                         }));
--- a/session/src/main/java/spanrill/session/SessionTable.java
+++ b/session/src/main/java/spanrill/session/SessionTable.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import spanrill.decisions.RecentlyOver;
+import spanrill.decisions.ExpiringMap;
 import spanrill.decisions.SessionState.Phase;
 
 /** The sessions of a core, found by their public name, by the module's name for them, or by attempt key. */
@@ -17,7 +17,7 @@
     private final Map<String, Session> byId = new HashMap<>();
     private final Map<String, Session> byModule = new HashMap<>();
     private final Map<String, Session> byKey = new HashMap<>();
-    private final RecentlyOver<Session> over = new RecentlyOver<>(OVER_KEPT_MS, MOST_OVER);
+    private final ExpiringMap<Session> over = new ExpiringMap<>(OVER_KEPT_MS, MOST_OVER);
 
     void add(Session session) {
         byId.put(session.id(), session);
--- a/session/src/main/java/spanrill/session/TokenMemory.java
+++ b/session/src/main/java/spanrill/session/SpentTokenStore.java
@@ -3,7 +3,7 @@
 import java.util.function.Consumer;
 
 /** Remembers tokens of paid sessions over the death of the process. Called on the front's loop. */
-public interface TokenMemory {
+public interface SpentTokenStore {
     /** What a token came to. */
     enum Fate {
         /** Its request was taken: a set-up may have been sent. */
@@ -25,8 +25,8 @@
     void over(String tokenId, Fate fate);
 
     /** Remembers nothing. */
-    static TokenMemory none() {
-        return new TokenMemory() {
+    static SpentTokenStore none() {
+        return new SpentTokenStore() {
             @Override
             public void taken(String tokenId, double expiresAt, Consumer<Boolean> then) {
                 then.accept(true);
--- a/session/src/main/java/spanrill/session/TokenDesk.java
+++ b/session/src/main/java/spanrill/session/TokenAdmission.java
@@ -8,11 +8,11 @@
  * What a core knows of tokens: which request one stands for, decided by {@link Admission}, and for paid ones
  * what must be remembered over the death of the process.
  */
-final class TokenDesk {
+final class TokenAdmission {
     private final Admission admission;
-    private final TokenMemory memory;
+    private final SpentTokenStore memory;
 
-    TokenDesk(Admission admission, TokenMemory memory) {
+    TokenAdmission(Admission admission, SpentTokenStore memory) {
         this.admission = admission;
         this.memory = memory;
     }
@@ -45,7 +45,7 @@
     /** A session plays for the first time. */
     void plays(Session session) {
         if (session.type().once()) {
-            memory.over(session.request().tokenId(), TokenMemory.Fate.USED);
+            memory.over(session.request().tokenId(), SpentTokenStore.Fate.USED);
         }
     }
 
@@ -58,7 +58,9 @@
         if (session.type().once()) {
             memory.over(
                     tokenId,
-                    answer == Answer.PLAYS ? TokenMemory.Fate.USED : mayHaveRun ? TokenMemory.Fate.FAILED : null);
+                    answer == Answer.PLAYS
+                            ? SpentTokenStore.Fate.USED
+                            : mayHaveRun ? SpentTokenStore.Fate.FAILED : null);
         }
     }
 }
--- a/session/src/main/java/spanrill/session/Agenda.java
+++ b/session/src/main/java/spanrill/session/VirtualTimeScheduler.java
@@ -8,7 +8,7 @@
  *
  * <p>A cancelled event stays until its time and is passed over then.
  */
-public final class Agenda implements Scheduler {
+public final class VirtualTimeScheduler implements Scheduler {
     /** An event that was set. */
     public static final class Entry implements Timer {
         private final double at;
--- a/session/src/test/java/spanrill/session/SessionCoreTest.java
+++ b/session/src/test/java/spanrill/session/SessionCoreTest.java
@@ -132,7 +132,7 @@
         return new SessionCore(
                 settings(),
                 new SessionCore.Host(
-                        clock, EventSink.none(), TokenMemory.none(), () -> String.format("%022d", ++names)));
+                        clock, EventSink.none(), SpentTokenStore.none(), () -> String.format("%022d", ++names)));
     }
 
     @BeforeEach
--- a/session/src/test/java/spanrill/session/AgendaTest.java
+++ b/session/src/test/java/spanrill/session/VirtualTimeSchedulerTest.java
@@ -12,17 +12,17 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 
-class AgendaTest {
+class VirtualTimeSchedulerTest {
     /** Beside a list that is sorted by time and order of setting; every third event is cancelled. */
     @Property(tries = 500, seed = "20261201")
     void eventsRunInOrderOfTimeAndThenOfSetting(
             @ForAll @Size(max = 300) List<@IntRange(min = 0, max = 40) Integer> times) {
-        Agenda agenda = new Agenda();
+        VirtualTimeScheduler agenda = new VirtualTimeScheduler();
         List<int[]> expected = new ArrayList<>();
         List<Integer> ran = new ArrayList<>();
         for (int i = 0; i < times.size(); i++) {
             int number = i;
-            Agenda.Entry entry = agenda.after(times.get(i), () -> ran.add(number));
+            VirtualTimeScheduler.Entry entry = agenda.after(times.get(i), () -> ran.add(number));
             if (i % 3 == 2) {
                 entry.cancel();
             } else if (times.get(i) <= 30) {
@@ -38,7 +38,7 @@
 
     @Test
     void whatAnEventSetsRunsInItsTurn() {
-        Agenda agenda = new Agenda();
+        VirtualTimeScheduler agenda = new VirtualTimeScheduler();
         List<String> ran = new ArrayList<>();
         agenda.after(5, () -> {
             ran.add("a" + agenda.now());
--- a/standin/src/main/java/spanrill/standin/viewer/AnswerProbe.java
+++ b/standin/src/main/java/spanrill/standin/viewer/AnswerProbe.java
@@ -53,7 +53,7 @@
                         opened.abandon();
                         return;
                     }
-                    ViewerLink link = new ViewerLink(false, () -> {}, (head, all) -> {
+                    ClientLink link = new ClientLink(false, () -> {}, (head, all) -> {
                         String answer = head == null ? null : head.headers().get("spanrill-answer");
                         probe.end(
                                 head == null
@@ -62,7 +62,7 @@
                                                 ? Came.PLAYS
                                                 : head.status() == 503 ? Came.TOLD_TO_WAIT : Came.OTHER);
                     });
-                    if (!ViewerLink.get(opened, target, link)) {
+                    if (!ClientLink.get(opened, target, link)) {
                         probe.end(Came.NO_CONNECTION);
                     }
                 },
--- a/standin/src/main/java/spanrill/standin/viewer/ViewerLink.java
+++ b/standin/src/main/java/spanrill/standin/viewer/ClientLink.java
@@ -10,11 +10,11 @@
 import spanrill.wire.http.ResponseHead;
 
 /** One request of a viewer whose answer is read whole; large bodies are counted, not kept. */
-final class ViewerLink implements HttpClientConnection.Listener {
+final class ClientLink implements HttpClientConnection.Listener {
     private static final int KEPT_BYTES = 64 * 1024;
 
     private final Runnable onHead;
-    private final BiConsumer<ResponseHead, ViewerLink> done;
+    private final BiConsumer<ResponseHead, ClientLink> done;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final boolean keep;
     private ResponseHead head;
@@ -29,13 +29,13 @@
      * @param onHead called at the head
      * @param done called at the end, with null for the head when the answer was lost
      */
-    ViewerLink(boolean keep, Runnable onHead, BiConsumer<ResponseHead, ViewerLink> done) {
+    ClientLink(boolean keep, Runnable onHead, BiConsumer<ResponseHead, ClientLink> done) {
         this.keep = keep;
         this.onHead = onHead;
         this.done = done;
     }
 
-    static boolean get(HttpClientConnection connection, String target, ViewerLink link) {
+    static boolean get(HttpClientConnection connection, String target, ClientLink link) {
         return connection.send("GET", target, Headers.of("host", "front"), new byte[0], link);
     }
 
--- a/standin/src/main/java/spanrill/standin/viewer/SetUpProbe.java
+++ b/standin/src/main/java/spanrill/standin/viewer/SetUpProbe.java
@@ -27,7 +27,7 @@
                 2000,
                 HttpLimits.CLIENT,
                 connection -> {
-                    ViewerLink link = new ViewerLink(true, () -> {}, (head, all) -> {
+                    ClientLink link = new ClientLink(true, () -> {}, (head, all) -> {
                         connection.abandon();
                         if (head == null || head.status() != 200) {
                             not.accept(new IOException(head == null ? "connection lost" : "answered " + head.status()));
@@ -39,7 +39,7 @@
                             not.accept(fault);
                         }
                     });
-                    if (!ViewerLink.get(connection, "/dash/" + title + "/manifest.mpd?token=" + token, link)) {
+                    if (!ClientLink.get(connection, "/dash/" + title + "/manifest.mpd?token=" + token, link)) {
                         not.accept(new IOException("connection lost"));
                     }
                 },
--- a/standin/src/main/java/spanrill/standin/viewer/Viewer.java
+++ b/standin/src/main/java/spanrill/standin/viewer/Viewer.java
@@ -190,8 +190,8 @@
         // A second answer comes when nothing is asked any more: the checker must see that too.
         on.onUnasked(() -> stage.tap().put(new TapEvent.Answer(now(), number, 0, "unasked")));
         double at = now();
-        ViewerLink[] link = new ViewerLink[1];
-        link[0] = new ViewerLink(
+        ClientLink[] link = new ClientLink[1];
+        link[0] = new ClientLink(
                 true,
                 () -> stage.tap()
                         .put(new TapEvent.Answer(now(), number, link[0].seen().status(), answerOf(link[0].seen()))),
@@ -202,7 +202,7 @@
                         second(on, number, head);
                     }
                 });
-        if (!ViewerLink.get(on, "/dash/" + title + "/manifest.mpd?token=" + token, link[0])) {
+        if (!ClientLink.get(on, "/dash/" + title + "/manifest.mpd?token=" + token, link[0])) {
             link[0].lost(HttpClientConnection.Loss.CLOSED, "closed");
         }
         return number;
@@ -241,7 +241,7 @@
         }
     }
 
-    private void answered(ResponseHead head, ViewerLink link, double at) {
+    private void answered(ResponseHead head, ClientLink link, double at) {
         if (!waiting) {
             return;
         }
@@ -298,7 +298,7 @@
                 .map(each -> each.bandwidth() + audio)
                 .toList();
         Next first = player.plays(now(), ladder, mpd.segmentMs(), mpd.segments());
-        if (!ViewerLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ViewerLink(false, () -> {}, (head, link) -> {
+        if (!ClientLink.get(connection, mpd.baseUrl() + "v/init.mp4", new ClientLink(false, () -> {}, (head, link) -> {
             if (head != null && head.status() == 200) {
                 follow(first, "watched");
             } else {
@@ -312,10 +312,10 @@
     private void fetch(Next.Fetch fetch) {
         player.fetches(now());
         Mpd.Representation rung = mpd.representations().get(fetch.rung());
-        ViewerLink link = new ViewerLink(false, () -> {}, (head, all) -> video(head, all, fetch.number()));
+        ClientLink link = new ClientLink(false, () -> {}, (head, all) -> video(head, all, fetch.number()));
         link.count(received);
         fetching = true;
-        if (!ViewerLink.get(connection, mpd.baseUrl() + mpd.video().path(rung, fetch.number()), link)) {
+        if (!ClientLink.get(connection, mpd.baseUrl() + mpd.video().path(rung, fetch.number()), link)) {
             fetching = false;
             broken(null);
             return;
@@ -328,7 +328,7 @@
     }
 
     /** Looks from time to time whether the viewer still has patience with the segment under way. */
-    private void look(ViewerLink link) {
+    private void look(ClientLink link) {
         after(LOOK_MS, () -> {
             if (!fetching || link.over()) {
                 return;
@@ -347,20 +347,20 @@
     }
 
     /** A segment of video came, or was lost; its audio comes next where there is any. */
-    private void video(ResponseHead head, ViewerLink link, int number) {
+    private void video(ResponseHead head, ClientLink link, int number) {
         Mpd.AdaptationSet audio = mpd.audio();
         if (head == null || head.status() != 200 || audio == null) {
             segment(head, link.bytes(), number);
             return;
         }
-        ViewerLink next = new ViewerLink(
+        ClientLink next = new ClientLink(
                 false,
                 () -> {},
                 (other, all) -> segment(
                         other == null || other.status() != 200 ? other : head, link.bytes() + all.bytes(), number));
         next.count(received);
         String path = mpd.baseUrl() + audio.path(audio.representations().get(0), number);
-        if (ViewerLink.get(connection, path, next)) {
+        if (ClientLink.get(connection, path, next)) {
             look(next);
         } else {
             fetching = false;
@@ -398,7 +398,7 @@
                 target,
                 Headers.of("host", "front"),
                 new byte[0],
-                new ViewerLink(false, () -> {}, (head, link) -> connection.abandon()))) {
+                new ClientLink(false, () -> {}, (head, link) -> connection.abandon()))) {
             connection.abandon();
         }
         if (lostPatience) {
