Node: connections to servers end in order, what the server still says is read

Change: ServerConnection shuts its output down, reads on until the server ends its side (0.5 s at most), and is neither written to nor counted as kept meanwhile. Of two idle connections with sessions one stays. The soak also draws short waits, answers cut off, processes held back for a moment, short idle times, and judges sessions that are cut with their server and those handed over.

--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -127,7 +127,7 @@
         for (ServerConnection link : links) {
             seen.add(new ConnectionSelector.Link(link.open(), now - link.usedAt(), link.usable()));
         }
-        int chosen = choice.choose(seen, !replaced && links.size() < most && budget.open() < budget.most());
+        int chosen = choice.choose(seen, !replaced && keptLinks() < most && budget.open() < budget.most());
         if (chosen == ConnectionSelector.NONE) {
             // A lack of room here says nothing against the server; that another has its address does.
             host.ended(
@@ -214,7 +214,7 @@
             silence.heard(Clock.ticks());
         }
         standing = sessions;
-        if (sessions > 0 && links.isEmpty()) {
+        if (sessions > 0 && keptLinks() == 0) {
             // News of them can only come on a connection.
             ensureConnection();
         }
@@ -233,7 +233,7 @@
     private ServerConnection live() {
         ServerConnection best = null;
         for (ServerConnection link : links) {
-            if (link.connected()
+            if (link.writable()
                     && (best == null
                             || link.usable() && !best.usable()
                             || link.usable() == best.usable() && link.heardAt() > best.heardAt())) {
@@ -243,6 +243,15 @@
         return best;
     }
 
+    /** Connections that are up or coming up, and not about to end. */
+    private long keptLinks() {
+        return links.stream().filter(link -> !link.closing()).count();
+    }
+
+    private long usableLinks() {
+        return links.stream().filter(ServerConnection::usable).count();
+    }
+
     // ---- connections
 
     private ServerConnection open() {
@@ -256,7 +265,7 @@
     /** Opens a connection where there is none, so that news of sessions there can come. */
     private void ensureConnection() {
         double now = Clock.ticks();
-        if (links.size() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
+        if (keptLinks() < 2 && !replaced && now >= openAfter && budget.open() < budget.most()) {
             openAfter = now + limits.connectMs();
             open();
         }
@@ -327,7 +336,7 @@
         double now = Clock.ticks();
         for (ServerConnection link : List.copyOf(links)) {
             boolean idle = link.connected() && link.open() == 0;
-            boolean needed = standing > 0 && links.size() == 1 && link.usable();
+            boolean needed = standing > 0 && link.usable() && usableLinks() == 1;
             if (idle
                     && (!link.usable()
                             || now - link.usedAt() > IDLE_SHARE * limits.idleMs() && !needed
@@ -338,7 +347,7 @@
         if (standing == 0) {
             return;
         }
-        if (links.isEmpty()) {
+        if (keptLinks() == 0) {
             lostIfDead();
             ensureConnection();
             return;
--- a/node/src/main/java/spanrill/node/server/ServerConnection.java
+++ b/node/src/main/java/spanrill/node/server/ServerConnection.java
@@ -4,13 +4,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import spanrill.SessionControl.Load;
 import spanrill.SessionControl.NoteKind;
 import spanrill.SessionControl.Outcome;
@@ -51,6 +52,8 @@
     // A release has to be heard within 1 s, so what was written so long before the end has been.
     private static final double ARRIVED_MS = 1000;
     private static final int MOST_SAID = 512;
+    /** A server that has seen the end of the output closes within a round trip; slow ones get this long. */
+    private static final long LINGER_MS = 500;
 
     private final ConnectionPool server;
     private final SessionHost host;
@@ -64,6 +67,9 @@
     private boolean connected;
     private boolean suspect;
     private boolean retired;
+    /** Nothing can be written any more; what the server still says is read. */
+    private boolean closing;
+
     private boolean over;
     /** Judges answers for set-ups that are not open here: late ones are usual, an endless stream is not. */
     private final AbuseLimiter unsolicited = new AbuseLimiter();
@@ -139,6 +145,16 @@
         return connected && !over;
     }
 
+    /** True when this side has ended it and reads what the server still says. */
+    boolean closing() {
+        return closing;
+    }
+
+    /** True when messages may be written to it. */
+    boolean writable() {
+        return connected() && !closing;
+    }
+
     boolean usable() {
         return !suspect && !over;
     }
@@ -229,10 +245,27 @@
         }
     }
 
+    /**
+     * Ends it in order: what was written goes out, the output is shut down, and what the server still says is
+     * read until it ends its side too, or a bounded time has passed.
+     */
     private void close() {
-        if (channel != null) {
-            channel.writeAndFlush(channel.alloc().heapBuffer(0)).addListener(ChannelFutureListener.CLOSE);
+        if (closing || channel == null) {
+            return;
         }
+        if (!connected) {
+            channel.close();
+            return;
+        }
+        closing = true;
+        channel.writeAndFlush(channel.alloc().heapBuffer(0)).addListener(flushed -> {
+            if (flushed.isSuccess()) {
+                ((SocketChannel) channel).shutdownOutput();
+                channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            } else {
+                channel.close();
+            }
+        });
     }
 
     // ---- what comes in
--- a/node/src/test/java/spanrill/node/CrossingsTest.java
+++ b/node/src/test/java/spanrill/node/CrossingsTest.java
@@ -277,6 +277,23 @@
         wire.raw(new byte[] {0, 1, 9, 9, 9});
     }
 
+    /** The node ends a connection that it needs no more; the server's word on a session is on its way. */
+    @Test
+    void aReleaseThatCrossesTheEndOfItsConnectionIsHeard() throws Exception {
+        Wire viewer = viewer();
+        long id = ask(viewer, "free");
+        ScriptedServer.Got got = atServer();
+        answer(viewer, SOON);
+        got.wire().beforeClose(() -> got.wire().send(new Message(MessageType.RELEASE, id).withCause(16)));
+        ScriptedServer newOne = keep(new ScriptedServer("s-1", judge));
+        ScriptedServer newTwo = keep(new ScriptedServer("s-2", judge));
+        discovery.next(SOON).tell(2, TestConfig.event(2, false, newOne.member("SERVING"), newTwo.member("SERVING")));
+        Message end = viewer.next(1000);
+        assertNotNull(end, "the release was read though this side had ended the connection");
+        assertEquals(id, end.session());
+        assertEquals(16, end.cause());
+    }
+
     // ---- the list
 
     /** What refuses to tell may go on talking: none of it is the list. */
--- a/node/src/test/java/spanrill/node/Wire.java
+++ b/node/src/test/java/spanrill/node/Wire.java
@@ -23,6 +23,7 @@
     private final Socket socket;
     private final BlockingQueue<Message> read = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+    private volatile Runnable beforeClose = () -> {};
 
     /** Reads until the end; {@code heard} takes each message first, on the reader's thread. */
     Wire(Socket socket, BiConsumer<Wire, Message> heard) {
@@ -81,6 +82,7 @@
                 });
             }
             // As usual clients and servers do when the other side is done.
+            beforeClose.run();
             socket.close();
             ended.add("closed");
         } catch (IOException | FrameFault e) {
@@ -88,6 +90,11 @@
         }
     }
 
+    /** Runs when the other side has ended the connection, before this side closes it too. */
+    void beforeClose(Runnable action) {
+        beforeClose = action;
+    }
+
     void send(Message message) {
         ByteBuf out = Unpooled.buffer();
         message.write(out);
--- a/soak/src/main/java/spanrill/soak/BadClient.java
+++ b/soak/src/main/java/spanrill/soak/BadClient.java
@@ -24,7 +24,9 @@
         WITHDRAWS_UNKNOWN,
         LONG_MESSAGES,
         BAD_FIGURES,
-        BYTE_BY_BYTE
+        BYTE_BY_BYTE,
+        HALF_THEN_CLOSE,
+        SAME_AGAIN
     }
 
     private static final double OWED_MS = 3000;
@@ -79,6 +81,10 @@
             case LONG_MESSAGES ->
                 many(channel, 1, i -> new Message(MessageType.NOTE, ~i).with(200, new byte[LARGE_BYTES]));
             case BYTE_BY_BYTE -> byteByByte(channel, 0);
+            case HALF_THEN_CLOSE ->
+                channel.writeAndFlush(Unpooled.wrappedBuffer(new byte[] {0, 40, 1, 0, 0}))
+                        .addListener(f -> channel.close());
+            case SAME_AGAIN -> many(channel, HUNDREDS, i -> setUp(i, "no-such-class", "home:0;copies:1;top:2"));
             default -> {}
         }
     }
@@ -114,6 +120,9 @@
         try {
             decoder.feed(in, message -> {
                 satisfied();
+                if (habit == Habit.SAME_AGAIN && message.type() == MessageType.RELEASE) {
+                    many(ctx.channel(), HUNDREDS, i -> setUp(i, "no-such-class", "home:0;copies:1;top:2"));
+                }
                 if (message.type() == MessageType.ANSWER) {
                     log.add(EventKind.BAD_CLIENT_SERVED, node.index(), habit.name(), 0);
                 }
--- a/soak/src/main/java/spanrill/soak/ClientPopulation.java
+++ b/soak/src/main/java/spanrill/soak/ClientPopulation.java
@@ -90,7 +90,9 @@
     private void ask(int tries) {
         Trial.ClassPlan plan =
                 trial.classes().get(random.nextInt(trial.classes().size()));
-        ask(new ClientRequest(++ids, plan, random.nextInt(TITLES), random.nextInt(2), tries));
+        boolean littleTime = random.nextDouble() < trial.clients().littleTime();
+        double waitMs = plan.deadlineMs() * (littleTime ? random.nextDouble(0.005, 0.05) : random.nextDouble(0.5, 1));
+        ask(new ClientRequest(++ids, plan, random.nextInt(TITLES), random.nextInt(2), tries, waitMs));
     }
 
     private void ask(ClientRequest request) {
@@ -158,7 +160,7 @@
                 request.plan().name(),
                 request.id(),
                 connection.number(),
-                connection.requests() == 1 ? 1 : 0);
+                (int) Math.round(request.waitMs()));
         Trial.ClientHabits habits = trial.clients();
         if (random.nextDouble() < habits.repeatsId()) {
             timers.after(REPEAT_AFTER_MS, () -> repeat(request, connection));
--- a/soak/src/main/java/spanrill/soak/ClientRequest.java
+++ b/soak/src/main/java/spanrill/soak/ClientRequest.java
@@ -14,18 +14,21 @@
     private final int home;
     /** How often the client has come before, after refusals. */
     private final int tries;
+    /** How long it waits for its answer, ms. */
+    private final double waitMs;
 
     private ClientConnection on;
     private String server;
     private double sentAt = Double.NaN;
     private boolean sentAgain;
 
-    ClientRequest(long id, Trial.ClassPlan plan, long title, int home, int tries) {
+    ClientRequest(long id, Trial.ClassPlan plan, long title, int home, int tries, double waitMs) {
         this.id = id;
         this.plan = plan;
         this.title = title;
         this.home = home;
         this.tries = tries;
+        this.waitMs = waitMs;
     }
 
     long id() {
@@ -36,6 +39,10 @@
         return plan;
     }
 
+    double waitMs() {
+        return waitMs;
+    }
+
     int tries() {
         return tries;
     }
@@ -75,7 +82,7 @@
     }
 
     Message setUp() {
-        return message(tries > 0 ? ";again:1" : "", Long.toString(Math.round(plan.deadlineMs())));
+        return message(tries > 0 ? ";again:1" : "", Long.toString(Math.round(waitMs)));
     }
 
     /** Tells a new process of a session that stands. */
--- a/soak/src/main/java/spanrill/soak/EventKind.java
+++ b/soak/src/main/java/spanrill/soak/EventKind.java
@@ -2,7 +2,7 @@
 
 /** What can be seen at the sockets of a trial, and what was done to its processes. */
 public enum EventKind {
-    /** The last byte of a set-up was written to an accepted connection. */
+    /** The last byte of a set-up was written to an accepted connection; the code is its wait, ms. */
     CLIENT_SENT,
     /** A set-up was written under the id of an open request, once more. */
     CLIENT_REPEATED,
--- a/soak/src/main/java/spanrill/soak/FaultKind.java
+++ b/soak/src/main/java/spanrill/soak/FaultKind.java
@@ -6,6 +6,8 @@
     NODE_TERMINATED,
     /** SIGKILL without a warning; started again later. */
     NODE_KILLED,
+    /** The process is held back for a moment (SIGSTOP, SIGCONT), as where others share its core. */
+    NODE_PAUSED,
     /** A new configuration names another address of discovery; SIGHUP. */
     NODE_RECONFIGURED,
     /** A server takes set-ups and answers none. */
--- a/soak/src/main/java/spanrill/soak/Judge.java
+++ b/soak/src/main/java/spanrill/soak/Judge.java
@@ -105,7 +105,7 @@
         }
         double took =
                 answer.ms() - request.sent().get(request.sent().size() - 1).ms();
-        if (took > plan(request).deadlineMs() + LATE_MS + SLACK_MS) {
+        if (took > request.sent().get(0).code() + LATE_MS + SLACK_MS) {
             broken(
                     Rule.LOST,
                     answer.ms(),
@@ -153,7 +153,7 @@
                         && a.setUp().ms() < nextMs);
         boolean killed = life != null && life.killedOutright() && life.killAt() <= closed.ms() + SLACK_MS;
         boolean crossed = closed.ms() - sent.ms() <= ClientPopulation.CROSSING_MS;
-        boolean firstOnConnection = sent.code() == 1;
+        boolean firstOnConnection = firstOnConnection(sent);
         if (killed || (!forwarded && (crossed || firstOnConnection))) {
             return;
         }
@@ -169,6 +169,14 @@
         broken(Rule.LOST, closed.ms(), request.session(), how);
     }
 
+    private boolean firstOnConnection(SoakEvent sent) {
+        return events.stream()
+                .filter(e -> e.kind() == EventKind.CLIENT_SENT && e.connection() == sent.connection())
+                .findFirst()
+                .filter(first -> first.session() == sent.session())
+                .isPresent();
+    }
+
     // ---- attempts
 
     private void repetitions(RequestTrace request) {
--- a/soak/src/main/java/spanrill/soak/NodeProcess.java
+++ b/soak/src/main/java/spanrill/soak/NodeProcess.java
@@ -97,6 +97,13 @@
                 .start();
     }
 
+    /** SIGSTOP or SIGCONT. */
+    void pause(boolean begins) throws IOException {
+        new ProcessBuilder("kill", begins ? "-STOP" : "-CONT", Long.toString(process.pid()))
+                .inheritIO()
+                .start();
+    }
+
     void awaitEnd() throws InterruptedException {
         if (process != null && !process.waitFor(5, TimeUnit.SECONDS)) {
             process.destroyForcibly();
--- a/soak/src/main/java/spanrill/soak/ReleaseJudge.java
+++ b/soak/src/main/java/spanrill/soak/ReleaseJudge.java
@@ -9,6 +9,8 @@
 final class ReleaseJudge {
     /** "Within 1 s of the release", and the protocol's 50 ms. */
     private static final double RELEASE_MS = 1050;
+    /** "If no release could be sent, within 8 s of its end", and the protocol's 50 ms. */
+    private static final double CUT_MS = 8050;
     /** Faults this long before may still explain what happens now, ms. */
     private static final double FAULT_MS = 3000;
 
@@ -52,6 +54,7 @@
                         "its server was not told within 1 s that its session is over"));
             }
         }
+        cutSessions(found);
         return found;
     }
 
@@ -70,15 +73,51 @@
     }
 
     private boolean toldToClient(RequestTrace request, SoakEvent ended) {
-        int connection = request.sent().get(request.sent().size() - 1).connection();
-        boolean own = connectionEnds.getOrDefault(connection, Double.POSITIVE_INFINITY) > ended.ms() + RELEASE_MS;
+        return toldToClient(request, ended.ms(), RELEASE_MS);
+    }
+
+    /** True when the client was told in time, or nobody could: it had left, or its connection had ended. */
+    private boolean toldToClient(RequestTrace request, double endedMs, double withinMs) {
+        int connection = request.connectionAt(endedMs);
+        boolean reachable = connectionEnds.getOrDefault(connection, Double.POSITIVE_INFINITY) > endedMs + withinMs;
         boolean heard = request.heard().stream()
-                .anyMatch(h -> h.kind() == EventKind.CLIENT_RELEASED && h.ms() <= ended.ms() + RELEASE_MS);
-        boolean leftBefore = events.stream()
-                .anyMatch(e -> e.session() == ended.session()
+                .anyMatch(h -> h.kind() == EventKind.CLIENT_RELEASED && h.ms() <= endedMs + withinMs);
+        boolean left = events.stream()
+                .anyMatch(e -> e.session() == request.session()
                         && (e.kind() == EventKind.CLIENT_CANCELLED || e.kind() == EventKind.CLIENT_MOVED)
-                        && e.ms() <= ended.ms() + RELEASE_MS);
-        return heard || leftBefore || !own || request.handedOver();
+                        && e.ms() <= endedMs + withinMs);
+        return heard || left || !reachable;
+    }
+
+    /** Sessions that were cut as their server died: nobody sends a release, the node has to find out. */
+    private void cutSessions(List<Violation> found) {
+        for (SoakEvent death : events) {
+            if (death.kind() != EventKind.SERVER_LOST || death.node() >= 0) {
+                continue;
+            }
+            for (RequestTrace request : requests.values()) {
+                SoakEvent answer = request.answer();
+                boolean stood = answer != null
+                        && answer.kind() == EventKind.CLIENT_ANSWERED
+                        && answer.peer().equals(death.peer())
+                        && answer.ms() < death.ms()
+                        && request.heard().size() == 1;
+                if (stood && undisturbed(request, death.ms()) && !toldToClient(request, death.ms(), CUT_MS)) {
+                    found.add(new Violation(
+                            Rule.RELEASE, death.ms(), request.session(), "cut with its server, its client not told"));
+                }
+            }
+        }
+    }
+
+    /** True when the node that holds the session lives on, unasked to stop, until the client must be told. */
+    private boolean undisturbed(RequestTrace request, double fromMs) {
+        int node = request.nodeAt(fromMs);
+        return fromMs + CUT_MS < endMs
+                && lives.stream()
+                        .anyMatch(life -> life.node() == node
+                                && fromMs >= life.readyAt()
+                                && fromMs + CUT_MS < Math.min(life.exitAt(), Math.min(life.termAt(), life.killAt())));
     }
 
     private boolean endedAtServer(SoakEvent cancelled) {
--- a/soak/src/main/java/spanrill/soak/RequestTrace.java
+++ b/soak/src/main/java/spanrill/soak/RequestTrace.java
@@ -39,7 +39,7 @@
     private final List<Attempt> attempts = new ArrayList<>();
     private double cancelledMs = NEVER;
     private double clientClosedMs = NEVER;
-    private boolean handedOver;
+    private final List<SoakEvent> handedOver = new ArrayList<>();
 
     private RequestTrace(long session) {
         this.session = session;
@@ -68,7 +68,7 @@
             case CLIENT_ANSWERED, CLIENT_RELEASED -> heard.add(event);
             case CLIENT_CANCELLED -> cancelledMs = Math.min(cancelledMs, event.code() == 0 ? event.ms() : NEVER);
             case CLIENT_CLOSED -> clientClosedMs = Math.min(clientClosedMs, event.ms());
-            case CLIENT_HANDED_OVER -> handedOver = true;
+            case CLIENT_HANDED_OVER -> handedOver.add(event);
             case SERVER_SET_UP -> attempts.add(new Attempt(event));
             case SERVER_ANSWERED -> {
                 serverAnswers.add(event);
@@ -115,7 +115,24 @@
     }
 
     boolean handedOver() {
-        return handedOver;
+        return !handedOver.isEmpty();
+    }
+
+    /** The connection that its session belonged to at a time. */
+    int connectionAt(double ms) {
+        return lastBefore(ms).connection();
+    }
+
+    /** The node that held its session at a time. */
+    int nodeAt(double ms) {
+        return lastBefore(ms).node();
+    }
+
+    private SoakEvent lastBefore(double ms) {
+        return handedOver.stream()
+                .filter(event -> event.ms() <= ms)
+                .reduce((a, b) -> b)
+                .orElse(sent.get(sent.size() - 1));
     }
 
     /** The client heard that its session stands. */
--- a/soak/src/main/java/spanrill/soak/ServerStandIn.java
+++ b/soak/src/main/java/spanrill/soak/ServerStandIn.java
@@ -212,6 +212,8 @@
                 lose();
             } else if ((left -= habits.never()) < 0) {
                 return;
+            } else if ((left -= habits.cut()) < 0) {
+                cut(session);
             } else if ((left -= habits.spoilt()) < 0) {
                 attempts.remove(session);
                 spoilt = true;
@@ -222,6 +224,14 @@
             }
         }
 
+        /** Half an answer, then the end of the connection. */
+        private void cut(long session) {
+            log.add(EventKind.SERVER_ANSWERED, node, id, session, 0, Cause.TEMPORARY_FAILURE);
+            writer.writeRaw(new byte[] {0, 60, (byte) MessageType.ANSWER.code(), 0, 0, 0});
+            drop(EventKind.SERVER_LOST);
+            channel.close();
+        }
+
         private void answerWell(long session, double draw) {
             Message answer = new Message(MessageType.ANSWER, session)
                     .with(Parameter.DESCRIPTION, (id + "/" + session).getBytes(StandardCharsets.UTF_8));
--- a/soak/src/main/java/spanrill/soak/Trial.java
+++ b/soak/src/main/java/spanrill/soak/Trial.java
@@ -54,6 +54,7 @@
      * @param retriesAtOnce refused requests that come again at once
      * @param inPieces set-ups written in pieces
      * @param newConnection requests on a connection of their own
+     * @param littleTime requests that come with very little time left
      */
     public record ClientHabits(
             double acknowledges,
@@ -62,7 +63,8 @@
             double repeatsId,
             double retriesAtOnce,
             double inPieces,
-            double newConnection) {}
+            double newConnection,
+            double littleTime) {}
 
     /** How often servers do what to a set-up, as shares; the rest is answered well. */
     public record ServerHabits(
@@ -73,7 +75,8 @@
             double spoilt,
             double twice,
             double aheadUnknown,
-            double inPieces) {}
+            double inPieces,
+            double cut) {}
 
     /**
      * A fault.
--- a/soak/src/main/java/spanrill/soak/TrialDraw.java
+++ b/soak/src/main/java/spanrill/soak/TrialDraw.java
@@ -16,7 +16,9 @@
     private static final double MOST_LENGTH_MS = 11_000;
     private static final double FIRST_FAULT_MS = 800;
     private static final double LEAST_RATE = 60;
-    private static final double MOST_RATE = 130;
+    private static final double LEAST_IDLE_MS = 400;
+    private static final double MOST_IDLE_MS = 8000;
+    private static final double MOST_RATE = 180;
 
     private final SplittableRandom random;
     private final TrialKind kind;
@@ -61,6 +63,7 @@
         if (network || signals) {
             drawServers();
         }
+        drawPauses();
         faults.sort(Comparator.comparingDouble(Fault::atMs));
         return new Trial(
                 seed,
@@ -71,7 +74,7 @@
                 between(LEAST_RATE, MOST_RATE),
                 lengthMs,
                 whole(1, 3),
-                between(3000.0, 15_000.0),
+                between(LEAST_IDLE_MS, MOST_IDLE_MS),
                 habits(clients),
                 answers(network),
                 List.copyOf(faults));
@@ -140,6 +143,14 @@
         }
     }
 
+    private void drawPauses() {
+        if (random.nextInt(3) == 0) {
+            for (double at = between(500, 2000); at < lengthMs; at += between(500, 3000)) {
+                faults.add(new Fault(at, FaultKind.NODE_PAUSED, random.nextInt(nodes), between(20, 150)));
+            }
+        }
+    }
+
     private void drawClients() {
         for (double at = between(300, 800); at < lengthMs - 3500; at += between(200, 700)) {
             faults.add(new Fault(at, FaultKind.BAD_CLIENT, random.nextInt(BadClient.Habit.values().length), 0));
@@ -159,7 +170,8 @@
                 more * (random.nextInt(2) == 0 ? 0 : 0.03),
                 between(0.4, 1.0),
                 more * between(0, 0.4),
-                between(0.02, 0.2));
+                between(0.02, 0.2),
+                between(0, 0.1));
     }
 
     private ServerHabits answers(boolean bad) {
@@ -172,7 +184,8 @@
                 more * between(0, 0.03),
                 more * between(0, 0.03),
                 more * between(0, 0.03),
-                more * between(0, 0.4));
+                more * between(0, 0.4),
+                more * between(0, 0.03));
     }
 
     private int whole(int least, int most) {
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -167,6 +167,7 @@
             case NODE_TERMINATED -> terminate(node, fault.lengthMs());
             case NODE_KILLED -> killed(node, fault.lengthMs());
             case NODE_RECONFIGURED -> reconfigure(node);
+            case NODE_PAUSED -> pause(node, fault.lengthMs());
             case DISCOVERY_CUT, DISCOVERY_FROZEN, DISCOVERY_DOWN, DISCOVERY_MUTE -> discovery.fault(fault);
             case CLIENT_CROWD -> crowd(node, fault.lengthMs());
             case BAD_CLIENT -> {
@@ -268,6 +269,25 @@
         });
     }
 
+    private void pause(NodeProcess node, double lengthMs) {
+        if (node.phase() != NodeProcess.Phase.READY) {
+            return;
+        }
+        signal(node, true);
+        // Also past the end of the trial: a stopped process hears no other signal.
+        loop.schedule(() -> signal(node, false), (long) lengthMs, TimeUnit.MILLISECONDS);
+    }
+
+    private static void signal(NodeProcess node, boolean pauses) {
+        try {
+            if (node.alive()) {
+                node.pause(pauses);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void reconfigure(NodeProcess node) {
         boolean may = node.phase() == NodeProcess.Phase.READY && log.now() - node.changedAt() > LEAST_UPTIME_MS;
         if (!may) {
--- a/soak/src/test/java/spanrill/soak/JudgeTest.java
+++ b/soak/src/test/java/spanrill/soak/JudgeTest.java
@@ -11,6 +11,7 @@
 /** Planted faults: each is found by its name, and what the protocol allows is not. */
 class JudgeTest {
     private static final int NODE = 0;
+    private static final int WAIT_MS = 1000;
     private final Trial trial = TrialDraw.of(3, TrialKind.NETWORK);
     private final String safe = trial.classes().get(0).name();
     private final String paid = trial.classes().get(1).name();
@@ -27,7 +28,7 @@
 
     /** A request that a server answers and a client hears of. */
     private void served(double ms, long id, String className) {
-        at(ms, EventKind.CLIENT_SENT, className, id, 1, 0);
+        at(ms, EventKind.CLIENT_SENT, className, id, 1, WAIT_MS);
         at(ms + 1, EventKind.SERVER_SET_UP, "s-1", id, 0, 0);
         at(ms + 9, EventKind.SERVER_ANSWERED, "s-1", id, 0, 0);
         at(ms + 10, EventKind.CLIENT_ANSWERED, "s-1", id, 1, 0);
@@ -94,7 +95,7 @@
         served(2000, 2, safe);
         events.set(events.size() - 1, new SoakEvent(2010, EventKind.CLIENT_ANSWERED, NODE, "s-2", 2, 1, 0));
         at(3000, EventKind.CLIENT_SENT, safe, 3, 1, 0);
-        at(3600 + trial.longestDeadlineMs(), EventKind.CLIENT_RELEASED, "", 3, 1, 41);
+        at(3600, EventKind.CLIENT_RELEASED, "", 3, 1, 41);
         assertEquals(List.of(Rule.LOST, Rule.LOST, Rule.LOST), broken());
     }
 
@@ -182,6 +183,15 @@
         assertEquals(List.of(Rule.RELEASE, Rule.RELEASE), broken());
     }
 
+    @Test
+    void sessionsThatAreCutWithTheirServerAreToldWithinEightSeconds() {
+        served(1000, 1, safe);
+        served(1010, 2, safe);
+        events.add(new SoakEvent(2000, EventKind.SERVER_LOST, -1, "s-1", 0, 0, 0));
+        at(9900, EventKind.CLIENT_RELEASED, "", 1, 1, 41);
+        assertEquals(List.of(Rule.RELEASE), broken());
+    }
+
     @Test
     void processesThatEndByThemselvesOrStartLateAreFound() {
         at(5000, EventKind.NODE_EXIT, "", 0, 0, 1);
