Node: the end of a session that a server tells before its hand-over is kept

Cause: found while looking for the late releases of herd+mass, not shown to be their cause: after a start a server tells of ended sessions on its first connection; a session that the node is told of only later was taken for standing, and its client never heard.

Change: SessionHost keeps such ends for 8 s, the protocol's time for what could not be released, 2,048 at most, and releases the session at its hand-over.

Measured: aSessionThatEndedBeforeItWasHandedOverIsReleasedAtOnce failed before; SessionHostTest green (20).

--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -67,9 +67,16 @@
     private final Map<Long, NodeSession> moving = new HashMap<>();
     private final ExpiringMap<Boolean> moved = new ExpiringMap<>(RETURN_MS, MOST_MOVED);
     private final ExpiringMap<Boolean> releasedEarly = new ExpiringMap<>(EARLY_MS, MOST_EARLY);
+    private final ExpiringMap<EarlyEnd> endedEarly = new ExpiringMap<>(EARLY_MS, MOST_EARLY);
     /** No answer is given after this time, ms on the scheduler's clock: the process is about to end. */
     private double answerBy = Double.POSITIVE_INFINITY;
 
+    /**
+     * The end of a session that is not known here: after a start a server tells of it on its first connection,
+     * which may be before this node is told of the session.
+     */
+    private record EarlyEnd(String server, Outcome outcome) {}
+
     /**
      * A host; {@code module} makes the module for its actions.
      *
@@ -169,7 +176,10 @@
         session.settled();
         stands(session);
         executor.execute(now -> control.takenOver(now, request, session.server));
-        if (withdrawnBefore(session.id())) {
+        EarlyEnd ended = endedEarly.take(scheduler.now(), session.name());
+        if (ended != null && ended.server().equals(session.server)) {
+            over(session.server, session.id(), ended.outcome(), null);
+        } else if (withdrawnBefore(session.id())) {
             // Its viewer ended it while no node held it: its server has not heard of that.
             released(session.id());
         } else if (!listed.contains(session.server)) {
@@ -308,6 +318,9 @@
                 "known",
                 session != null);
         moving.remove(id);
+        if (session == null && outcome != Outcome.CANCELLED) {
+            endedEarly.over(scheduler.now(), HexFormat.of().toHexDigits(id), new EarlyEnd(server, outcome));
+        }
         if (session == null || !session.state().inPlay() || !server.equals(session.server)) {
             return;
         }
--- a/node/src/test/java/spanrill/node/session/SessionHostTest.java
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -239,6 +239,17 @@
         assertTrue(near.heard.get(0).startsWith("REFUSED " + id), near.heard.toString());
     }
 
+    /** After a start the server's word comes on its first connection, perhaps before the session is told of. */
+    @Test
+    void aSessionThatEndedBeforeItWasHandedOverIsReleasedAtOnce() {
+        host.over("s-1", 7, Outcome.OK, null);
+        host.over("s-1", 8, Outcome.CANCELLED, null);
+        host.standsAt(asked(7, "free", "s-1"), near);
+        host.standsAt(asked(8, "free", "s-1"), near);
+        assertEquals(List.of("OVER 7"), near.heard);
+        assertEquals(1, host.size());
+    }
+
     /** Before a stop ends: each request has its answer, its attempt is given up, and none takes longer. */
     @Test
     void answersAllThatIsOpenBeforeTheProcessEnds() {
