--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -1,10 +1,8 @@
 package spanrill.node.session;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,7 +20,6 @@
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.decisions.SessionState.Event;
-import spanrill.decisions.SessionState.Phase;
 import spanrill.session.EventSink;
 import spanrill.session.Scheduler;
 import spanrill.session.SerialExecutor;
@@ -41,18 +38,14 @@
     private static final double MOVED_MS = 500;
     // Once due, an attempt is given up after one more round of the loop, which takes about so long.
     private static final double UNREAD_MS = 1;
-    // A viewer that was moved counts as coming back from a move for this long.
-    private static final double RETURN_MS = 30_000;
     // The list tells of a new server some seconds late.
     private static final double UNLISTED_MS = 6000;
-    private static final int MOST_MOVED = 8192;
     // A release may be read before the set-up that it ends, where the two come on two connections; after a
     // start also before the session is told of again. The rules give 8 s for what has to be released.
     private static final double EARLY_MS = 8000;
     private static final int MOST_EARLY = 2048;
 
-    private final SessionControl.Settings settings;
-    private final Map<String, Boolean> onceByClass = new HashMap<>();
+    private final SetUpLimits limits;
     private final Scheduler scheduler;
     private final SerialExecutor executor;
     private final EventSink log;
@@ -62,10 +55,9 @@
     private final SessionControl control;
     private final Map<Long, NodeSession> sessions = new HashMap<>();
     private final Map<String, NodeSession> byName = new HashMap<>();
-    private final Map<String, Set<NodeSession>> standing = new HashMap<>();
+    private final EstablishedSessions established;
+    private final MovedSessions moved = new MovedSessions();
     private final Set<String> listed = new HashSet<>();
-    private final Map<Long, NodeSession> moving = new HashMap<>();
-    private final ExpiringMap<Boolean> moved = new ExpiringMap<>(RETURN_MS, MOST_MOVED);
     private final ExpiringMap<Boolean> releasedEarly = new ExpiringMap<>(EARLY_MS, MOST_EARLY);
     private final ExpiringMap<EarlyEnd> endedEarly = new ExpiringMap<>(EARLY_MS, MOST_EARLY);
     /** No answer is given after this time, ms on the scheduler's clock: the process is about to end. */
@@ -91,15 +83,15 @@
             ServerSide servers,
             Supplier<ClientLink> anyLink,
             Function<SessionControl.Actions, SessionControl> module) {
-        this.settings = settings;
         this.scheduler = scheduler;
         this.log = log;
         this.trace = trace;
         this.servers = servers;
         executor = new SerialExecutor(scheduler, log);
         releases = new ClientReleases(executor, trace, anyLink);
-        settings.classes().forEach(c -> onceByClass.put(c.name(), c.once()));
-        control = module.apply(new Asked());
+        limits = new SetUpLimits(settings);
+        established = new EstablishedSessions(servers);
+        control = module.apply(new ModuleActions(this, byName::get, log));
     }
 
     /** Starts the module. */
@@ -126,11 +118,7 @@
 
     /** True when the settings have such a class, cells, copies and a rung as this asks for. */
     public boolean possible(SetUp setUp) {
-        return onceByClass.containsKey(setUp.className())
-                && setUp.figures().home() < settings.cells()
-                && setUp.figures().copies() >= 1
-                && setUp.figures().copies() <= settings.cells()
-                && setUp.figures().top() < settings.rungKb().size();
+        return limits.allow(setUp);
     }
 
     /** True while a session has this id. */
@@ -151,7 +139,7 @@
      */
     public void setUp(SetUp setUp, ClientLink link, double waitMs) {
         double leftMs = Math.min(waitMs, answerBy - scheduler.now());
-        NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
+        NodeSession session = new NodeSession(setUp, link, limits.once(setUp.className()));
         sessions.put(session.id(), session);
         byName.put(session.name(), session);
         trace.info("request", "id", session.name(), "class", setUp.className(), "left", leftMs);
@@ -165,7 +153,7 @@
 
     /** A session that plays at a server already. */
     public void standsAt(SetUp setUp, ClientLink link) {
-        NodeSession session = new NodeSession(setUp, link, onceByClass.get(setUp.className()));
+        NodeSession session = new NodeSession(setUp, link, limits.once(setUp.className()));
         session.server = setUp.figures().at();
         trace.info("takenOver", "id", session.name(), "server", session.server);
         session.state().on(Event.SEND);
@@ -174,7 +162,7 @@
         byName.put(session.name(), session);
         Request request = request(session, setUp.waitMs());
         session.settled();
-        stands(session);
+        established.add(session, scheduler.now());
         executor.execute(now -> control.takenOver(now, request, session.server));
         EarlyEnd ended = endedEarly.take(scheduler.now(), session.name());
         if (ended != null && ended.server().equals(session.server)) {
@@ -201,7 +189,7 @@
 
     private Request request(NodeSession session, double leftMs) {
         SetUp asked = session.setUp();
-        boolean back = moved.take(scheduler.now(), session.viewer()) != null;
+        boolean back = moved.returns(session.viewer(), scheduler.now());
         return new Request(
                 session.name(),
                 asked.className(),
@@ -287,7 +275,7 @@
         // The answer goes out before anything else is done: the viewer's time runs.
         session.link.answer(session.id(), description);
         session.settled();
-        stands(session);
+        established.add(session, scheduler.now());
         executor.execute(now -> control.playing(now, session.name(), session.server, took));
     }
 
@@ -317,7 +305,7 @@
                 outcome,
                 "known",
                 session != null);
-        moving.remove(id);
+        moved.remove(id);
         if (session == null && outcome != Outcome.CANCELLED) {
             endedEarly.over(scheduler.now(), HexFormat.of().toHexDigits(id), new EarlyEnd(server, outcome));
         }
@@ -338,10 +326,8 @@
 
     /** A server started anew at a time, ms on the scheduler's clock: what stood there before is gone. */
     public void restarted(String server, double startedAt) {
-        for (NodeSession session : new ArrayList<>(standing.getOrDefault(server, Set.of()))) {
-            if (session.standsSince < startedAt) {
-                over(server, session.id(), Outcome.RESET, null);
-            }
+        for (NodeSession session : established.at(server, startedAt)) {
+            over(server, session.id(), Outcome.RESET, null);
         }
     }
 
@@ -349,7 +335,7 @@
     public void note(String server, long id, NoteKind kind, double value) {
         NodeSession session = sessions.get(id);
         if (session != null && server.equals(session.server)) {
-            if (kind == NoteKind.RUNG && !rungOfLadder(value)) {
+            if (kind == NoteKind.RUNG && !limits.isRung(value)) {
                 return;
             }
             trace.info("note", "server", server, "kind", kind, "value", value);
@@ -357,10 +343,6 @@
         }
     }
 
-    private boolean rungOfLadder(double value) {
-        return value >= 0 && value < settings.rungKb().size() && value == Math.rint(value);
-    }
-
     /** Requests whose answer is owed. */
     public int open() {
         return (int)
@@ -369,12 +351,12 @@
 
     /** True while a client has yet to be told of the end of a session, or may have to be. */
     public boolean releasesPending() {
-        return !moving.isEmpty() || releases.size() > 0;
+        return moved.size() > 0 || releases.size() > 0;
     }
 
     /** Moved sessions whose server has yet to say that they are over, or to be told so. */
     public int moving() {
-        return moving.size();
+        return moved.size();
     }
 
     /** Fails those of these requests that are still open. */
@@ -402,25 +384,10 @@
 
     // ---- within
 
-    private void stands(NodeSession session) {
-        Set<NodeSession> there = standing.computeIfAbsent(session.server, s -> new LinkedHashSet<>());
-        there.add(session);
-        session.link.standing(true);
-        session.standsSince = scheduler.now();
-        servers.standing(session.server, there.size());
-    }
-
     private void over(NodeSession session) {
         session.state().on(Event.END);
-        session.link.standing(false);
         forget(session);
-        Set<NodeSession> there = standing.get(session.server);
-        if (there != null && there.remove(session)) {
-            if (there.isEmpty()) {
-                standing.remove(session.server);
-            }
-            servers.standing(session.server, there.size());
-        }
+        established.remove(session);
     }
 
     private void forget(NodeSession session) {
@@ -459,114 +426,70 @@
      * Its viewer is owed a release then, and the server one if it lives.
      */
     private void unmoved(NodeSession session, String server) {
-        if (moving.remove(session.id()) != null) {
+        if (moved.remove(session.id())) {
             servers.release(server, session.id());
             releases.tell(session, End.CUT);
         }
     }
 
-    private void answer(NodeSession session, Event event, End end, double stayAwayMs) {
+    /** Gives a request its final answer. */
+    void answer(NodeSession session, Event event, End end, double stayAwayMs) {
         trace.info("answer", "id", session.name(), "end", end, "stayAway", stayAwayMs);
         session.state().on(event);
         forget(session);
         session.link.release(session.id(), end, stayAwayMs);
     }
 
-    /** What the module asks for. */
-    private final class Asked implements SessionControl.Actions {
-        @Override
-        public void send(String request, double wantedUntil, String server) {
-            double until = Math.min(wantedUntil, answerBy);
-            NodeSession session = byName.get(request);
-            if (session == null || !session.state().may(Event.SEND)) {
-                log.info("send.impossible", "session", request, "server", server);
-                return;
-            }
-            session.state().on(Event.SEND);
-            session.sentAt = scheduler.now();
-            trace.info("send", "id", request, "server", server, "rung", session.rung);
-            Attempt attempt = new Attempt(session, server, until);
-            session.attempt = attempt;
-            session.giveUp = executor.schedule(until - session.sentAt, now -> due(attempt));
-            servers.setUp(attempt);
-        }
-
-        /** Due, but what came in time may lie unread: one more round of the loop reads it. */
-        private void due(Attempt attempt) {
-            if (attempt.owner().attempt == attempt) {
-                attempt.owner().giveUp = executor.schedule(UNREAD_MS, now -> timeOut(attempt));
-            }
-        }
-
-        private void timeOut(Attempt attempt) {
-            if (attempt.owner().attempt == attempt) {
-                // The give-up leaves before any further attempt of the session can.
-                ended(attempt, timedOut(servers.giveUp(attempt)), null);
-            }
-        }
+    // ---- what the module asks for
 
-        @Override
-        public void rate(String request, int rung) {
-            NodeSession session = byName.get(request);
-            if (session == null) {
-                return;
-            }
-            session.rung = rung;
-            if (session.state().phase() == Phase.PLAYING || session.state().attemptOut()) {
-                String server = session.attempt != null ? session.attempt.server() : session.server;
-                servers.rung(server, session.id(), rung);
-            }
-        }
-
-        @Override
-        public void move(String request) {
-            NodeSession session = byName.get(request);
-            if (session == null || !session.state().inPlay()) {
-                return;
-            }
-            String server = session.server;
-            over(session);
-            moving.put(session.id(), session);
-            trace.info("move", "id", request, "server", server);
-            moved.over(scheduler.now(), session.viewer(), true);
-            ClientLink link = releases.linkTo(session);
-            if (link != null) {
-                link.move(session.id());
-            }
-            executor.schedule(link == null ? 0 : MOVED_MS, now -> unmoved(session, server));
-            executor.execute(now -> control.ended(now, session.name(), true, Outcome.CANCELLED, server, null));
+    /** Sends an attempt; {@code wantedUntil}: when the module gives it up, ms on the scheduler's clock. */
+    void send(NodeSession session, double wantedUntil, String server) {
+        double until = Math.min(wantedUntil, answerBy);
+        session.state().on(Event.SEND);
+        session.sentAt = scheduler.now();
+        trace.info("send", "id", session.name(), "server", server, "rung", session.rung);
+        Attempt attempt = new Attempt(session, server, until);
+        session.attempt = attempt;
+        session.giveUp = executor.schedule(until - session.sentAt, now -> due(attempt));
+        servers.setUp(attempt);
+    }
+
+    /** Due, but what came in time may lie unread: one more round of the loop reads it. */
+    private void due(Attempt attempt) {
+        if (attempt.owner().attempt == attempt) {
+            attempt.owner().giveUp = executor.schedule(UNREAD_MS, now -> timeOut(attempt));
         }
+    }
 
-        @Override
-        public void refuse(String request, double retryAfterMs) {
-            NodeSession session = byName.get(request);
-            if (session == null || !session.state().answerOwed()) {
-                return;
-            }
-            if (!session.state().may(Event.REFUSE)) {
-                log.info("refuse.impossible", "session", request);
-                fail(request);
-                return;
-            }
-            answer(session, Event.REFUSE, End.REFUSED, retryAfterMs);
+    private void timeOut(Attempt attempt) {
+        if (attempt.owner().attempt == attempt) {
+            // The give-up leaves before any further attempt of the session can.
+            ended(attempt, timedOut(servers.giveUp(attempt)), null);
         }
+    }
 
-        @Override
-        public void fail(String request) {
-            NodeSession session = byName.get(request);
-            if (session != null && session.state().may(Event.FAIL)) {
-                answer(session, Event.FAIL, End.FAILED, 0);
-            }
-        }
+    /** Tells the server that holds a session, or is being asked to, of its rung. */
+    void rung(NodeSession session) {
+        String server = session.attempt != null ? session.attempt.server() : session.server;
+        servers.rung(server, session.id(), session.rung);
+    }
 
-        @Override
-        public void timer(String token, double delayMs) {
-            executor.schedule(delayMs, now -> control.timer(now, token));
+    /** Ends a session that stands; its client comes again. */
+    void move(NodeSession session) {
+        String server = session.server;
+        over(session);
+        moved.add(session, scheduler.now());
+        trace.info("move", "id", session.name(), "server", server);
+        ClientLink link = releases.linkTo(session);
+        if (link != null) {
+            link.move(session.id());
         }
+        executor.schedule(link == null ? 0 : MOVED_MS, now -> unmoved(session, server));
+        executor.execute(now -> control.ended(now, session.name(), true, Outcome.CANCELLED, server, null));
+    }
 
-        @Override
-        public void log(String text) {
-            log.info("module", "says", text);
-        }
+    /** Tells the module of a timer that it sets now. */
+    void timer(String token, double delayMs) {
+        executor.schedule(delayMs, now -> control.timer(now, token));
     }
 }
