Node: what lies unread on a client connection is read before its output is shut down

Change: ClientConnectionState asks for one more round of reading before the end of a connection (READ_FIRST); an evicted connection leaves the budget when it begins to end.

Measured: aRequestUnreadBehindTheLastAnswerIsRefused holds the loop in that place and failed before; tests of node green (109).

--- a/decisions/src/main/java/spanrill/decisions/ClientConnectionState.java
+++ b/decisions/src/main/java/spanrill/decisions/ClientConnectionState.java
@@ -38,6 +38,8 @@
         NONE,
         /** Fail the requests that are open on it. */
         FAIL_OPEN,
+        /** Read what has arrived, then ask again: a request that lies unread is not to cross the end. */
+        READ_FIRST,
         /** Shut the output down: all answers have been flushed. */
         SHUT_DOWN_OUTPUT,
         /** Close the socket. */
@@ -53,9 +55,15 @@
      * @param awaitingRequest true when a request is under way: its message has begun, or the connection is
      *     so new that its first request can't have come
      * @param written true when anything was ever written to it
+     * @param inputRead true when all that had arrived a moment ago has been read
      */
     public record View(
-            int openRequests, boolean releasesPending, boolean unflushed, boolean awaitingRequest, boolean written) {}
+            int openRequests,
+            boolean releasesPending,
+            boolean unflushed,
+            boolean awaitingRequest,
+            boolean written,
+            boolean inputRead) {}
 
     /** A client that has seen the end of the output closes within a round trip; slow ones get this long. */
     private static final double LINGER_MS = 500;
@@ -151,6 +159,9 @@
         if (view.unflushed() || (waits && now < failAt)) {
             return Step.NONE;
         }
+        if (!view.inputRead()) {
+            return Step.READ_FIRST;
+        }
         if (!view.written()) {
             // No answer is on its way that a reset could destroy.
             return Step.CLOSE;
--- a/decisions/src/test/java/spanrill/decisions/ClientConnectionStateTest.java
+++ b/decisions/src/test/java/spanrill/decisions/ClientConnectionStateTest.java
@@ -23,8 +23,8 @@
 import spanrill.decisions.ClientConnectionState.View;
 
 class ClientConnectionStateTest {
-    private static final View QUIET = new View(0, false, false, false, true);
-    private static final View BUSY = new View(2, false, false, false, true);
+    private static final View QUIET = new View(0, false, false, false, true, true);
+    private static final View BUSY = new View(2, false, false, false, true, true);
     private final ClientConnectionState state = new ClientConnectionState();
 
     @Test
@@ -34,7 +34,7 @@
         assertEquals(Intake.REFUSE, state.intake());
         assertEquals(Step.NONE, state.next(599, BUSY));
         assertEquals(Step.FAIL_OPEN, state.next(600, BUSY));
-        assertEquals(Step.NONE, state.next(601, new View(0, false, true, false, true)), "not flushed");
+        assertEquals(Step.NONE, state.next(601, new View(0, false, true, false, true, true)), "not flushed");
         assertEquals(Step.SHUT_DOWN_OUTPUT, state.next(602, QUIET));
         assertEquals(Phase.CLOSING, state.phase());
         assertEquals(Intake.DISCARD, state.intake());
@@ -42,24 +42,34 @@
         assertEquals(Step.CLOSE, state.next(1102, QUIET), "its client does not end it");
     }
 
+    /** What has arrived is read before the end, so that it is refused and not dropped. */
+    @Test
+    void whatLiesUnreadIsReadBeforeTheEnd() {
+        View unread = new View(0, false, false, false, true, false);
+        state.drain(0, CloseReason.SHUTDOWN, 600);
+        assertEquals(Step.READ_FIRST, state.next(10, unread));
+        assertEquals(Intake.REFUSE, state.intake());
+        assertEquals(Step.SHUT_DOWN_OUTPUT, state.next(11, QUIET));
+    }
+
     @Test
     void idleConnectionsEndAtOnceAndUnusedOnesWithoutADetour() {
         state.drain(0, CloseReason.EVICTED);
         assertEquals(Step.SHUT_DOWN_OUTPUT, state.next(0, QUIET));
         ClientConnectionState unused = new ClientConnectionState();
         unused.drain(0, CloseReason.NOTHING_USEFUL);
-        assertEquals(Step.CLOSE, unused.next(0, new View(0, false, false, false, false)));
+        assertEquals(Step.CLOSE, unused.next(0, new View(0, false, false, false, false, true)));
         ClientConnectionState noise = new ClientConnectionState();
         noise.drain(0, CloseReason.UNREADABLE);
-        assertEquals(Step.CLOSE, noise.next(0, new View(0, true, false, true, false)));
+        assertEquals(Step.CLOSE, noise.next(0, new View(0, true, false, true, false, true)));
     }
 
     @Test
     void aShutdownWaitsForRequestsUnderWayAndForReleases() {
         state.drain(0, CloseReason.SHUTDOWN, 600);
-        assertEquals(Step.NONE, state.next(10, new View(0, true, false, false, true)));
-        assertEquals(Step.NONE, state.next(20, new View(0, false, false, true, true)));
-        assertEquals(Step.SHUT_DOWN_OUTPUT, state.next(600, new View(0, true, false, true, true)));
+        assertEquals(Step.NONE, state.next(10, new View(0, true, false, false, true, true)));
+        assertEquals(Step.NONE, state.next(20, new View(0, false, false, true, true, true)));
+        assertEquals(Step.SHUT_DOWN_OUTPUT, state.next(600, new View(0, true, false, true, true, true)));
     }
 
     @Test
@@ -189,7 +199,7 @@
         }
 
         private void advance() {
-            switch (state.next(now, new View(open.size(), false, stalled, false, ids > 0))) {
+            switch (state.next(now, new View(open.size(), false, stalled, false, ids > 0, true))) {
                 case FAIL_OPEN -> {
                     Set.copyOf(open).forEach(this::answer);
                     advance();
--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -67,6 +67,10 @@
     private boolean written;
     /** More of what has arrived is about to be read: it comes before any end. */
     private boolean reading;
+    /** The loop is about to read what has arrived, before this connection may end. */
+    private boolean readingFirst;
+    /** What had arrived has just been read. */
+    private boolean inputRead;
 
     private int discardedRequests;
     private SocketChannel channel;
@@ -375,6 +379,10 @@
     /** Begins to end it, with the time for open requests that the reason states. */
     void drain(CloseReason reason) {
         state.drain(Clock.ticks(), reason);
+        if (reason == CloseReason.EVICTED) {
+            // Its descriptor is needed now, not when its client has closed.
+            listener.closing(this);
+        }
         advance();
     }
 
@@ -392,6 +400,7 @@
         double now = Clock.ticks();
         switch (state.next(now, view(now))) {
             case FAIL_OPEN -> host.failAll(List.copyOf(openRequests));
+            case READ_FIRST -> readFirst();
             case SHUT_DOWN_OUTPUT -> {
                 listener.closing(this);
                 channel.shutdownOutput();
@@ -401,11 +410,29 @@
         }
     }
 
+    private void readFirst() {
+        if (readingFirst) {
+            return;
+        }
+        readingFirst = true;
+        listener.afterReading(() -> {
+            readingFirst = false;
+            inputRead = true;
+            advance();
+            inputRead = false;
+        });
+    }
+
     private ClientConnectionState.View view(double now) {
         boolean begun = messageMs(now) > 0 && messageMs(now) < REQUEST_UNDER_WAY_MS;
         boolean fresh = messages == 0 && now - acceptedAt < REQUEST_UNDER_WAY_MS;
         return new ClientConnectionState.View(
-                openRequests.size(), served && host.releasesPending(), hasUnflushed(), begun || fresh, written);
+                openRequests.size(),
+                served && host.releasesPending(),
+                hasUnflushed(),
+                begun || fresh,
+                written,
+                inputRead);
     }
 
     /** Closes the socket of a connection whose output was shut down before. */
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -36,6 +36,7 @@
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(64 * 1024, 128 * 1024);
 
     private final EventLoop loop;
+    private final NextEventLoopIteration nextIteration;
     private final ConnectionBudget budget;
     private final ReceiveDelayEstimator unread = new ReceiveDelayEstimator(ROUND_MS);
     private final EventSink log;
@@ -54,6 +55,7 @@
     /** Connections within the budget; {@code retryAfter}: viewers may be told when to come again. */
     public ClientListener(EventLoop loop, ConnectionBudget budget, boolean retryAfter, EventSink log, EventSink trace) {
         this.loop = loop;
+        nextIteration = new NextEventLoopIteration(loop);
         this.budget = budget;
         this.retryAfter = retryAfter;
         this.log = log;
@@ -64,7 +66,6 @@
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost told) {
         host = told;
         // After a round that reads: one that lay unread while the loop was busy must not be taken for idle.
-        NextEventLoopIteration nextIteration = new NextEventLoopIteration(loop);
         loop.scheduleAtFixedRate(() -> nextIteration.execute(this::onTick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> unread.round(Clock.ticks()), 0, ROUND_MS, TimeUnit.MILLISECONDS);
         return Listening.bind(group, address, BACKLOG, MARKS, this::accept);
@@ -98,7 +99,12 @@
         }
     }
 
-    /** The output of a connection is shut down; it waits for its client's end. */
+    /** Runs an action when the loop has read what had arrived before. */
+    void afterReading(Runnable action) {
+        nextIteration.execute(action);
+    }
+
+    /** A connection ends: its output is shut down, or it was evicted. It no longer counts against the budget. */
     void closing(ClientConnection connection) {
         if (closing.add(connection)) {
             budget.closed();
--- a/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
+++ b/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import spanrill.node.config.NodeConfig;
+import spanrill.session.EventSink;
 import spanrill.wire.platform.Message;
 import spanrill.wire.platform.MessageType;
 
@@ -140,6 +142,69 @@
         }
     }
 
+    /**
+     * The last answer falls due while a request lies unread on its connection: that one is read first. The
+     * loop is held where it reads another connection, so that its timers run before it reads again.
+     */
+    @Test
+    void aRequestUnreadBehindTheLastAnswerIsRefused() throws Exception {
+        both((wire, message) -> {});
+        HoldingLog log = new HoldingLog("discovery.malformed");
+        NodeConfig config = config(discovery.port(), one.member("SERVING"), two.member("SERVING"));
+        discovery.next(SOON);
+        node.close();
+        node = FrontNode.start(config, log, EventSink.none());
+        ScriptedDiscovery.Asked stream = discovery.next(SOON);
+        Wire client = viewer();
+        node.stop(() -> {});
+        assertNull(client.next(850));
+        long last = ask(client, "paid");
+        assertNull(client.next(1050), "open until 0.2 s before the kill");
+        stream.write("id: 2\ndata: nonsense\n\n");
+        log.awaitHeld();
+        long unread = ask(client, "free");
+        assertNull(client.next(150));
+        log.release();
+        assertEquals(last, answer(client, SOON).session());
+        Message refusal = answer(client, SOON);
+        assertEquals(unread, refusal.session());
+        assertEquals(42, refusal.cause());
+    }
+
+    /** Holds whoever logs an event until it is released. */
+    private static final class HoldingLog implements EventSink {
+        private final String event;
+        private final CountDownLatch held = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        HoldingLog(String event) {
+            this.event = event;
+        }
+
+        void awaitHeld() throws InterruptedException {
+            assertTrue(held.await(SOON, TimeUnit.MILLISECONDS));
+        }
+
+        void release() {
+            released.countDown();
+        }
+
+        @Override
+        public void info(String what, Object... fields) {
+            if (what.equals(event)) {
+                held.countDown();
+                try {
+                    released.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+
+        @Override
+        public void error(String what, Throwable cause, Object... fields) {}
+    }
+
     /** Nothing else tells clients to go elsewhere: what they send as the process ends would be lost. */
     @Test
     void noConnectionIsOpenWhenTheProcessEnds() throws Exception {
