--- a/simhost/src/main/java/spanrill/simhost/Simhost.java
+++ b/simhost/src/main/java/spanrill/simhost/Simhost.java
@@ -28,6 +28,25 @@
 final class Simhost {
     private static final int MOVED = 8;
     private static final int AGAIN = 16;
+    private static final Map<String, ListKind> LIST_KINDS = Map.of(
+            "diff", ListKind.CHANGES, "snapshot", ListKind.WHOLE, "disk", ListKind.KEPT, "error", ListKind.FAILED);
+    private static final Map<String, Outcome> OUTCOMES = Map.of(
+            "GOOD",
+            Outcome.OK,
+            "BAD",
+            Outcome.ERROR,
+            "FULL",
+            Outcome.FULL,
+            "LATE",
+            Outcome.TIMEOUT,
+            "NOCONN",
+            Outcome.CONNECT_FAILED,
+            "RST",
+            Outcome.RESET,
+            "CXL",
+            Outcome.CANCELLED,
+            "NOP",
+            Outcome.MOOT);
 
     private final Writer out;
     private final StringBuilder reply = new StringBuilder();
@@ -149,31 +168,8 @@
     private Runnable parse(Line line, Front front) {
         SessionControl control = front.control();
         switch (line.word()) {
-            case "DIRECTORY_UPDATE": {
-                ListKind kind = pick(
-                        line,
-                        "how",
-                        Map.of(
-                                "diff",
-                                ListKind.CHANGES,
-                                "snapshot",
-                                ListKind.WHOLE,
-                                "disk",
-                                ListKind.KEPT,
-                                "error",
-                                ListKind.FAILED));
-                line.text("gen");
-                String slot = line.text("slot");
-                List<Server> servers = List.of();
-                if (kind != ListKind.FAILED) {
-                    servers = slot.matches("\\d{1,9}") ? sheets.get(Integer.parseInt(slot)) : null;
-                    if (servers == null) {
-                        throw line.fault("slot", "names no list that was given: '" + slot + "'");
-                    }
-                }
-                List<Server> list = servers;
-                return () -> control.servers(now, kind, list);
-            }
+            case "DIRECTORY_UPDATE":
+                return directoryUpdate(line, control);
             case "REQ": {
                 Request request = request(line);
                 return () -> control.request(now, request);
@@ -192,35 +188,8 @@
             }
             case "PROGRESS":
                 return progress(line, control);
-            case "RETURNED": {
-                String id = line.text("corr");
-                boolean closed = line.bool("no_more");
-                line.number("wait_time");
-                Outcome outcome = pick(
-                        line,
-                        "code",
-                        Map.of(
-                                "GOOD",
-                                Outcome.OK,
-                                "BAD",
-                                Outcome.ERROR,
-                                "FULL",
-                                Outcome.FULL,
-                                "LATE",
-                                Outcome.TIMEOUT,
-                                "NOCONN",
-                                Outcome.CONNECT_FAILED,
-                                "RST",
-                                Outcome.RESET,
-                                "CXL",
-                                Outcome.CANCELLED,
-                                "NOP",
-                                Outcome.MOOT));
-                line.integer("try");
-                String server = line.textOrNull("server");
-                Load load = load(line, front.reportNames());
-                return () -> control.ended(now, id, closed, outcome, server, load);
-            }
+            case "RETURNED":
+                return returned(line, front);
             case "TIMED_OUT_CLIENT": {
                 String id = line.text("corr");
                 return () -> control.gone(now, id);
@@ -244,6 +213,33 @@
         }
     }
 
+    private Runnable directoryUpdate(Line line, SessionControl control) {
+        ListKind kind = pick(line, "how", LIST_KINDS);
+        line.text("gen");
+        String slot = line.text("slot");
+        List<Server> list = kind == ListKind.FAILED ? List.of() : sheet(line, slot);
+        return () -> control.servers(now, kind, list);
+    }
+
+    private List<Server> sheet(Line line, String slot) {
+        List<Server> servers = slot.matches("\\d{1,9}") ? sheets.get(Integer.parseInt(slot)) : null;
+        if (servers == null) {
+            throw line.fault("slot", "names no list that was given: '" + slot + "'");
+        }
+        return servers;
+    }
+
+    private Runnable returned(Line line, Front front) {
+        String id = line.text("corr");
+        boolean closed = line.bool("no_more");
+        line.number("wait_time");
+        Outcome outcome = pick(line, "code", OUTCOMES);
+        line.integer("try");
+        String server = line.textOrNull("server");
+        Load load = load(line, front.reportNames());
+        return () -> front.control().ended(now, id, closed, outcome, server, load);
+    }
+
     private Runnable progress(Line line, SessionControl control) {
         String id = line.text("corr");
         String server = line.text("server");
