--- a/soak/src/main/java/spanrill/soak/BadClient.java
+++ b/soak/src/main/java/spanrill/soak/BadClient.java
@@ -48,7 +48,7 @@
 
     /** Connects one to a node. */
     static void send(Habit habit, NodeProcess node, EventLoop loop, EventLog log) {
-        Sockets.connect(loop, node.port(), new BadClient(habit, node, log));
+        Sockets.connect(loop, node.address(), new BadClient(habit, node, log));
     }
 
     @Override
--- a/soak/src/main/java/spanrill/soak/ClientPopulation.java
+++ b/soak/src/main/java/spanrill/soak/ClientPopulation.java
@@ -130,7 +130,7 @@
     private ClientConnection open(NodeProcess node, boolean single) {
         ClientConnection connection = new ClientConnection(node, ++numbers, single, this, log, random.split());
         connections.add(connection);
-        Sockets.connect(loop, node.port(), connection).addListener(f -> {
+        Sockets.connect(loop, node.address(), connection).addListener(f -> {
             if (!f.isSuccess()) {
                 log.add(EventKind.CLIENT_TURNED_AWAY, node.index(), "", 0, connection.number(), 0);
                 connection.refused();
--- a/soak/src/main/java/spanrill/soak/NodeConfigFile.java
+++ b/soak/src/main/java/spanrill/soak/NodeConfigFile.java
@@ -1,6 +1,7 @@
 package spanrill.soak;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -25,9 +26,9 @@
     private NodeConfigFile() {}
 
     /** Writes it anew in one step, so that a node never reads half of one. */
-    static void write(Path file, Trial trial, int node, int listenPort, int discoveryPort, String known)
+    static void write(Path file, Trial trial, int node, InetSocketAddress listen, int discoveryPort, String known)
             throws IOException {
-        String text = "{\"name\":\"n" + node + "\",\"listen\":\"127.0.0.1:" + listenPort
+        String text = "{\"name\":\"n" + node + "\",\"listen\":\"" + listen.getHostString() + ":" + listen.getPort()
                 + "\",\"seed\":\"" + Long.toHexString(trial.seed() * 31 + node) + "\",\"limits\":{\"cores\":1.0,"
                 + "\"memory_mb\":" + MEMORY_MB + ",\"sockets\":" + SOCKETS + "},\"bulletin\":\"127.0.0.1:"
                 + discoveryPort + "\",\"known\":" + known + ",\"settings\":" + settings(trial, node) + "}";
--- a/soak/src/main/java/spanrill/soak/NodeProcess.java
+++ b/soak/src/main/java/spanrill/soak/NodeProcess.java
@@ -1,6 +1,7 @@
 package spanrill.soak;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
@@ -19,7 +20,7 @@
     }
 
     private final int index;
-    private final int port;
+    private final InetSocketAddress address;
     private final RunCommand command;
     private final Path folder;
     private Process process;
@@ -31,15 +32,15 @@
         this.index = index;
         this.command = command;
         this.folder = folder;
-        port = Sockets.freePort();
+        address = Sockets.freeAddress(index);
     }
 
     int index() {
         return index;
     }
 
-    int port() {
-        return port;
+    InetSocketAddress address() {
+        return address;
     }
 
     Path configFile() {
@@ -68,7 +69,7 @@
                 .redirectOutput(
                         folder.resolve("n" + index + "-" + ++starts + ".log").toFile());
         builder.environment().put("EDGE_NAME", "n" + index);
-        builder.environment().put("EDGE_LISTEN", "127.0.0.1:" + port);
+        builder.environment().put("EDGE_LISTEN", address.getHostString() + ":" + address.getPort());
         builder.environment().put("EDGE_CONFIG", configFile().toString());
         builder.environment().put("TMPDIR", folder.toString());
         process = builder.start();
--- a/soak/src/main/java/spanrill/soak/Sockets.java
+++ b/soak/src/main/java/spanrill/soak/Sockets.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.function.Supplier;
@@ -19,6 +20,9 @@
 /** Connections and listeners on loopback, all on one loop. */
 final class Sockets {
     private static final String LOOPBACK = "127.0.0.1";
+    /** Nodes listen at loopback addresses of their own, where no outgoing connection can take their ports. */
+    private static final int FIRST_NODE_HOST = 10;
+
     private static final int BACKLOG = 256;
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
@@ -51,24 +55,25 @@
                 .bind(new InetSocketAddress(LOOPBACK, port));
     }
 
-    static ChannelFuture connect(EventLoop loop, int port, ChannelHandler handler) {
+    static ChannelFuture connect(EventLoop loop, InetSocketAddress address, ChannelHandler handler) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(handler)
-                .connect(new InetSocketAddress(LOOPBACK, port));
+                .connect(address);
     }
 
     static int port(Channel listening) {
         return ((InetSocketAddress) listening.localAddress()).getPort();
     }
 
-    /** A port that was free a moment ago. */
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** An address of a node whose port was free a moment ago. */
+    static InetSocketAddress freeAddress(int node) throws IOException {
+        String host = "127.0.0." + (FIRST_NODE_HOST + node);
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(host, socket.getLocalPort());
         }
     }
 
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -182,7 +182,7 @@
 
     private void crowd(NodeProcess node, double lengthMs) {
         for (int i = 0; i < 300; i++) {
-            Sockets.connect(loop, node.port(), new ChannelInboundHandlerAdapter() {
+            Sockets.connect(loop, node.address(), new ChannelInboundHandlerAdapter() {
                 @Override
                 public void channelActive(ChannelHandlerContext ctx) {
                     ctx.channel().eventLoop().schedule(() -> ctx.close(), (long) lengthMs, TimeUnit.MILLISECONDS);
@@ -210,7 +210,7 @@
                 node.configFile(),
                 trial,
                 node.index(),
-                node.port(),
+                node.address(),
                 discovery.of(node.index()).port(),
                 discovery.known(node.index()));
     }
@@ -224,7 +224,7 @@
         if (!process.isAlive() || node.phase() != NodeProcess.Phase.STARTING) {
             return;
         }
-        Sockets.connect(loop, node.port(), new ReadyTest(() -> {
+        Sockets.connect(loop, node.address(), new ReadyTest(() -> {
             if (node.phase() == NodeProcess.Phase.STARTING && process.isAlive()) {
                 node.phase(NodeProcess.Phase.READY, log.now());
                 log.add(EventKind.NODE_READY, node.index(), "", 0);
