Test: attempts made while others are being sent leave too

Change: CrossingsTest.attemptsMadeWhileOthersAreBeingSentLeaveToo: a drain read behind twelve requests.

--- a/node/src/test/java/spanrill/node/CrossingsTest.java
+++ b/node/src/test/java/spanrill/node/CrossingsTest.java
@@ -192,6 +192,27 @@
         assertEquals(MessageType.ANSWER, answer(viewer, SOON).type());
     }
 
+    /**
+     * A drain that is read behind requests: attempts that were about to leave go elsewhere, and those made while
+     * the others are being sent are sent too.
+     */
+    @Test
+    void attemptsMadeWhileOthersAreBeingSentLeaveToo() throws Exception {
+        connectBoth();
+        ScriptedDiscovery.Asked asked = discovery.next(SOON);
+        Wire viewer = viewer();
+        whileHeld(() -> {
+            for (int i = 0; i < 12; i++) {
+                ask(viewer, "paid");
+            }
+            asked.tell(2, TestConfig.event(2, false, one.member("DRAINING")));
+        });
+        for (int i = 0; i < 12; i++) {
+            assertEquals(MessageType.ANSWER, answer(viewer, SOON).type());
+        }
+        assertNull(nextAt(one, MessageType.SET_UP), "nothing new to the server that drains");
+    }
+
     /** The connection comes up 1 s late, when the server may get nothing new any more. */
     @Test
     void whatWaitsForAConnectionIsTakenBackWhenItsServerDrains() throws Exception {
