--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -28,6 +28,7 @@
     private static final double MOST_LAG_MS = 100;
 
     private static final double AFTER_KILL_MS = 150;
+    private static final int CROWD = 300;
     private static final double LEAST_UPTIME_MS = 1000;
 
     private final Trial trial;
@@ -180,17 +181,22 @@
         }
     }
 
+    /** One connection a millisecond: all at once would make the peers themselves late. */
     private void crowd(NodeProcess node, double lengthMs) {
-        for (int i = 0; i < 300; i++) {
-            Sockets.connect(loop, node.address(), new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelActive(ChannelHandlerContext ctx) {
-                    ctx.channel().eventLoop().schedule(() -> ctx.close(), (long) lengthMs, TimeUnit.MILLISECONDS);
-                }
-            });
+        for (int i = 0; i < CROWD; i++) {
+            timers.after(i, () -> connectSilently(node, lengthMs));
         }
     }
 
+    private void connectSilently(NodeProcess node, double lengthMs) {
+        Sockets.connect(loop, node.address(), new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                ctx.channel().eventLoop().schedule(() -> ctx.close(), (long) lengthMs, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
     // ---- processes
 
     private void start(NodeProcess node) {
