Soak: dead code out, a check is named by what it asks

ClientPopulation.openConnections had no caller; Judge.atSilentServer took an attempt that it did not use: it asks whether any server of the trial fell silent.

Change: both put right; no behaviour changes, no test touched.

--- a/soak/src/main/java/spanrill/soak/ClientPopulation.java
+++ b/soak/src/main/java/spanrill/soak/ClientPopulation.java
@@ -321,10 +321,4 @@
                             0)));
         }
     }
-
-    /** The process of a node has ended without a word to its clients. */
-    int openConnections(NodeProcess node) {
-        return (int)
-                connections.stream().filter(c -> c.node() == node && c.usable()).count();
-    }
 }
--- a/soak/src/main/java/spanrill/soak/Judge.java
+++ b/soak/src/main/java/spanrill/soak/Judge.java
@@ -210,7 +210,7 @@
                         == attempts.get(j).setUp().node();
                 if (sameNode
                         && attempts.get(j).endMs() > attempts.get(i).setUp().ms() + SLACK_MS
-                        && !atSilentServer(attempts.get(j))) {
+                        && !aServerWasSilent()) {
                     broken(
                             Rule.TWO_OUT,
                             attempts.get(i).setUp().ms(),
@@ -221,8 +221,8 @@
         }
     }
 
-    /** A server that falls silent hears no give-up: the node can't end the attempt there. */
-    private boolean atSilentServer(Attempt attempt) {
+    /** Somewhere in the trial a server fell silent: it hears no give-up, so the node can't end an attempt there. */
+    private boolean aServerWasSilent() {
         return events.stream()
                 .anyMatch(event ->
                         event.kind() == EventKind.FAULT && event.peer().equals(FaultKind.SERVER_SILENT.name()));
