--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -21,6 +21,7 @@
 NAMES = {1: "set-up", 6: "progress", 9: "answer", 12: "release", 16: "release-heard", 44: "note", 51: "move",
          52: "test", 53: "test-result", 60: "rung"}
 
+LATE_S = [0]    # how late the stand-ins' own loop came since the node was ready, at most
 STOPPING = []   # filled when the case is over: the stand-ins' tasks then end as they are
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
@@ -133,7 +134,7 @@
         self.open_set_ups = {}
         self.untold_ends = {}       # ends that wait for the next connection
         self.writers = []
-        self.full = False
+        self.full = False           # another program takes its link: it turns set-ups away
         self.set_ups = []           # (time of whole arrival, session)
         self.ends = {}              # session -> time of the first release written
         self.connections = 0
@@ -188,8 +189,12 @@
         return {"id": self.name, "host_port": f"127.0.0.1:{self.port}", "locality": "north-hall",
                 "flavor": "std-2core", "cell": self.cell, "phase": phase, "size": 2, "up_since_ms": up_since}
 
+    def use(self):
+        """What is asked of its link and of its rack's uplink, over what they give."""
+        return (1.25, 0.6) if self.full else (0.05 * len(self.sessions), 0.02 * len(self.sessions))
+
     def report(self):
-        return f"inflight:{len(self.sessions)};x0:{0.05 * len(self.sessions):.2f};x1:{0.02 * len(self.sessions):.2f}"
+        return f"inflight:{len(self.sessions)};x0:{self.use()[0]:.2f};x1:{self.use()[1]:.2f}"
 
     async def serve(self, reader, writer):
         self.connections += 1
@@ -260,7 +265,7 @@
         if self.sessions and self.writers and not self.vanished:
             session, owner = next(iter(self.sessions.items()))
             writer = owner if owner in self.writers else self.writers[-1]
-            for kind, figure in (("nic", 0.05 * len(self.sessions)), ("tor", 0.02 * len(self.sessions))):
+            for kind, figure in zip(("nic", "tor"), self.use()):
                 writer.write(encode(NOTE, session, [(P_NOTE, kind), (P_FIGURE, f"{figure:.3f}")]))
 
 
@@ -417,6 +422,7 @@
                 writer.close()
                 if kind == TEST_RESULT and params[P_CAUSE] == b"\1":
                     self.record("node", "passed a test")
+                    LATE_S[0] = 0
                     return
             except (ConnectionError, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 pass
@@ -444,20 +450,17 @@
 
 async def bounded(run, limit_s):
     """The scenario within its time; a run whose own loop came late doesn't count."""
-    latest = 0
-
     async def watch():
-        nonlocal latest
         while True:
             before = time.monotonic()
             await asyncio.sleep(0.02)
-            latest = max(latest, time.monotonic() - before - 0.02)
+            LATE_S[0] = max(LATE_S[0], time.monotonic() - before - 0.02)
 
     watching = asyncio.get_running_loop().create_task(watch())
     try:
         breaches = await asyncio.wait_for(run, limit_s)
-        if latest > 0.2:
-            raise CouldNotRun(f"the stand-ins came {latest * 1000:.0f} ms late")
+        if LATE_S[0] > 0.2:
+            raise CouldNotRun(f"the stand-ins came {LATE_S[0] * 1000:.0f} ms late")
         return breaches
     finally:
         watching.cancel()
