--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,7 +28,7 @@
     nodes.append(node)
     node.start()
     await node.ready()
-    viewers = await p.Viewers("viewers", record, node.port).open()
+    viewers = await p.Viewers("viewers", record, node.address).open()
     told_links = asyncio.Event()
     running = [asyncio.get_running_loop().create_task(p.notes(servers, told_links))]
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,7 +22,7 @@
     await node.ready()
     asyncio.get_running_loop().create_task(p.notes(servers))
     await asyncio.sleep(4)
-    first = await p.Viewers("viewers-1", record, node.port).open()
+    first = await p.Viewers("viewers-1", record, node.address).open()
     first.set_up(0x1001, "highlight", f"{0:016x}", 0, 3)
     await asyncio.sleep(1)
     if first.first(0x1001, (p.ANSWER,)) is None:
@@ -31,7 +31,7 @@
     await asyncio.sleep(2)
     if trouble:
         first.reset()
-        second = await p.Viewers("viewers-2", record, node.port).open()
+        second = await p.Viewers("viewers-2", record, node.address).open()
     else:
         second = first
     for server in servers:
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -132,7 +132,7 @@
         self.name, self.record, self.cell, self.set_up_ms = name, record, cell, set_up_ms
         self.sessions = {}          # session -> writer of its set-up, or None
         self.open_set_ups = {}
-        self.untold_ends = {}       # ends that wait for the next connection
+        self.next_ends = {}         # ends that are told on the next connection too
         self.writers = []
         self.full = False           # another program takes its link: it turns set-ups away
         self.set_ups = []           # (time of whole arrival, session)
@@ -159,7 +159,7 @@
             task.cancel()
         self.open_set_ups.clear()
         self.sessions.clear()
-        self.untold_ends.clear()
+        self.next_ends.clear()
         self.server.close()         # closes its own descriptor; the socket goes on listening, and nobody accepts
         self.listener.listen(0)
         for _ in range(2):          # fills the queue of connections, so that the next ones get no answer
@@ -201,8 +201,9 @@
         self.writers.append(writer)
         self.record(self.name, "connection", number=self.connections)
         try:
-            for session in list(self.untold_ends):
+            for session in list(self.next_ends):
                 self.write_end(session, writer)
+            self.next_ends.clear()
             while True:
                 kind, session, params = await read_message(reader)
                 if kind != TEST:
@@ -218,7 +219,7 @@
                         self.open_set_ups.pop(session)[0].cancel()
                     if session in self.sessions:
                         del self.sessions[session]
-                    self.untold_ends.pop(session, None)
+                    self.next_ends.pop(session, None)
                     writer.write(encode(RELEASE_HEARD, session))
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -248,13 +249,12 @@
         at = self.record(self.name, "sent release", id=f"{session:016x}", cause=16)
         self.ends.setdefault(session, at)
         writer.write(encode(RELEASE, session, [(P_CAUSE, 16), (P_REPORT, self.report())]))
-        self.untold_ends.pop(session, None)
 
     def end(self, session):
         """The session has come to its end."""
         owner = self.sessions.pop(session)
         self.record(self.name, "session ends", id=f"{session:016x}")
-        self.untold_ends[session] = True
+        self.next_ends[session] = True
         if owner in self.writers:
             self.write_end(session, owner)
         elif self.writers:
@@ -282,14 +282,13 @@
 class Viewers:
     """One connection of viewers to the front node, and all that came on it."""
 
-    def __init__(self, name, record, port, on_message=None):
-        self.name, self.record, self.port = name, record, port
+    def __init__(self, name, record, address):
+        self.name, self.record, self.address = name, record, address
         self.got = []               # (time, type, session, params)
         self.closed_at = None
-        self.on_message = on_message
 
     async def open(self):
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.reader, self.writer = await asyncio.open_connection(*self.address)
         self.record(self.name, "opened")
         self.task = asyncio.get_running_loop().create_task(self.read())
         return self
@@ -304,8 +303,6 @@
                 self.got.append((at, kind, session, params))
                 if kind == RELEASE:
                     self.writer.write(encode(RELEASE_HEARD, session))
-                if self.on_message:
-                    self.on_message(kind, session, params)
         except (ConnectionError, asyncio.IncompleteReadError, OSError):
             self.closed_at = self.record(self.name, "closed by the other side or reset")
 
@@ -341,10 +338,12 @@
         return None
 
 
-def free_port():
+def free_address():
+    """A loopback address of its own and a free port there, so that no other run can take the port in between."""
+    host = "127." + ".".join(str(byte % 254 + 1) for byte in os.urandom(3))
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+        probe.bind((host, 0))
+        return host, probe.getsockname()[1]
 
 
 def settings(**changes):
@@ -387,9 +386,10 @@
 
     def __init__(self, record, folder, discovery_port, known, memory_mb=192, sockets=1024, site=None):
         self.record, self.folder = record, folder
-        self.port = free_port()
+        self.address = free_address()
+        self.listen = f"{self.address[0]}:{self.address[1]}"
         self.config = os.path.join(folder, "config.json")
-        self.body = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
+        self.body = {"name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964",
                      "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
                      "bulletin": f"127.0.0.1:{discovery_port}",
                      "known": {"no": len(known), "items": known}, "settings": site or settings()}
@@ -402,7 +402,7 @@
         run = json.loads(run[len("run = "):].strip())
         own = os.path.join(self.folder, "tmp")
         os.mkdir(own)
-        env = dict(os.environ, EDGE_NAME="n0", EDGE_LISTEN=f"127.0.0.1:{self.port}", EDGE_CONFIG=self.config,
+        env = dict(os.environ, EDGE_NAME="n0", EDGE_LISTEN=self.listen, EDGE_CONFIG=self.config,
                    TMPDIR=own)
         self.log = open(os.path.join(self.folder, "node.log"), "w+", encoding="utf-8")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
@@ -416,7 +416,7 @@
             if self.process.poll() is not None:
                 raise CouldNotRun("the node ended at its start, see the log lines in the record")
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                reader, writer = await asyncio.open_connection(*self.address)
                 writer.write(encode(TEST, 0, [(P_CAUSE, 0)]))
                 kind, _, params = await asyncio.wait_for(read_message(reader), 2)
                 writer.close()
