--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,7 @@
 NOTICE_S = 6.3          # the list tells of a silent server after 4.1 to 14 s
 ADD_S = 1               # and of one that has started after 0.35 to 1.6 s
 DRAIN_S = 4.8           # a deploy lets a server drain for 2.1 to 4.8 s
+NOTICE_OF_END_S = 1     # the list tells of an end that could be seen after 0.62 to 3.2 s
 GRACE_MS = 250 + 50     # safety.drain_grace, and 50 ms on sockets
 
 
@@ -64,7 +65,12 @@
     await asyncio.sleep(NOTICE_S)
     discovery.add([s.member("DELETED") for s in silent if trouble] + [s.member("DRAINING") for s in draining])
     told = p.now_ms()
+    for server in draining:
+        server.draining = True
     await asyncio.sleep(DRAIN_S)
+    for server in draining:
+        server.die()
+    await asyncio.sleep(NOTICE_OF_END_S)
     discovery.add([s.member("DELETED") for s in draining])
     await asyncio.sleep(3)
     for task in running:
--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -41,9 +41,13 @@
     return struct.pack(">H", len(body)) + body
 
 
-async def read_message(reader):
-    """One message as (type, session, {code: value}); raises IncompleteReadError or ConnectionError at the end."""
-    (length,) = struct.unpack(">H", await reader.readexactly(2))
+async def read_message(reader, first_byte=None):
+    """One message as (type, session, {code: value}); raises IncompleteReadError or ConnectionError at the end. Puts the
+    time of the first byte into first_byte[0], if given."""
+    start = await reader.readexactly(1)
+    if first_byte is not None:
+        first_byte[0] = now_ms()
+    (length,) = struct.unpack(">H", start + await reader.readexactly(1))
     body = await reader.readexactly(length)
     kind, session = struct.unpack(">BQ", body[:9])
     params, at = {}, 9
@@ -135,7 +139,7 @@
         self.next_ends = {}         # ends that are told on the next connection too
         self.writers = []
         self.full = False           # another program takes its link: it turns set-ups away
-        self.set_ups = []           # (time of whole arrival, session)
+        self.set_ups = []           # (time of the first byte, session), as the page counts for drains
         self.ends = {}              # session -> time of the first release written
         self.connections = 0
 
@@ -147,8 +151,22 @@
         self.port = self.listener.getsockname()[1]
         self.server = await asyncio.start_server(self.serve, sock=self.listener.dup())
         self.vanished = False
+        self.draining = False       # it completes its work and turns set-ups away as full
         self.fillers = []
 
+    def die(self):
+        """The process ends: it resets its connections and cuts its sessions; nothing listens any more."""
+        self.record(self.name, "dies", sessions=len(self.sessions))
+        self.vanished = True
+        self.sessions.clear()
+        self.next_ends.clear()
+        self.server.close()
+        self.listener.close()
+        for writer in list(self.writers):
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
     def vanish(self):
         """The machine goes silent: open connections stay open, new ones never come up, and its sessions are lost."""
         self.record(self.name, "vanishes", sessions=len(self.sessions))
@@ -199,17 +217,18 @@
     async def serve(self, reader, writer):
         self.connections += 1
         self.writers.append(writer)
+        first_byte = [0]
         self.record(self.name, "connection", number=self.connections)
         try:
             for session in list(self.next_ends):
                 self.write_end(session, writer)
             self.next_ends.clear()
             while True:
-                kind, session, params = await read_message(reader)
+                kind, session, params = await read_message(reader, first_byte)
                 if kind != TEST:
                     self.record(self.name, "received " + NAMES.get(kind, str(kind)), id=f"{session:016x}")
                 if kind == SET_UP:
-                    self.set_ups.append((now_ms(), session))
+                    self.set_ups.append((first_byte[0], session))
                     task = asyncio.get_running_loop().create_task(self.answer(writer, session, params))
                     self.open_set_ups[session] = (task, writer)
                 elif kind == TEST:
@@ -234,9 +253,10 @@
             writer.close()
 
     async def answer(self, writer, session, params):
-        await asyncio.sleep(self.set_up_ms / 1000)
+        if not self.draining:
+            await asyncio.sleep(self.set_up_ms / 1000)
         self.open_set_ups.pop(session, None)
-        if self.full:
+        if self.full or self.draining:
             self.record(self.name, "sent release", id=f"{session:016x}", cause=34)
             writer.write(encode(RELEASE, session, [(P_CAUSE, 34), (P_REPORT, self.report())]))
             return
@@ -323,6 +343,11 @@
     def test(self):
         self.writer.write(encode(TEST, 0, [(P_CAUSE, 0)]))
 
+    def close(self):
+        self.record(self.name, "closes its connection")
+        self.task.cancel()
+        self.writer.close()
+
     def reset(self):
         """The network resets the connection."""
         self.record(self.name, "connection reset by the network")
