Node: an exception in its own code is logged with its place

Change: discovery.fault, server.fault and conn.fault with the place in the code; failures of the network (IOException) are not logged. No change of behaviour.

--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.SocketChannel;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -248,6 +249,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            listener.logFault(this, cause);
+        }
         onEnded(CloseReason.CONNECTION_FAILED);
         ctx.close();
     }
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -219,6 +219,11 @@
         }
     }
 
+    /** Logs a fault of this program that ends a connection; a failure of the network is not a fault. */
+    void logFault(ClientConnection connection, Throwable cause) {
+        log.error("conn.fault", cause, "conn", connection);
+    }
+
     void traceRejected(ClientConnection connection, long session, String reason) {
         if (trace.isEnabled()) {
             trace.info("request.reject", "conn", connection, "id", hex(session), "reason", reason);
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -182,7 +182,12 @@
                 return;
             }
             lastUpdate = update.number();
-            onUpdate.accept(update);
+            try {
+                onUpdate.accept(update);
+            } catch (RuntimeException e) {
+                log.error("discovery.fault", e, "no", update.number());
+                fail();
+            }
         }
 
         @Override
--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -309,6 +309,11 @@
         failureDetector.onReceived(Clock.monotonicMs());
     }
 
+    /** Logs a fault of this program that ends a connection; a failure of the network is not a fault. */
+    void logFault(Throwable cause) {
+        log.error("server.fault", cause, "server", id);
+    }
+
     /** Handles the end of a connection, or a failure to establish it. */
     void onConnectionEnded(ServerConnection connection, boolean refused) {
         if (!connections.remove(connection)) {
--- a/node/src/main/java/spanrill/node/server/ServerConnection.java
+++ b/node/src/main/java/spanrill/node/server/ServerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -371,6 +372,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            server.logFault(cause);
+        }
         finish(Event.RESET, false);
         ctx.close();
     }
