Node: a list event that ends a connection being established is applied whole

Cause: ConnectionPool.markGone walked its list of connections while retire() ended one that was still being established; its end is reported within the call and removes it from that list: ConcurrentModificationException. It left FrontNode.applyUpdate before the pools and the module had the rest of the event, and discovery had counted the event as read. updateListing walked the same list (a server with a new address), and retainOnly calls markGone (a complete list). Change: one retireConnections() over a copy, called when the pool's own state is already the new one, so that what the end of a connection triggers does not see a server that is gone as present.

--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -89,13 +89,14 @@
 
     void updateListing(InetSocketAddress listedAddress, boolean isDraining) {
         trace.info("listed", "server", id, "address", listedAddress);
-        if (!listedAddress.equals(address)) {
-            address = listedAddress;
-            connections.forEach(ServerConnection::retire);
-        }
+        boolean moved = !listedAddress.equals(address);
+        address = listedAddress;
         draining = isDraining;
         gone = false;
         addressReplaced = false;
+        if (moved) {
+            retireConnections();
+        }
     }
 
     /**
@@ -103,14 +104,23 @@
      * has already ended, and all its sessions with it.
      */
     void markGone() {
-        if (!gone) {
-            connections.forEach(ServerConnection::retire);
-        }
         trace.info("gone", "server", id, "established", establishedSessions, "connections", connections.size());
+        boolean alreadyGone = gone;
         gone = true;
+        if (!alreadyGone) {
+            retireConnections();
+        }
         reportLost("gone");
     }
 
+    /**
+     * Retires all connections. One that is still being established ends within the call, so that it leaves the list of
+     * connections and {@link #onConnectionEnded} sees this pool: the pool's state has to be updated before.
+     */
+    private void retireConnections() {
+        List.copyOf(connections).forEach(ServerConnection::retire);
+    }
+
     /** Records that another server has this server's address: no new connection may be opened. */
     void markAddressReplaced() {
         addressReplaced = true;
