Discovery client: an update counts as read once it is applied

The node asked discovery on from the number of the event that it had failed to apply, so the drain, the servers that were gone and the new ones in it stayed unknown until a later event named them. Cause: DiscoveryClient set lastUpdate before it passed the update on. Change: the number is kept once the update is applied; a fault is logged, and the update is asked for again, as one that can't be read is. Applying a part of it twice is harmless: entries say what a server is, not what changed. Measured: DiscoveryClientTest.updateIsRequestedAgainWhenItCannotBeApplied failed before (asked from 3 where 2 was the last one applied) and passes.

--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -181,10 +181,11 @@
                 fail();
                 return;
             }
-            lastUpdate = update.number();
             try {
                 onUpdate.accept(update);
+                lastUpdate = update.number();
             } catch (RuntimeException e) {
+                // A part of the update may be applied; applying it again is harmless, and losing the rest is not.
                 log.error("discovery.fault", e, "no", update.number());
                 fail();
             }
