--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import spanrill.Control;
@@ -277,7 +276,7 @@
     }
 
     /** Returns the event loop of the node; tests block it so that several messages are read in one iteration. */
-    Executor eventLoop() {
+    EventLoop eventLoop() {
         return loop;
     }
 
