Node: a release goes to every connection on which viewers asked, served or refused

Its connection had been reset; the viewers' new one was open, but each set-up on it was refused. Cause: a connection counted as the viewers' only once a session was answered or taken over on it (ClientConnection.served). A refusal proves as well that viewers use it; what has to be kept out are platform tests and strangers without a valid request. Change: ClientActivity (nothing useful, tested, requested, served) in decisions; a valid set-up, or a release or an acknowledgement that names a known session, makes a connection lead to viewers. ReleaseRoutes orders them, served ones first; the same rule keeps the last of them from eviction and lets a stop wait for the acknowledgement. With more routes, those that lead to nobody could have used up a release: five transmissions in 1.5 s, alternating between two connections. Each transmission now takes a connection that has not carried the release yet, and after five the release is offered every 0.6 s for the rest of its 8 s; a stop waits for the first five only. Why it works: viewers who can be told have asked on some connection, and all of these are tried within the time of the rule. Measured: ReleaseDeliveryTest, six of seven failed before and pass; the seventh (tests, invalid set-ups and unknown sessions make no route) held before and after. All node tests pass. Tests changed: a waiting release now comes when the set-up is read, before its answer, so FrontNodeTest.unacknowledgedReleaseIsRetransmittedAndNeverSentOnATestConnection expects this order; the routing test in NodeDecisionsTest checks the new order in full, with its former cases.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -77,7 +77,7 @@
                 log,
                 trace,
                 servers,
-                viewers::linkForRelease,
+                viewers::releaseLinks,
                 actions -> new Control(config.settings(), config.seed(), actions));
         discovery = new DiscoveryClient(
                 loop, log, config.discovery(), config.lastKnownUpdate(), config.seed(), this::onServerListUpdate);
--- a/node/src/main/java/spanrill/node/WarmUp.java
+++ b/node/src/main/java/spanrill/node/WarmUp.java
@@ -53,7 +53,7 @@
                 EventSink.none(),
                 EventSink.none(),
                 new SimulatedServers(),
-                () -> clientLink,
+                () -> List.of(clientLink),
                 actions -> new Control(config.settings(), config.seed(), actions));
     }
 
--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -12,12 +12,14 @@
 import java.util.List;
 import java.util.Set;
 import spanrill.decisions.AbuseLimiter;
+import spanrill.decisions.ClientActivity;
 import spanrill.decisions.ClientConnectionState;
 import spanrill.decisions.ClientConnectionState.Phase;
 import spanrill.decisions.CloseReason;
 import spanrill.decisions.ConnectionEviction;
 import spanrill.decisions.ConnectionTimeouts;
 import spanrill.decisions.RecentAnswers;
+import spanrill.decisions.ReleaseRoutes;
 import spanrill.loop.Clock;
 import spanrill.node.session.ClientLink;
 import spanrill.node.session.ReleaseReason;
@@ -59,10 +61,7 @@
     private double partialMessageSince = Double.NaN;
     private long messagesReceived;
     private int establishedSessions;
-    /** True once a valid set-up or a platform test was received on the connection. */
-    private boolean receivedUseful;
-    /** True once a session was answered or taken over on the connection, so not where only the platform tests. */
-    private boolean served;
+    private ClientActivity activity = ClientActivity.NOTHING_USEFUL;
 
     private boolean anyWritten;
     /** True while the channel is reading; the next step of closing the connection waits until the read is complete. */
@@ -129,8 +128,9 @@
         boolean useful =
                 switch (message.type()) {
                     case SET_UP -> handleSetUp(message);
-                    case RELEASE -> chargeMessage(message, host.onClientRelease(message.session()));
-                    case RELEASE_ACKNOWLEDGED -> chargeMessage(message, host.onReleaseAcknowledged(message.session()));
+                    case RELEASE -> handleViewerMessage(message, host.onClientRelease(message.session()));
+                    case RELEASE_ACKNOWLEDGED ->
+                        handleViewerMessage(message, host.onReleaseAcknowledged(message.session()));
                     case TEST -> chargeMessage(message, answerTest(message));
                     default -> chargeMessage(message, false);
                 };
@@ -148,8 +148,27 @@
         return useful;
     }
 
+    /** Handles a message about a session; {@code known} says whether the session is known, and is returned. */
+    private boolean handleViewerMessage(Message message, boolean known) {
+        if (known) {
+            raiseActivity(ClientActivity.REQUESTED);
+        }
+        return chargeMessage(message, known);
+    }
+
+    /** Records useful input. Releases may be pending for a connection that leads to viewers. */
+    private void raiseActivity(ClientActivity reached) {
+        boolean ledToViewers = activity.leadsToViewers();
+        if (reached.compareTo(activity) > 0) {
+            activity = reached;
+        }
+        if (activity.leadsToViewers() && !ledToViewers) {
+            listener.onViewersFound(this);
+        }
+    }
+
     private boolean answerTest(Message message) {
-        receivedUseful = true;
+        raiseActivity(ClientActivity.TESTED);
         return send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
     }
 
@@ -175,13 +194,12 @@
         if (state.requestHandling() != ClientConnectionState.RequestHandling.SERVE) {
             return established || refuseWhileDraining(setUp.session());
         }
-        receivedUseful = true;
         if (established) {
-            served = true;
+            raiseActivity(ClientActivity.SERVED);
             host.takeOver(setUp, this);
-            listener.onServed(this);
             return true;
         }
+        raiseActivity(ClientActivity.REQUESTED);
         return startRequest(setUp);
     }
 
@@ -266,10 +284,8 @@
     @Override
     public void sendAnswer(long session, byte[] description) {
         openRequests.remove(session);
-        receivedUseful = true;
-        served = true;
         send(new Message(MessageType.ANSWER, session).with(Parameter.DESCRIPTION, description));
-        listener.onServed(this);
+        raiseActivity(ClientActivity.SERVED);
         runNextStep();
     }
 
@@ -348,23 +364,12 @@
 
     /** Returns the view of this connection by which a connection is chosen for eviction. */
     ConnectionEviction.Candidate evictionCandidate(double now) {
-        return new ConnectionEviction.Candidate(
-                openRequests.size(),
-                establishedSessions,
-                served
-                        ? ConnectionEviction.Activity.SERVED
-                        : receivedUseful
-                                ? ConnectionEviction.Activity.NOT_SERVED
-                                : ConnectionEviction.Activity.NOTHING_USEFUL,
-                now - lastUsefulAt);
-    }
-
-    boolean hasServed() {
-        return served;
+        return new ConnectionEviction.Candidate(openRequests.size(), establishedSessions, activity, now - lastUsefulAt);
     }
 
-    double lastUsefulAt() {
-        return lastUsefulAt;
+    /** Returns the view of this connection by which connections are chosen for releases. */
+    ReleaseRoutes.Route releaseRoute() {
+        return new ReleaseRoutes.Route(activity, isWritable(), lastUsefulAt);
     }
 
     Phase phase() {
@@ -379,7 +384,7 @@
                             now - lastUsefulAt,
                             openRequests.size(),
                             establishedSessions,
-                            receivedUseful,
+                            activity != ClientActivity.NOTHING_USEFUL,
                             partialMessageMs(now)))
                     .ifPresent(this::startDrain);
         }
@@ -445,7 +450,7 @@
         boolean firstRequestExpected = messagesReceived == 0 && now - acceptedAt < MAX_REQUEST_TRANSIT_MS;
         return new ClientConnectionState.View(
                 openRequests.size(),
-                served && host.hasPendingReleases(),
+                activity.leadsToViewers() && host.hasPendingReleases(),
                 hasUnflushed(),
                 partial || firstRequestExpected,
                 anyWritten,
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -6,7 +6,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,6 +16,7 @@
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.ConnectionEviction;
 import spanrill.decisions.ReceiveDelayEstimator;
+import spanrill.decisions.ReleaseRoutes;
 import spanrill.loop.Clock;
 import spanrill.loop.NextIterationExecutor;
 import spanrill.node.session.ClientLink;
@@ -47,7 +47,6 @@
     private final Set<ClientConnection> closing = new LinkedHashSet<>();
 
     private SessionHost host;
-    private ClientConnection lastReleaseLink;
     private long accepted;
     /**
      * Time on {@link Clock#monotonicMs} at which requests that are still open fail because the node shuts down; NaN
@@ -108,9 +107,6 @@
         if (!closing.remove(connection)) {
             budget.onClosed();
         }
-        if (lastReleaseLink == connection) {
-            lastReleaseLink = null;
-        }
     }
 
     /** Runs an action once the loop has read the input that has arrived so far. */
@@ -230,20 +226,16 @@
         }
     }
 
-    /** Called when a viewer is served on a connection: pending releases may be sent on it. */
-    void onServed(ClientConnection connection) {
+    /** Called when a connection turns out to lead to viewers: pending releases may be sent on it. */
+    void onViewersFound(ClientConnection connection) {
         host.onClientConnectionReady(connection);
     }
 
-    /** Returns a connection for a release whose own connection has closed, or null when there is none. */
-    public ClientLink linkForRelease() {
-        List<ClientConnection> all = new ArrayList<>(connections);
-        int chosen = ConnectionEviction.chooseRoute(
-                all.stream()
-                        .map(c -> new ConnectionEviction.Route(c.hasServed() && c.isWritable(), c.lastUsefulAt()))
-                        .toList(),
-                all.indexOf(lastReleaseLink));
-        lastReleaseLink = chosen == ConnectionEviction.NONE ? null : all.get(chosen);
-        return lastReleaseLink;
+    /** Returns the connections for a release whose own connection has closed, in the order of preference. */
+    public List<ClientLink> releaseLinks() {
+        List<ClientConnection> all = List.copyOf(connections);
+        List<Integer> order = ReleaseRoutes.order(
+                all.stream().map(ClientConnection::releaseRoute).toList());
+        return order.stream().<ClientLink>map(all::get).toList();
     }
 }
--- a/node/src/main/java/spanrill/node/session/ClientReleases.java
+++ b/node/src/main/java/spanrill/node/session/ClientReleases.java
@@ -1,7 +1,9 @@
 package spanrill.node.session;
 
+import java.util.List;
 import java.util.function.Supplier;
 import spanrill.decisions.PendingReleases;
+import spanrill.decisions.PendingReleases.PendingRelease;
 import spanrill.session.EventSink;
 import spanrill.session.SerialExecutor;
 
@@ -13,25 +15,36 @@
     // A viewer acknowledges a release at once. The rules allow 1 s from the release by the server to the release to the
     // viewer.
     private static final double ACKNOWLEDGEMENT_TIMEOUT_MS = 300;
-    private static final int MAX_TRANSMISSIONS = 5;
+    private static final int MAX_FREQUENT_TRANSMISSIONS = 5;
+    // A connection that viewers open late gets the release within this time and a check interval, so within 1 s.
+    private static final double LONG_RETRANSMIT_DELAY_MS = 600;
     private static final double CHECK_INTERVAL_MS = 100;
 
     private final SerialExecutor executor;
     private final EventSink trace;
-    private final Supplier<ClientLink> anyLink;
-    private final PendingReleases<ReleaseReason> pending =
-            new PendingReleases<>(RELEASE_TIMEOUT_MS, ACKNOWLEDGEMENT_TIMEOUT_MS, MAX_TRANSMISSIONS, MAX_PENDING);
+    private final Supplier<List<ClientLink>> links;
+    private final PendingReleases<ReleaseReason, ClientLink> pending = new PendingReleases<>(new PendingReleases.Limits(
+            RELEASE_TIMEOUT_MS,
+            ACKNOWLEDGEMENT_TIMEOUT_MS,
+            MAX_FREQUENT_TRANSMISSIONS,
+            LONG_RETRANSMIT_DELAY_MS,
+            MAX_PENDING));
     private boolean checkScheduled;
 
-    ClientReleases(SerialExecutor executor, EventSink trace, Supplier<ClientLink> anyLink) {
+    /** Creates an instance; {@code links} supplies the connections that lead to viewers, the preferred one first. */
+    ClientReleases(SerialExecutor executor, EventSink trace, Supplier<List<ClientLink>> links) {
         this.executor = executor;
         this.trace = trace;
-        this.anyLink = anyLink;
+        this.links = links;
     }
 
     /** The connection for messages to a session's viewer: its own while writable, else any other, or null. */
     ClientLink linkTo(NodeSession session) {
-        return session.link.isWritable() ? session.link : anyLink.get();
+        if (session.link.isWritable()) {
+            return session.link;
+        }
+        List<ClientLink> others = links.get();
+        return others.isEmpty() ? null : others.get(0);
     }
 
     /** Sends the release of a session that has ended, and again until it is acknowledged. */
@@ -47,18 +60,16 @@
                 link == session.link,
                 "link",
                 link != null);
-        PendingReleases.PendingRelease<ReleaseReason> release = pending.add(executor.now(), session.id(), reason);
+        PendingRelease<ReleaseReason, ClientLink> release = pending.add(executor.now(), session.id(), reason);
         if (link != null) {
             send(release, link);
         }
         scheduleCheck();
     }
 
-    /** Sends the releases that are due on a client connection. */
+    /** Sends the releases that are due on a connection that turns out to lead to viewers. */
     void sendDue(ClientLink link) {
-        if (!pending.isEmpty()) {
-            pending.due(executor.now()).forEach(release -> send(release, link));
-        }
+        sendDue(link.isWritable() ? List.of(link) : List.of());
     }
 
     /** Handles the acknowledgement of a release; true when that release was pending. */
@@ -66,21 +77,28 @@
         return pending.acknowledge(id);
     }
 
-    /** Number of releases that are not acknowledged. */
-    int pendingCount() {
-        return pending.size();
+    /** True while the acknowledgement of a release can be expected soon. */
+    boolean isAwaitingAcknowledgement() {
+        return pending.isAwaitingAcknowledgement();
     }
 
-    private void send(PendingReleases.PendingRelease<ReleaseReason> release, ClientLink link) {
-        pending.markSent(executor.now(), release);
+    private void send(PendingRelease<ReleaseReason, ClientLink> release, ClientLink link) {
+        pending.markSent(executor.now(), release, link);
         link.sendRelease(release.session(), release.end(), 0);
     }
 
-    private void sendDueOnAnyLink() {
-        ClientLink link = anyLink.get();
-        if (link != null) {
-            sendDue(link);
+    private void sendDue(List<ClientLink> usableLinks) {
+        if (usableLinks.isEmpty()) {
+            return;
         }
+        for (PendingRelease<ReleaseReason, ClientLink> release : pending.due(executor.now())) {
+            send(release, release.nextRoute(usableLinks));
+        }
+    }
+
+    private void check() {
+        pending.dropExpired(executor.now());
+        sendDue(links.get());
         checkScheduled = false;
         scheduleCheck();
     }
@@ -89,7 +107,7 @@
     private void scheduleCheck() {
         if (!checkScheduled && !pending.isEmpty()) {
             checkScheduled = true;
-            executor.schedule(CHECK_INTERVAL_MS, now -> sendDueOnAnyLink());
+            executor.schedule(CHECK_INTERVAL_MS, now -> check());
         }
     }
 }
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -76,7 +76,7 @@
      * Creates a host; {@code module} creates the module for its actions.
      *
      * @param trace records the module's events and actions
-     * @param anyLink supplies a client connection for releases, or null when there is none
+     * @param releaseLinks supplies the client connections for releases, in the order of preference
      */
     public SessionHost(
             SessionControl.Settings settings,
@@ -84,14 +84,14 @@
             EventSink log,
             EventSink trace,
             ServerSide servers,
-            Supplier<ClientLink> anyLink,
+            Supplier<List<ClientLink>> releaseLinks,
             Function<SessionControl.Actions, SessionControl> module) {
         this.scheduler = scheduler;
         this.log = log;
         this.trace = trace;
         this.servers = servers;
         executor = new SerialExecutor(scheduler, log);
-        releases = new ClientReleases(executor, trace, anyLink);
+        releases = new ClientReleases(executor, trace, releaseLinks);
         limits = new SetUpLimits(settings);
         establishedSessions = new EstablishedSessions(servers);
         control = module.apply(new ModuleActions(this, sessionsByName::get, log));
@@ -249,7 +249,7 @@
         executor.execute(now -> control.gone(now, session.name()));
     }
 
-    /** Sends pending releases on a client connection that can take them. */
+    /** Sends pending releases on a client connection that turns out to lead to viewers. */
     public void onClientConnectionReady(ClientLink link) {
         releases.sendDue(link);
     }
@@ -356,7 +356,7 @@
 
     /** True while the release of a session to its client is pending, or may become so because the session moves. */
     public boolean hasPendingReleases() {
-        return movedSessions.size() > 0 || releases.pendingCount() > 0;
+        return movedSessions.size() > 0 || releases.isAwaitingAcknowledgement();
     }
 
     /** Number of moved sessions whose end the server has not reported and whose release was not sent. */
