Node: a fault in one periodic check does not end the check

Netty ends a periodic task at its first exception and keeps the exception in a future that nobody reads: one fault in ConnectionPools.onTick would have ended the detection of silent servers for good, one in DiscoveryClient.onTick the retries, one in the shutdown timer the stop. No such fault was seen. Change: loop.PeriodicTask logs it (task.fault) and runs the action again at its time; the four periodic checks of the node use it.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -23,6 +23,7 @@
 import spanrill.loop.Clock;
 import spanrill.loop.EventLoopScheduler;
 import spanrill.loop.NextIterationExecutor;
+import spanrill.loop.PeriodicTask;
 import spanrill.node.client.ClientListener;
 import spanrill.node.config.NodeConfig;
 import spanrill.node.config.ServerListUpdate;
@@ -211,11 +212,8 @@
             double stopRequestedAt = scheduler.now();
             GracefulShutdown shutdown = new GracefulShutdown(config.maxDeadlineMs());
             host.answerWithin(shutdown.answerDeadlineMs());
-            shutdownTimer = loop.scheduleAtFixedRate(
-                    () -> stop(shutdown, stopRequestedAt, done),
-                    SHUTDOWN_CHECK_INTERVAL_MS,
-                    SHUTDOWN_CHECK_INTERVAL_MS,
-                    TimeUnit.MILLISECONDS);
+            shutdownTimer = PeriodicTask.start(
+                    loop, SHUTDOWN_CHECK_INTERVAL_MS, log, "shutdown", () -> stop(shutdown, stopRequestedAt, done));
         });
     }
 
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -19,6 +19,7 @@
 import spanrill.decisions.ReleaseRoutes;
 import spanrill.loop.Clock;
 import spanrill.loop.NextIterationExecutor;
+import spanrill.loop.PeriodicTask;
 import spanrill.node.session.ClientLink;
 import spanrill.node.session.SessionHost;
 import spanrill.session.EventSink;
@@ -74,8 +75,7 @@
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost sessionHost) {
         host = sessionHost;
         // Runs after an iteration that reads, so that a connection with unread input does not count as idle.
-        loop.scheduleAtFixedRate(
-                () -> nextIteration.execute(this::onTick), TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, TICK_INTERVAL_MS, log, "clients", () -> nextIteration.execute(this::onTick));
         loop.scheduleWithFixedDelay(
                 () -> receiveDelay.onLoopIteration(Clock.monotonicMs()),
                 0,
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -4,10 +4,10 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import spanrill.decisions.DiscoveryRetryPolicy;
 import spanrill.loop.Clock;
+import spanrill.loop.PeriodicTask;
 import spanrill.node.config.JsonPairs;
 import spanrill.node.config.ServerListUpdate;
 import spanrill.session.EventSink;
@@ -61,7 +61,7 @@
     /** Connects to discovery and starts to check the connection periodically. */
     public void start() {
         subscribe();
-        loop.scheduleAtFixedRate(this::onTick, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, TICK_INTERVAL_MS, log, "discovery", this::onTick);
     }
 
     /** Changes the address of discovery and connects to it at once. */
--- a/node/src/main/java/spanrill/node/server/ConnectionPools.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import spanrill.SessionControl.Outcome;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
 import spanrill.loop.NextIterationExecutor;
+import spanrill.loop.PeriodicTask;
 import spanrill.node.session.Attempt;
 import spanrill.node.session.ServerSide;
 import spanrill.node.session.SessionHost;
@@ -49,7 +49,7 @@
     /** Starts the periodic checks; outcomes of attempts are reported to {@code sessionHost}. */
     public void start(SessionHost sessionHost) {
         host = sessionHost;
-        loop.scheduleAtFixedRate(this::onTick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, TICK_MS, log, "servers", this::onTick);
     }
 
     /** Applies a list entry of a server; a draining server gets no new set-ups. */
