Node: the release of a session is offered to an unreachable server again

What callers saw: nothing; the server kept a session for good that its viewer had ended. Cause: ConnectionPool.release queued the session and opened at most one connection; when that failed, or the last one was under one connect time-out old, only another session or set-up at the server would have opened the next. onTick skips servers without established sessions, and the session to be released no longer counts as one. Change: ServerReleaseQueue (decisions): a release that ends a session asks for a connection for 8 s, at intervals that double from the connect time-out; one for what may stand (answer lost) still waits for a connection that is opened anyway. Why it works: the queue keeps the wish for a connection, so the check each 0.2 s opens one whatever became of the last. Measured: FaultyServersTest.releaseReachesServerThatIsUnreachableWhenViewerReleases failed before (no connection within 3 s) and passes, as do FaultyServersTest, EventRaceTest and NodeDecisionsTest.

--- a/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
@@ -251,4 +251,27 @@
         assertEquals(Outcome.CANCELLED, ReleaseOutcomes.afterAnswer(31));
         assertEquals(Outcome.RESET, ReleaseOutcomes.afterAnswer(41));
     }
+
+    @Test
+    void requiredReleaseAsksForConnectionsAtGrowingIntervalsForALimitedTime() {
+        ServerReleaseQueue queue = new ServerReleaseQueue(8000, 250, 3);
+        queue.addOptional(1);
+        assertFalse(queue.needsConnection(0), "waits for a connection that is opened anyway");
+        queue.addRequired(0, 2);
+        queue.addOptional(2);
+        List<Integer> connectedAt = new ArrayList<>();
+        for (int now = 0; now < 20_000; now += 50) {
+            if (queue.needsConnection(now)) {
+                connectedAt.add(now);
+                queue.onConnecting(now);
+            }
+        }
+        assertEquals(List.of(0, 250, 750, 1750, 3750, 7750), connectedAt);
+        queue.addRequired(20_000, 3);
+        queue.addRequired(20_000, 4);
+        assertEquals(List.of(1L, 2L, 3L), queue.takeAll(), "all that wait, up to the capacity");
+        assertTrue(queue.isEmpty());
+        queue.addRequired(20_000, 5);
+        assertTrue(queue.needsConnection(20_000), "the intervals start again after a connection");
+    }
 }
--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -3,15 +3,14 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.ConnectionSelector;
 import spanrill.decisions.FailureDetector;
 import spanrill.decisions.OutcomeTable;
 import spanrill.decisions.OutcomeTable.Event;
 import spanrill.decisions.OutcomeTable.Stage;
+import spanrill.decisions.ServerReleaseQueue;
 import spanrill.loop.Clock;
 import spanrill.loop.NextIterationExecutor;
 import spanrill.node.session.Attempt;
@@ -31,6 +30,8 @@
     // it; the periodic check closes it a little later.
     private static final double IDLE_TIMEOUT_SHARE = 0.5;
     private static final int MAX_PENDING_RELEASES = 4096;
+    // The rules allow 8 s from the end of a session until it is released.
+    private static final double RELEASE_TIMEOUT_MS = 8000;
     // Up to this limit each open set-up gets its own connection. Beyond it, opening connections in a burst costs more
     // than the set-ups that are lost when an answer on a shared connection cannot be parsed.
     private static final int MAX_CONNECTIONS = 6;
@@ -46,7 +47,7 @@
     private final ConnectionSelector selector;
     private final FailureDetector failureDetector;
     private final List<ServerConnection> connections = new ArrayList<>();
-    private final Set<Long> pendingReleases = new LinkedHashSet<>();
+    private final ServerReleaseQueue pendingReleases;
     private InetSocketAddress address;
     private int maxConnections = 2;
     private int establishedSessions;
@@ -77,6 +78,7 @@
         this.trace = trace;
         selector = new ConnectionSelector(IDLE_TIMEOUT_SHARE * limits.idleMs(), limits.maxSetUpsPerConnection());
         failureDetector = new FailureDetector(limits.silentMs(), limits.connectMs());
+        pendingReleases = new ServerReleaseQueue(RELEASE_TIMEOUT_MS, limits.connectMs(), MAX_PENDING_RELEASES);
     }
 
     String id() {
@@ -195,7 +197,7 @@
         if (connection != null) {
             connection.release(session);
         } else if (!gone && !addressReplaced) {
-            queueRelease(session);
+            pendingReleases.addRequired(Clock.monotonicMs(), session);
             ensureConnection();
         }
     }
@@ -209,7 +211,7 @@
         if (connection != null) {
             connection.release(session);
         } else if (!gone && !addressReplaced) {
-            queueRelease(session);
+            pendingReleases.addOptional(session);
         }
     }
 
@@ -218,12 +220,6 @@
         sessions.forEach(this::release);
     }
 
-    private void queueRelease(long session) {
-        if (pendingReleases.size() < MAX_PENDING_RELEASES) {
-            pendingReleases.add(session);
-        }
-    }
-
     void sendRung(long session, int rung) {
         ServerConnection connection = connectionCarrying(session);
         connection = connection == null ? preferredConnection() : connection;
@@ -303,6 +299,14 @@
         }
     }
 
+    /** Opens a connection if a release needs one: the connection that was opened for it has failed. */
+    private void ensureConnectionForReleases(double now) {
+        if (!gone && retainedConnections() == 0 && pendingReleases.needsConnection(now)) {
+            pendingReleases.onConnecting(now);
+            ensureConnection();
+        }
+    }
+
     void onConnected(ServerConnection connection) {
         lastConnectRefused = false;
         if (!limits.testingAllowed()) {
@@ -311,8 +315,7 @@
         } else if (failureDetector.isSuspect()) {
             connection.send(new Message(MessageType.TEST, 0).withCause(0));
         }
-        pendingReleases.forEach(connection::release);
-        pendingReleases.clear();
+        pendingReleases.takeAll().forEach(connection::release);
     }
 
     void onReceived() {
@@ -388,6 +391,7 @@
             }
         }
         if (establishedSessions == 0) {
+            ensureConnectionForReleases(now);
             return;
         }
         if (retainedConnections() == 0) {
--- a/node/src/test/java/spanrill/node/FaultyServersTest.java
+++ b/node/src/test/java/spanrill/node/FaultyServersTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import spanrill.wire.platform.Message;
 import spanrill.wire.platform.MessageType;
@@ -14,6 +15,9 @@
 
 /** Tests servers whose answers are malformed, late, duplicated or missing. */
 class FaultyServersTest extends FrontNodeTestBase {
+    /** The connect time-out of {@link TestConfig}. */
+    private static final long CONNECT_TIMEOUT_MS = 300;
+
     @Test
     void paidSetUpFailsAfterUnparsableAnswer() throws Exception {
         firstServer.onSetUp((connection, message) -> connection.sendRaw(new byte[] {0, 1, 9, 9, 9}));
@@ -157,4 +161,25 @@
         assertTrue(truncatingConnections.get(0).awaitEnd(TIMEOUT_MS));
         establishSession(viewer, "free");
     }
+
+    /** Guards against a session that its server keeps: its release waits for a connection that nothing opens. */
+    @Test
+    void releaseReachesServerThatIsUnreachableWhenViewerReleases() throws Exception {
+        FullBacklogServer lateServer = closeAfterTest(new FullBacklogServer());
+        discovery
+                .awaitRequest(TIMEOUT_MS)
+                .sendEvent(2, TestConfig.event(2, false, TestConfig.member("s-3", lateServer.port(), "SERVING")));
+        awaitLoopIterations();
+        TestConnection viewer = connectViewer();
+        judge.requestSent(7, "free");
+        viewer.send(setUpMessage(7, "free", ";at:s-3"));
+        viewer.send(new Message(MessageType.RELEASE, 7).withCause(16));
+        assertEquals(7, viewer.awaitMessage(TIMEOUT_MS).session(), "confirmed to the viewer");
+        // Every connection that the node has begun to open fails meanwhile.
+        assertNull(lateServer.received.poll(CONNECT_TIMEOUT_MS + 200, TimeUnit.MILLISECONDS));
+        lateServer.open();
+        Message release = lateServer.received.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        assertNotNull(release, "the node opens a connection for the release");
+        assertEquals(7, release.session());
+    }
 }
