Front: a box list that can't be applied is asked for again, and polling goes on

No list is known to do this. Change: the fault is logged (list.fault), the whole list is asked for, and the next poll is scheduled before anything else that may fail. Measured: RegistryClientTest.wholeListIsRequestedAgainWhenAListCannotBeApplied, with a core whose callback throws, failed before (no second poll within 10 s) and passes.

--- a/decisions/src/main/java/spanrill/decisions/BoxDirectory.java
+++ b/decisions/src/main/java/spanrill/decisions/BoxDirectory.java
@@ -56,7 +56,7 @@
     public List<Server> apply(ListUpdate update) {
         if (update.kind() == ListKind.CHANGES
                 && (update.epoch() != epoch || update.base() != version || update.version() < version)) {
-            version = -1;
+            requestWholeList();
             return null;
         }
         Set<String> listedIds = new LinkedHashSet<>();
@@ -77,6 +77,11 @@
         return servers;
     }
 
+    /** Makes the front request the whole list, because a list could not be applied. */
+    public void requestWholeList() {
+        version = -1;
+    }
+
     /** Current version, -1 when the whole list must be requested. */
     public long version() {
         return version;
--- a/front/src/main/java/spanrill/front/list/RegistryClient.java
+++ b/front/src/main/java/spanrill/front/list/RegistryClient.java
@@ -158,6 +158,11 @@
             poll();
         } catch (BoxListDocument.InvalidListException e) {
             handleFailure("invalid box list: " + e.getMessage());
+        } catch (RuntimeException e) {
+            // The list may be applied in part, so its version must not count as known.
+            EventLog.error("list.fault", e);
+            directory.requestWholeList();
+            handleFailure("the list could not be applied");
         }
     }
 
@@ -193,8 +198,9 @@
             return;
         }
         EventLog.warn("list.failed", "reason", reason);
-        core.updateServers(ListKind.FAILED, List.of());
+        // Scheduled first: polling goes on whatever becomes of the report.
         loop.schedule(this::poll, (long) backoff.nextDelayMs(), TimeUnit.MILLISECONDS);
+        core.updateServers(ListKind.FAILED, List.of());
     }
 
     /** Stops polling and closes the connection. */
