--- a/cli/src/test/java/spanrill/cli/SoakTest.java
+++ b/cli/src/test/java/spanrill/cli/SoakTest.java
@@ -6,6 +6,7 @@
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,7 @@
                                 .mapToObj(TrialGenerator::generate)
                                 .toList(),
                         2);
+        List<String> failed = new ArrayList<>();
         for (TrialResult result : results) {
             TrialResult last = result;
             // A trial whose own peers were late says nothing: it is played again, alone.
@@ -41,8 +43,18 @@
                         .run(List.of(result.trial()), 1)
                         .get(0);
             }
-            assertTrue(last.passed(), SoakRunner.formatResult(last));
+            if (!last.passed()) {
+                failed.add(failedCase(last));
+            }
         }
+        assertTrue(failed.isEmpty(), () -> String.join("\n", failed));
+    }
+
+    /** Names a failed trial as KNOWN-RED.txt does; .ci/known-red.sh compares the two. */
+    private static String failedCase(TrialResult result) {
+        long seed = result.trial().seed();
+        return "failed case: `bin/spanrill soak --seeds " + seed + "`, seed " + seed + "\n"
+                + SoakRunner.formatResult(result);
     }
 
     @Test
