Node: the intervals of a server's release queue start again for a later release

The interval went on doubling (16 s after six connections) and was reset only by a connection, so that a release which came when the former ones had given up got one connection and no second. Change: it starts again when no other release asks for a connection.

--- a/decisions/src/main/java/spanrill/decisions/ServerReleaseQueue.java
+++ b/decisions/src/main/java/spanrill/decisions/ServerReleaseQueue.java
@@ -17,7 +17,7 @@
     private final Map<Long, Double> connectUntil = new LinkedHashMap<>();
 
     private double retryDelayMs;
-    private double nextConnectAt = Double.NEGATIVE_INFINITY;
+    private double nextConnectAt;
 
     /**
      * Creates an empty queue.
@@ -30,11 +30,14 @@
         this.lifetimeMs = lifetimeMs;
         this.minRetryDelayMs = minRetryDelayMs;
         this.capacity = capacity;
-        retryDelayMs = minRetryDelayMs;
+        resetRetryDelay();
     }
 
-    /** Adds a release for which a connection is opened. */
+    /** Adds a release for which a connection is opened. The intervals start again when no other one needs any. */
     public void addRequired(double now, long session) {
+        if (!hasRequired(now)) {
+            resetRetryDelay();
+        }
         add(session, now + lifetimeMs);
     }
 
@@ -51,7 +54,16 @@
 
     /** True when a connection should be opened now for the releases. */
     public boolean needsConnection(double now) {
-        return now >= nextConnectAt && connectUntil.values().stream().anyMatch(until -> now < until);
+        return now >= nextConnectAt && hasRequired(now);
+    }
+
+    private boolean hasRequired(double now) {
+        return connectUntil.values().stream().anyMatch(until -> now < until);
+    }
+
+    private void resetRetryDelay() {
+        retryDelayMs = minRetryDelayMs;
+        nextConnectAt = Double.NEGATIVE_INFINITY;
     }
 
     /** Records that a connection is being opened for the releases. */
@@ -64,8 +76,7 @@
     public List<Long> takeAll() {
         List<Long> sessions = List.copyOf(connectUntil.keySet());
         connectUntil.clear();
-        retryDelayMs = minRetryDelayMs;
-        nextConnectAt = Double.NEGATIVE_INFINITY;
+        resetRetryDelay();
         return sessions;
     }
 
