Discovery client: the delay of retries grows while each response fails at once

Cause: since an update that can't be applied is asked for again, one that never can would have been asked for about twenty times a second, as one that can't be read was before: any data of a response reset the delay, and such a response begins with data. Change: the delay is reset by an update that was applied, or by data 0.6 s (the longest delay) after the request. The first retry after a healthy stream still comes within 60 ms. Measured: NodeDecisionsTest.delayOfDiscoveryRetriesGrowsWhileEachResponseFailsAtOnce failed before (due after at most 60 ms in the sixth round) and passes; DiscoveryClientTest, FaultyServersTest, FrontNodeTest and ReleaseDeliveryTest pass.

--- a/decisions/src/main/java/spanrill/decisions/DiscoveryRetryPolicy.java
+++ b/decisions/src/main/java/spanrill/decisions/DiscoveryRetryPolicy.java
@@ -44,6 +44,15 @@
     /** Records received data: an event, part of an event, or a comment. */
     public void onData(double now) {
         lastDataAt = now;
+        if (now - requestedAt >= MAX_RETRY_DELAY_MS) {
+            // The response goes on, so the last retry was a success. One that begins with an update that cannot be
+            // applied ends at once, each time.
+            backoff.reset();
+        }
+    }
+
+    /** Records that an update was applied. */
+    public void onUpdateApplied() {
         backoff.reset();
     }
 
--- a/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
@@ -103,6 +103,26 @@
         assertTrue(policy.isRetryDue(4500), "no response");
     }
 
+    /** Guards against an update that can never be applied being requested twenty times a second. */
+    @Test
+    void delayOfDiscoveryRetriesGrowsWhileEachResponseFailsAtOnce() {
+        DiscoveryRetryPolicy policy = new DiscoveryRetryPolicy(7);
+        for (int i = 0; i < 6; i++) {
+            policy.onRequest(0);
+            policy.onData(5);
+            policy.onFailure(5);
+        }
+        assertFalse(policy.isRetryDue(5 + 299), "half of the longest delay, 600 ms, at least");
+        policy.onRequest(0);
+        policy.onData(1000);
+        policy.onFailure(1000);
+        assertTrue(policy.isRetryDue(1060), "soon after a response that went on");
+        policy.onRequest(2000);
+        policy.onUpdateApplied();
+        policy.onFailure(2010);
+        assertTrue(policy.isRetryDue(2070), "soon after an update that was applied");
+    }
+
     /** A process throttled by its CPU share reads late, while the viewer's patience already runs. */
     @Test
     void receiveDelayIsTheTimeSinceTheLastIterationBeyondTheNormalInterval() {
@@ -267,8 +287,9 @@
             }
         }
         assertEquals(List.of(0, 250, 750, 1750, 3750, 7750), connectedAt);
-        queue.addRequired(20_000, 3);
-        queue.addRequired(20_000, 4);
+        queue.addRequired(8500, 3);
+        assertTrue(queue.needsConnection(8500), "the intervals start again for a later release");
+        queue.addRequired(8500, 4);
         assertEquals(List.of(1L, 2L, 3L), queue.takeAll(), "all that wait, up to the capacity");
         assertTrue(queue.isEmpty());
         queue.addRequired(20_000, 5);
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -184,6 +184,7 @@
             try {
                 onUpdate.accept(update);
                 lastUpdate = update.number();
+                retryPolicy.onUpdateApplied();
             } catch (RuntimeException e) {
                 // A part of the update may be applied; applying it again is harmless, and losing the rest is not.
                 log.error("discovery.fault", e, "no", update.number());
