--- a/front/src/test/java/spanrill/front/list/RegistryClientTest.java
+++ b/front/src/test/java/spanrill/front/list/RegistryClientTest.java
@@ -34,8 +34,8 @@
 @Timeout(30)
 class RegistryClientTest {
     private static final String LIST = "{\"kind\":\"whole\",\"epoch\":1,\"base\":-1,\"version\":5,\"boxes\":["
-            + "{\"id\":\"b\",\"zone\":\"a\",\"kind\":\"std\",\"cell\":0,\"state\":\"ready\",\"weight\":1,\"startedAt\":0,"
-            + "\"host\":\"127.0.0.1\",\"port\":1}],\"titles\":["
+            + "{\"id\":\"b\",\"zone\":\"a\",\"kind\":\"std\",\"cell\":0,\"state\":\"ready\",\"weight\":1,"
+            + "\"startedAt\":0,\"host\":\"127.0.0.1\",\"port\":1}],\"titles\":["
             + "{\"name\":\"t\",\"home\":0,\"copies\":1,\"durationMs\":60000,\"segmentMs\":2000}]}";
 
     @TempDir
--- a/node/src/test/java/spanrill/node/FrontNodeTestBase.java
+++ b/node/src/test/java/spanrill/node/FrontNodeTestBase.java
@@ -128,8 +128,8 @@
     }
 
     /**
-     * Waits until the node has read and handled all messages sent to it before. Tasks that follow each other closely run
-     * in one iteration, so each round waits for an iteration that reads.
+     * Waits until the node has read and handled all messages sent to it before. Tasks that follow each other closely
+     * run in one iteration, so each round waits for an iteration that reads.
      */
     void awaitLoopIterations() throws InterruptedException {
         NextIterationExecutor nextIteration = new NextIterationExecutor(node.eventLoop());
