Release test: the answer that it waits for is the set-up's own

Cause: read again, the last assertion of waitingReleaseIsSentWhenASetUpArrivesThatStaysUnanswered took any message for the answer, so a retransmitted release would have met it. Change: it awaits the message with the set-up's id and hands it to the judge; stricter, nothing else is changed.

--- a/node/src/test/java/spanrill/node/ReleaseDeliveryTest.java
+++ b/node/src/test/java/spanrill/node/ReleaseDeliveryTest.java
@@ -87,9 +87,11 @@
         endSessionAtServer(id);
         awaitLoopIterations();
         TestConnection second = connectViewer();
-        sendSetUp(second, "free");
+        long setUpId = sendSetUp(second, "free");
         assertNotNull(awaitRelease(second, id, RELEASE_LIMIT_MS));
-        assertNotNull(awaitAnswer(second, TIMEOUT_MS), "the set-up fails at its deadline");
+        Message answer = awaitRelease(second, setUpId, TIMEOUT_MS);
+        assertNotNull(answer, "the set-up fails at its deadline");
+        judge.receivedByViewer(answer);
     }
 
     /** Guards against a viewer's release that is never confirmed on the new connection on which it came. */
