Node: log lines have times; discovery calls, list updates and counters are logged

Each line now ends with at= (Unix ms). discovery.call, discovery.failed and discovery.update say when the node asked, from which number, and what it applied; node.requests counts requests, answers, retries and failed attempts by outcome every 10 s; dropped lines are counted. MainTest, DiscoveryClientTest, ServerListUpdateTest and SessionHostTest pass.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -41,6 +41,7 @@
     private static final long SHUTDOWN_CHECK_INTERVAL_MS = 20;
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 5;
     private static final long NO_ACCEPTED_COUNT = -1;
+    private static final long COUNTERS_LOG_INTERVAL_MS = 10_000;
     // Caps max_streams of the settings: one unreadable answer fails every set-up that is open on its connection.
     private static final int MAX_SET_UPS_PER_CONNECTION = 32;
 
@@ -157,6 +158,7 @@
         servers.start(host);
         knownUpdates.forEach(update -> applyUpdate(update, update.complete() ? ListKind.KEPT : ListKind.CHANGES));
         moduleStarted = true;
+        PeriodicTask.start(loop, COUNTERS_LOG_INTERVAL_MS, log, "counters", host::logCounters);
         updatesBeforeStart.forEach(this::onServerListUpdate);
         updatesBeforeStart.clear();
     }
@@ -193,6 +195,18 @@
         host.updateServers(kind, listed);
         // After the module has the new list: it sends withdrawn attempts to other servers.
         servers.withdrawUnsent();
+        log.info(
+                "discovery.update",
+                "no",
+                update.number(),
+                "kind",
+                kind,
+                "serving",
+                update.count(ServerState.READY),
+                "draining",
+                update.count(ServerState.DRAINING),
+                "gone",
+                update.count(ServerState.GONE));
     }
 
     /** Applies a new configuration: only the address of discovery can change while the node runs. */
--- a/node/src/main/java/spanrill/node/LineLog.java
+++ b/node/src/main/java/spanrill/node/LineLog.java
@@ -4,7 +4,8 @@
 import spanrill.session.EventSink;
 
 /**
- * Writes events to a stream, one line each. Lines above a limit per second are dropped, to bound the cost of logging.
+ * Writes events to a stream, one line each, which ends with the Unix time in ms. Lines above a limit per second are
+ * dropped, to bound the cost of logging; the first line of a later second says how many.
  */
 final class LineLog implements EventSink {
     private static final int MAX_LINES_PER_SECOND = 50;
@@ -12,6 +13,7 @@
     private final PrintStream out;
     private long currentSecond;
     private int linesThisSecond;
+    private long linesDropped;
 
     LineLog(PrintStream out) {
         this.out = out;
@@ -32,8 +34,13 @@
         linesThisSecond = nowS == currentSecond ? linesThisSecond + 1 : 0;
         currentSecond = nowS;
         if (linesThisSecond >= MAX_LINES_PER_SECOND) {
+            linesDropped++;
             return;
         }
+        if (linesDropped > 0) {
+            out.println("log.dropped lines=" + linesDropped + " at=" + System.currentTimeMillis());
+            linesDropped = 0;
+        }
         StringBuilder line = new StringBuilder(event);
         for (int i = 0; i + 1 < fields.length; i += 2) {
             line.append(' ').append(fields[i]).append('=').append(fields[i + 1]);
@@ -45,6 +52,6 @@
                 line.append(" at ").append(stackTrace[i]);
             }
         }
-        out.println(line);
+        out.println(line.append(" at=").append(System.currentTimeMillis()));
     }
 }
--- a/node/src/main/java/spanrill/node/config/ServerListUpdate.java
+++ b/node/src/main/java/spanrill/node/config/ServerListUpdate.java
@@ -26,6 +26,13 @@
 
     private static final int MAX_MEMBERS = 100_000;
 
+    /** Returns the number of servers in a state. */
+    public long count(ServerState state) {
+        return members.stream()
+                .filter(member -> member.server().state() == state)
+                .count();
+    }
+
     /**
      * Reads an update.
      *
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -91,12 +91,14 @@
     }
 
     private void subscribe() {
+        log.info("discovery.call", "address", address, "after", lastUpdate);
         retryPolicy.onRequest(Clock.monotonicMs());
         Subscription subscription = new Subscription();
         currentSubscription = subscription;
         HttpClientConnection.open(
                 loop, address, CONNECT_TIMEOUT_MS, HttpLimits.CLIENT, subscription::onConnected, cause -> {
                     if (currentSubscription == subscription) {
+                        log.info("discovery.failed", "reason", cause.getMessage());
                         retryPolicy.onFailure(Clock.monotonicMs());
                     }
                 });
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -60,6 +60,7 @@
     private final Map<String, NodeSession> sessionsByName = new HashMap<>();
     private final EstablishedSessions establishedSessions;
     private final MovedSessions movedSessions = new MovedSessions();
+    private final RequestCounters counters = new RequestCounters();
     private final Set<String> listedServers = new HashSet<>();
     private final ExpiringMap<Boolean> earlyReleases = new ExpiringMap<>(EARLY_EVENT_TTL_MS, MAX_EARLY_EVENTS);
     private final ExpiringMap<EarlyEnd> earlyEnds = new ExpiringMap<>(EARLY_EVENT_TTL_MS, MAX_EARLY_EVENTS);
@@ -145,6 +146,7 @@
         NodeSession session = new NodeSession(setUp, link, limits.runsOnce(setUp.className()));
         sessions.put(session.id(), session);
         sessionsByName.put(session.name(), session);
+        counters.onRequest();
         trace.info("request", "id", session.name(), "class", setUp.className(), "remainingMs", remainingMs);
         session.deadlineTimer =
                 executor.schedule(remainingMs + DEADLINE_GUARD_MS, now -> failIfAnswerPending(now, session));
@@ -241,6 +243,7 @@
 
     private void withdraw(NodeSession session) {
         session.state().apply(Event.LEAVE);
+        counters.onWithdrawn();
         if (session.attempt != null) {
             servers.giveUp(session.attempt);
         }
@@ -275,6 +278,7 @@
         session.state().apply(Event.PLAYS);
         session.server = attempt.server();
         double tookMs = scheduler.now() - session.sentAt;
+        counters.onServed();
         trace.info("plays", "id", session.name(), "server", session.server, "tookMs", tookMs);
         // The answer is sent first, since the viewer's deadline is running.
         session.link.sendAnswer(session.id(), description);
@@ -291,6 +295,7 @@
         }
         session.clearAttempt();
         session.state().attemptEnded(outcome);
+        counters.onAttemptFailed(outcome);
         trace.info("attemptEnded", "id", session.name(), "server", attempt.server(), "outcome", outcome, "load", load);
         executor.execute(now -> control.ended(
                 now, session.name(), !session.state().isAnswerPending(), outcome, attempt.server(), load));
@@ -383,6 +388,11 @@
                 ms, now -> List.copyOf(sessions.values()).forEach(session -> failIfAnswerPending(now, session)));
     }
 
+    /** Logs the counters of requests, answers and attempts in one line. */
+    public void logCounters() {
+        counters.log(log, sessions.size(), openRequests());
+    }
+
     /** Number of sessions, open or established. */
     public int sessionCount() {
         return sessions.size();
@@ -442,6 +452,7 @@
 
     /** Ends a request with a release as its final answer. */
     void sendFinalAnswer(NodeSession session, Event event, ReleaseReason reason, double stayAwayMs) {
+        counters.onFinalAnswer(reason);
         trace.info("answer", "id", session.name(), "reason", reason, "stayAwayMs", stayAwayMs);
         session.state().apply(event);
         removeSession(session);
@@ -458,6 +469,7 @@
     void send(NodeSession session, double moduleDeadline, String server) {
         double deadline = Math.min(moduleDeadline, answerBy);
         session.state().apply(Event.SEND);
+        counters.onAttempt(session.sentAt > 0);
         session.sentAt = scheduler.now();
         trace.info("send", "id", session.name(), "server", server, "rung", session.rung);
         Attempt attempt = new Attempt(session, server, deadline);
