--- a/node/src/test/java/spanrill/node/DiscoveryClientTest.java
+++ b/node/src/test/java/spanrill/node/DiscoveryClientTest.java
@@ -2,16 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import spanrill.node.config.ServerListUpdate;
 import spanrill.node.discovery.DiscoveryClient;
 import spanrill.session.EventSink;
@@ -20,6 +24,12 @@
 @Timeout(30)
 class DiscoveryClientTest {
     private static final long TIMEOUT_MS = 3000;
+    /** Time after which an update counts as told, from when discovery has it and can be reached. */
+    private static final long TOLD_AFTER_FAILED_CALL_MS = 6000;
+    /** Longer than the silence after which the client asks again. */
+    private static final long PAUSE_MS = 2500;
+    /** Period of the client's check of its calls. */
+    private static final long TIMER_PERIOD_MS = 100;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Long> applied = new LinkedBlockingQueue<>();
@@ -29,13 +39,12 @@
     @BeforeEach
     void start() throws Exception {
         discovery = new ScriptedDiscovery();
+        startClient(discovery.port());
+    }
+
+    private void startClient(int port) {
         DiscoveryClient client = new DiscoveryClient(
-                group.next(),
-                EventSink.none(),
-                new InetSocketAddress("127.0.0.1", discovery.port()),
-                1,
-                7,
-                this::onUpdate);
+                group.next(), EventSink.none(), new InetSocketAddress("127.0.0.1", port), 1, 7, this::onUpdate);
         group.submit(client::start).syncUninterruptibly();
     }
 
@@ -68,4 +77,62 @@
             assertEquals(number, applied.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS));
         }
     }
+
+    /** Guards against calls to discovery that are given up before their answer comes (report 9d0960). */
+    @ParameterizedTest
+    @ValueSource(longs = {1700, 2500, 4000})
+    void updateIsAppliedWhenDiscoveryAnswersSlowly(long responseDelayMs) throws Exception {
+        try (ScriptedDiscovery slow = new ScriptedDiscovery("200 OK", ": hello\n\n" + draining(2), responseDelayMs)) {
+            startClient(slow.port());
+            assertEquals(
+                    2L,
+                    applied.poll(TOLD_AFTER_FAILED_CALL_MS, TimeUnit.MILLISECONDS),
+                    "an update counts as told 6 s after discovery can be reached");
+        }
+    }
+
+    /** Guards against an unread update being thrown away with its connection after a pause of the loop (review/3). */
+    @Test
+    void unreadUpdateIsAppliedBeforeTheStreamIsReplacedAfterAPause() throws Exception {
+        ScriptedDiscovery.StreamRequest request = discovery.awaitRequest(TIMEOUT_MS);
+        request.sendEvent(2, TestConfig.event(2, false, TestConfig.member("s-1", 1, "DRAINING")));
+        assertEquals(2L, applied.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        CountDownLatch paused = new CountDownLatch(1);
+        pauseLoopBeforeItsTimers(paused);
+        paused.await();
+        request.sendEvent(3, TestConfig.event(3, false, TestConfig.member("s-1", 1, "DELETED")));
+        assertEquals(
+                3L,
+                applied.poll(PAUSE_MS + TIMEOUT_MS, TimeUnit.MILLISECONDS),
+                "read from the connection on which it had arrived");
+    }
+
+    /** Pauses the loop for {@link #PAUSE_MS}; afterwards its timers that are due run before it reads any input. */
+    private void pauseLoopBeforeItsTimers(CountDownLatch paused) {
+        EventLoop loop = group.next();
+        loop.execute(() -> {
+            // Due before the client's timer, so that both run in the same round of timers.
+            loop.schedule(
+                    () -> {
+                        paused.countDown();
+                        sleep(PAUSE_MS);
+                    },
+                    0,
+                    TimeUnit.MILLISECONDS);
+            sleep(TIMER_PERIOD_MS + 50);
+        });
+    }
+
+    private static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String draining(long number) {
+        String event = TestConfig.event(number, false, TestConfig.member("s-1", 1, "DRAINING"));
+        return "id: " + number + "\ndata: " + event + "\n\n";
+    }
 }
--- a/node/src/test/java/spanrill/node/ScriptedDiscovery.java
+++ b/node/src/test/java/spanrill/node/ScriptedDiscovery.java
@@ -8,13 +8,21 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 /** A scripted discovery service on the loopback interface: requests are queued, and tests write the events. */
 final class ScriptedDiscovery implements AutoCloseable {
     private final String status;
     private final String body;
+    private final long responseDelayMs;
+    private final ScheduledExecutorService responder = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "discovery-responder");
+        thread.setDaemon(true);
+        return thread;
+    });
     private final ServerSocket listener;
     private final BlockingQueue<StreamRequest> requests = new LinkedBlockingQueue<>();
 
@@ -36,8 +44,14 @@
 
     /** A service that answers with {@code status} and begins the body of each response with {@code body}. */
     ScriptedDiscovery(String status, String body) throws IOException {
+        this(status, body, 0);
+    }
+
+    /** A service that answers each request {@code responseDelayMs} after the request arrived. */
+    ScriptedDiscovery(String status, String body, long responseDelayMs) throws IOException {
         this.status = status;
         this.body = body;
+        this.responseDelayMs = responseDelayMs;
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         Thread acceptor = new Thread(this::accept, "discovery");
         acceptor.setDaemon(true);
@@ -62,14 +76,26 @@
                     }
                 }
                 StreamRequest request = new StreamRequest(requestLine.split(" ")[1], lastEventId, socket);
-                request.write("HTTP/1.1 " + status + "\r\ncontent-type: text/event-stream\r\n\r\n" + body);
-                requests.add(request);
+                if (responseDelayMs == 0) {
+                    respond(request);
+                } else {
+                    responder.schedule(() -> respond(request), responseDelayMs, TimeUnit.MILLISECONDS);
+                }
             }
         } catch (IOException e) {
             // Closed by the test.
         }
     }
 
+    private void respond(StreamRequest request) {
+        try {
+            request.write("HTTP/1.1 " + status + "\r\ncontent-type: text/event-stream\r\n\r\n" + body);
+            requests.add(request);
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+    }
+
     StreamRequest awaitRequest(long ms) throws InterruptedException {
         return requests.poll(ms, TimeUnit.MILLISECONDS);
     }
@@ -81,5 +107,6 @@
     @Override
     public void close() throws IOException {
         listener.close();
+        responder.shutdownNow();
     }
 }
