Discovery client: a call is kept until a later one has data

Cause: a call was closed by a time-out alone. With discovery slower than the time-out each call met the same end; after a pause the timer ran before the sockets were read, and the stream was closed with the update unread in it.

A new call is made as before (1.5 s unanswered, 2.2 s silent, soon after a failure), but ends no earlier one; a call ends once a later one has received data, after one more round of reading, or after 20 s; at most four are open. The connect time-out is that of the call, as the first SYN may be answered late. The log says why each call was made.

--- a/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import spanrill.SessionControl.Outcome;
+import spanrill.decisions.DiscoveryRetryPolicy.Reason;
 import spanrill.decisions.FailureDetector.Step;
 
 /** Decisions of a front node outside the module. */
@@ -86,21 +88,51 @@
     @Test
     void discoveryIsRequestedAgainBeforeMissedUpdatesCountAsDelivered() {
         DiscoveryRetryPolicy policy = new DiscoveryRetryPolicy(7);
-        policy.onRequest(0);
-        policy.onData(10);
-        assertFalse(policy.isRetryDue(2000), "comments are sent every second");
-        assertTrue(policy.isRetryDue(2300), "missed updates count as delivered 4 s after a stall");
-        policy.onRequest(2300);
-        policy.onData(2310);
-        policy.onFailure(2400);
-        assertTrue(policy.isRetryDue(2500), "missed updates count as delivered 2 s after a failure");
-        policy.onRequest(3000);
+        long first = policy.onCall(0);
+        policy.onData(first, 10);
+        assertNull(policy.callDue(2000), "comments are sent every second");
+        assertEquals(Reason.SILENT, policy.callDue(2300), "missed updates count as delivered 4 s after a stall");
+        long second = policy.onCall(2300);
+        assertEquals(
+                List.of(first), policy.onData(second, 2310), "a later call that has data replaces the earlier one");
+        policy.onFailure(second, 2400);
+        assertEquals(Reason.FAILED, policy.callDue(2500), "missed updates count as delivered 2 s after a failure");
         for (int i = 0; i < 20; i++) {
-            policy.onFailure(3000);
-            assertTrue(policy.isRetryDue(3600), "after any number of failures");
-            policy.onRequest(3000);
+            policy.onFailure(policy.onCall(3000), 3000);
+            assertEquals(Reason.FAILED, policy.callDue(3600), "after any number of failures");
+        }
+        policy.onCall(3000);
+        assertEquals(Reason.UNANSWERED, policy.callDue(4500), "no response");
+    }
+
+    /** Guards against a stream being ended while updates lie unread on it (report 9d0960). */
+    @Test
+    void silentStreamIsKeptUntilALaterCallHasData() {
+        DiscoveryRetryPolicy policy = new DiscoveryRetryPolicy(7);
+        long stream = policy.onCall(0);
+        policy.onData(stream, 10);
+        assertEquals(Reason.SILENT, policy.callDue(2300));
+        assertEquals(List.of(), policy.callsToGiveUp(2300));
+        long later = policy.onCall(2300);
+        assertEquals(List.of(), policy.onData(stream, 2301), "an earlier call ends no later one");
+        assertNull(policy.callDue(4400));
+        policy.onFailure(later, 4400);
+        assertEquals(Reason.FAILED, policy.callDue(5000), "silent again, and the later call failed");
+        assertEquals(List.of(stream), policy.onData(policy.onCall(5000), 5001));
+        assertNull(policy.callDue(7000));
+    }
+
+    @Test
+    void atMostFourCallsToDiscoveryAreOpen() {
+        DiscoveryRetryPolicy policy = new DiscoveryRetryPolicy(7);
+        List<Long> calls = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            assertEquals(List.of(), policy.callsToGiveUp(1500 * i));
+            calls.add(policy.onCall(1500 * i));
         }
-        assertTrue(policy.isRetryDue(4500), "no response");
+        assertEquals(List.of(calls.get(1)), policy.callsToGiveUp(6000), "the answer of the oldest is due first");
+        policy.onCall(6000);
+        assertEquals(List.of(calls.get(0)), policy.callsToGiveUp(20_000), "the oldest is too old");
     }
 
     /** Guards against an update that can never be applied being requested twenty times a second. */
@@ -108,19 +140,19 @@
     void delayOfDiscoveryRetriesGrowsWhileEachResponseFailsAtOnce() {
         DiscoveryRetryPolicy policy = new DiscoveryRetryPolicy(7);
         for (int i = 0; i < 6; i++) {
-            policy.onRequest(0);
-            policy.onData(5);
-            policy.onFailure(5);
+            long call = policy.onCall(0);
+            policy.onData(call, 5);
+            policy.onFailure(call, 5);
         }
-        assertFalse(policy.isRetryDue(5 + 299), "half of the longest delay, 600 ms, at least");
-        policy.onRequest(0);
-        policy.onData(1000);
-        policy.onFailure(1000);
-        assertTrue(policy.isRetryDue(1060), "soon after a response that went on");
-        policy.onRequest(2000);
+        assertNull(policy.callDue(5 + 299), "half of the longest delay, 600 ms, at least");
+        long longCall = policy.onCall(0);
+        policy.onData(longCall, 1000);
+        policy.onFailure(longCall, 1000);
+        assertEquals(Reason.FAILED, policy.callDue(1060), "soon after a response that went on");
+        long applied = policy.onCall(2000);
         policy.onUpdateApplied();
-        policy.onFailure(2010);
-        assertTrue(policy.isRetryDue(2070), "soon after an update that was applied");
+        policy.onFailure(applied, 2010);
+        assertEquals(Reason.FAILED, policy.callDue(2070), "soon after an update that was applied");
     }
 
     /** A process throttled by its CPU share reads late, while the viewer's patience already runs. */
@@ -225,25 +257,23 @@
     @Test
     void startWaitsForMissedUpdatesForALimitedTime() {
         DiscoveryRetryPolicy updated = new DiscoveryRetryPolicy(1);
-        updated.onRequest(0);
+        long updatedCall = updated.onCall(0);
         assertFalse(updated.isCaughtUp(90));
-        updated.onResponse(90);
+        updated.onResponse(updatedCall, 90);
         assertFalse(updated.isCaughtUp(180));
-        updated.onData(180);
+        updated.onData(updatedCall, 180);
         assertFalse(updated.isCaughtUp(195), "more data may follow at once");
         assertTrue(updated.isCaughtUp(200));
         DiscoveryRetryPolicy empty = new DiscoveryRetryPolicy(1);
-        empty.onRequest(0);
-        empty.onResponse(10);
+        empty.onResponse(empty.onCall(0), 10);
         assertFalse(empty.isCaughtUp(100));
         assertTrue(empty.isCaughtUp(110), "no update was missed");
         DiscoveryRetryPolicy silent = new DiscoveryRetryPolicy(1);
-        silent.onRequest(0);
+        silent.onCall(0);
         assertFalse(silent.isCaughtUp(1400));
         assertTrue(silent.isCaughtUp(1500));
         DiscoveryRetryPolicy down = new DiscoveryRetryPolicy(1);
-        down.onRequest(0);
-        down.onFailure(5);
+        down.onFailure(down.onCall(0), 5);
         assertTrue(down.isCaughtUp(6));
     }
 
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -4,9 +4,14 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import spanrill.decisions.DiscoveryRetryPolicy;
+import spanrill.decisions.DiscoveryRetryPolicy.Reason;
 import spanrill.loop.Clock;
+import spanrill.loop.NextIterationExecutor;
 import spanrill.loop.PeriodicTask;
 import spanrill.node.config.JsonPairs;
 import spanrill.node.config.ServerListUpdate;
@@ -20,22 +25,23 @@
 import spanrill.wire.http.ResponseHead;
 
 /**
- * Subscribes to discovery over one connection at a time, resuming after the last update that was applied.
- * {@link DiscoveryRetryPolicy} decides when the client reconnects.
+ * Subscribes to discovery, resuming after the last update that was applied. Several subscriptions may be open at a time;
+ * {@link DiscoveryRetryPolicy} decides when one is opened and which are ended.
  */
 public final class DiscoveryClient {
     private static final String PATH = "/bulletins";
-    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int CONNECT_TIMEOUT_MS = (int) DiscoveryRetryPolicy.MAX_CALL_MS;
     private static final int MAX_EVENT_LENGTH = 1 << 20;
     private static final long TICK_INTERVAL_MS = 100;
 
     private final EventLoop loop;
+    private final NextIterationExecutor nextIteration;
     private final EventSink log;
     private final Consumer<ServerListUpdate> onUpdate;
     private final DiscoveryRetryPolicy retryPolicy;
+    private final Map<Long, Subscription> subscriptions = new HashMap<>();
     private InetSocketAddress address;
     private long lastUpdate;
-    private Subscription currentSubscription;
 
     /**
      * Creates a client that does not connect yet.
@@ -51,6 +57,7 @@
             long seed,
             Consumer<ServerListUpdate> onUpdate) {
         this.loop = loop;
+        nextIteration = new NextIterationExecutor(loop);
         this.log = log;
         this.address = address;
         this.lastUpdate = lastUpdate;
@@ -60,15 +67,19 @@
 
     /** Connects to discovery and starts to check the connection periodically. */
     public void start() {
-        subscribe();
+        subscribe(Reason.START);
         PeriodicTask.start(loop, TICK_INTERVAL_MS, log, "discovery", this::onTick);
     }
 
     /** Changes the address of discovery and connects to it at once. */
     public void reconnectTo(InetSocketAddress newAddress) {
         address = newAddress;
-        dropSubscription();
-        subscribe();
+        List<Subscription> previous = List.copyOf(subscriptions.values());
+        retryPolicy.onAddressChanged();
+        subscribe(Reason.START);
+        previous.stream().filter(subscription -> !subscription.isConnected()).forEach(Subscription::end);
+        // Updates that have arrived from the previous address are read first.
+        nextIteration.execute(() -> previous.forEach(Subscription::end));
     }
 
     /** True when the updates missed before the start have been received, or cannot be obtained in time. */
@@ -77,64 +88,94 @@
     }
 
     private void onTick() {
-        if (retryPolicy.isRetryDue(Clock.monotonicMs())) {
-            dropSubscription();
-            subscribe();
+        double now = Clock.monotonicMs();
+        Reason reason = retryPolicy.callDue(now);
+        if (reason != null) {
+            endAll(retryPolicy.callsToGiveUp(now));
+            subscribe(reason);
         }
     }
 
-    private void dropSubscription() {
-        if (currentSubscription != null) {
-            currentSubscription.abort();
-            currentSubscription = null;
+    private void endAll(List<Long> calls) {
+        for (long call : calls) {
+            Subscription subscription = subscriptions.get(call);
+            if (subscription != null) {
+                subscription.end();
+            }
         }
     }
 
-    private void subscribe() {
-        log.info("discovery.call", "address", address, "after", lastUpdate);
-        retryPolicy.onRequest(Clock.monotonicMs());
-        Subscription subscription = new Subscription();
-        currentSubscription = subscription;
+    private void subscribe(Reason reason) {
+        long call = retryPolicy.onCall(Clock.monotonicMs());
+        Subscription subscription = new Subscription(call);
+        subscriptions.put(call, subscription);
+        log.info(
+                "discovery.call",
+                "call",
+                call,
+                "address",
+                address,
+                "after",
+                lastUpdate,
+                "why",
+                reason,
+                "open",
+                subscriptions.size());
         HttpClientConnection.open(
-                loop, address, CONNECT_TIMEOUT_MS, HttpLimits.CLIENT, subscription::onConnected, cause -> {
-                    if (currentSubscription == subscription) {
-                        log.info("discovery.failed", "reason", cause.getMessage());
-                        retryPolicy.onFailure(Clock.monotonicMs());
-                    }
-                });
+                loop,
+                address,
+                CONNECT_TIMEOUT_MS,
+                HttpLimits.CLIENT,
+                subscription::onConnected,
+                cause -> subscription.fail(cause.getMessage()));
     }
 
     /** One subscription: a connection to discovery and the event stream of its response. */
     private final class Subscription implements HttpClientConnection.Listener {
+        private final long call;
+        private final InetSocketAddress calledAddress = address;
         private final EventStreamParser parser = new EventStreamParser(MAX_EVENT_LENGTH, this::onEvent);
         private HttpClientConnection connection;
 
+        Subscription(long call) {
+            this.call = call;
+        }
+
         void onConnected(HttpClientConnection newConnection) {
             connection = newConnection;
             Headers headers = new Headers()
-                    .add("host", address.getHostString() + ":" + address.getPort())
+                    .add("host", calledAddress.getHostString() + ":" + calledAddress.getPort())
                     .add("accept", "text/event-stream")
                     .add("last-event-id", Long.toString(lastUpdate));
-            if (currentSubscription != this) {
-                // The client moved to another address or gave this attempt up while the connection was being opened.
-                abort();
+            if (!isOpen()) {
+                // The client moved to another address or gave this call up while the connection was being opened.
+                connection.abort();
             } else if (!newConnection.send("GET", PATH, headers, new byte[0], this)) {
-                fail();
+                fail("the connection was closed before the request was sent");
             }
         }
 
-        void abort() {
+        boolean isConnected() {
+            return connection != null;
+        }
+
+        private boolean isOpen() {
+            return subscriptions.get(call) == this;
+        }
+
+        /** Ends the subscription and ignores whatever discovery sends on it afterwards. */
+        void end() {
+            subscriptions.remove(call);
             if (connection != null) {
                 connection.abort();
             }
         }
 
-        /** Ends the subscription and ignores whatever discovery sends on it afterwards. */
-        private void fail() {
-            if (currentSubscription == this) {
-                currentSubscription = null;
-                abort();
-                retryPolicy.onFailure(Clock.monotonicMs());
+        private void fail(String reason) {
+            if (isOpen()) {
+                log.info("discovery.failed", "call", call, "reason", reason);
+                end();
+                retryPolicy.onFailure(call, Clock.monotonicMs());
             }
         }
 
@@ -142,28 +183,32 @@
         public void onHead(ResponseHead head) {
             if (head.status() != 200) {
                 log.info("discovery.refused", "status", head.status());
-                fail();
-            } else if (currentSubscription == this) {
-                retryPolicy.onResponse(Clock.monotonicMs());
+                fail("status " + head.status());
+            } else if (isOpen()) {
+                retryPolicy.onResponse(call, Clock.monotonicMs());
             }
         }
 
         @Override
         public void onData(ByteBuf data) {
-            if (currentSubscription != this) {
+            if (!isOpen()) {
                 return;
             }
-            retryPolicy.onData(Clock.monotonicMs());
+            List<Long> replaced = retryPolicy.onData(call, Clock.monotonicMs());
+            if (!replaced.isEmpty()) {
+                // Updates that have arrived on the earlier calls are read first.
+                nextIteration.execute(() -> endAll(replaced));
+            }
             try {
                 parser.feed(data);
             } catch (HttpProtocolException e) {
                 log.info("discovery.malformed", "reason", e.getMessage());
-                fail();
+                fail("malformed stream");
             }
         }
 
         private void onEvent(String id, String data) {
-            if (currentSubscription != this) {
+            if (!isOpen()) {
                 return;
             }
             ServerListUpdate update;
@@ -172,7 +217,7 @@
             } catch (InvalidFieldException e) {
                 // The current list stays unchanged; the same update is requested again on the next connection.
                 log.info("discovery.malformed", "id", id, "reason", e.getMessage());
-                fail();
+                fail("malformed update");
                 return;
             }
             if (update.number() <= lastUpdate) {
@@ -180,7 +225,7 @@
             }
             if (update.number() > lastUpdate + 1 && !update.complete()) {
                 log.info("discovery.gap", "after", lastUpdate, "came", update.number());
-                fail();
+                fail("gap");
                 return;
             }
             try {
@@ -190,18 +235,18 @@
             } catch (RuntimeException e) {
                 // A part of the update may be applied; applying it again is harmless, and losing the rest is not.
                 log.error("discovery.fault", e, "no", update.number());
-                fail();
+                fail("update not applied");
             }
         }
 
         @Override
         public void onEnd() {
-            fail();
+            fail("the stream ended");
         }
 
         @Override
         public void onFailure(HttpClientConnection.Failure failure, String reason) {
-            fail();
+            fail(failure + ": " + reason);
         }
     }
 }
