Soak: servers that vanish together, slow or unreachable discovery, pauses of up to 2 s

The drain check covers set-ups whose bytes arrive at a silent machine and servers that are listed as serving again; the cold check counts from a restart under the same id.

--- a/cli/src/test/java/spanrill/cli/SoakTest.java
+++ b/cli/src/test/java/spanrill/cli/SoakTest.java
@@ -30,7 +30,7 @@
                 NodeLaunchCommand.fromDeployFile(Path.of("..").toAbsolutePath().normalize());
         List<TrialResult> results = new SoakRunner(command, folder, System.out::println)
                 .run(
-                        LongStream.rangeClosed(101, 105)
+                        LongStream.rangeClosed(101, 107)
                                 .mapToObj(TrialGenerator::generate)
                                 .toList(),
                         2);
--- a/soak/src/main/java/spanrill/soak/ColdServerChecker.java
+++ b/soak/src/main/java/spanrill/soak/ColdServerChecker.java
@@ -44,20 +44,22 @@
                 || event.kind() == EventKind.FAULT && event.peer().startsWith("DISCOVERY_");
     }
 
-    /** Returns when discovery published a server, ms; infinite if it did not. */
-    private double publishedAtMs(String server) {
+    /** Returns when discovery first published a server after its start, ms; infinite if it did not. */
+    private double publishedAtMs(String server, double startedAtMs) {
         return events.stream()
-                .filter(e -> e.kind() == EventKind.DISCOVERY_EVENT && e.peer().equals(server))
+                .filter(e ->
+                        e.kind() == EventKind.DISCOVERY_EVENT && e.peer().equals(server) && e.atMs() >= startedAtMs)
                 .mapToDouble(SoakEvent::atMs)
                 .findFirst()
                 .orElse(Double.POSITIVE_INFINITY);
     }
 
     private void checkServer(SoakEvent start, List<Violation> violations) {
-        double publishedAtMs = publishedAtMs(start.peer());
+        double publishedAtMs = publishedAtMs(start.peer(), start.atMs());
         List<SoakEvent> setUps = events.stream()
                 .filter(e -> e.kind() == EventKind.SERVER_SET_UP
                         && e.peer().equals(start.peer())
+                        && e.atMs() >= start.atMs()
                         && e.atMs() <= start.atMs() + Trial.COLD_MS)
                 .toList();
         int first = 0;
--- a/soak/src/main/java/spanrill/soak/DrainChecker.java
+++ b/soak/src/main/java/spanrill/soak/DrainChecker.java
@@ -36,14 +36,17 @@
 
     List<Violation> violations() {
         Map<String, Double> leavingSince = new HashMap<>();
-        for (SoakEvent event : events) {
-            if (event.kind() == EventKind.DISCOVERY_EVENT && event.code() != ServerState.SERVING.ordinal()) {
-                leavingSince.putIfAbsent(event.peer(), event.atMs());
-            }
-        }
         List<Violation> violations = new ArrayList<>();
         for (SoakEvent event : events) {
-            Double leavingSinceMs = event.kind() == EventKind.SERVER_SET_UP ? leavingSince.get(event.peer()) : null;
+            if (event.kind() == EventKind.DISCOVERY_EVENT) {
+                if (event.code() == ServerState.SERVING.ordinal()) {
+                    leavingSince.remove(event.peer());
+                } else {
+                    leavingSince.putIfAbsent(event.peer(), event.atMs());
+                }
+            }
+            boolean arrived = event.kind() == EventKind.SERVER_SET_UP || event.kind() == EventKind.SERVER_BYTES;
+            Double leavingSinceMs = arrived ? leavingSince.get(event.peer()) : null;
             if (leavingSinceMs != null) {
                 double informedAtMs = informedAtMs(event.node(), leavingSinceMs, event.atMs());
                 if (event.atMs() > informedAtMs + GRACE_PERIOD_MS) {
@@ -105,7 +108,15 @@
                         faultStartMs,
                         faultStartMs + INFORMED_AFTER_FREEZE_MS,
                         INFORMED_AFTER_FREEZE_MS);
-            case DISCOVERY_DOWN, DISCOVERY_MUTE -> {
+            case DISCOVERY_SLOW -> {
+                // Discovery can be reached the whole time; the first call may have failed.
+                boolean affected = changedAtMs >= faultStartMs - EVENT_ORDER_TOLERANCE_MS
+                        && changedAtMs <= faultEndMs + INFORMED_AFTER_FAILED_CALL_MS;
+                yield affected
+                        ? Math.max(informedAtMs, Math.max(changedAtMs, faultStartMs) + INFORMED_AFTER_FAILED_CALL_MS)
+                        : informedAtMs;
+            }
+            case DISCOVERY_DOWN, DISCOVERY_MUTE, DISCOVERY_UNREACHABLE -> {
                 boolean affected = changedAtMs >= faultStartMs - EVENT_ORDER_TOLERANCE_MS
                         && changedAtMs <= faultEndMs + INFORMED_AFTER_FAILED_CALL_MS;
                 yield affected
--- a/soak/src/main/java/spanrill/soak/EventKind.java
+++ b/soak/src/main/java/spanrill/soak/EventKind.java
@@ -27,9 +27,11 @@
     CLIENT_TURNED_AWAY,
     /** A server received a complete set-up. */
     SERVER_SET_UP,
+    /** The bytes of a set-up arrived at a machine that is cut off and processes nothing. */
+    SERVER_BYTES,
     /** A node cancelled an attempt, by message or by closing its connection. */
     SERVER_GIVEN_UP,
-    /** A server started during the trial; its cold period begins. */
+    /** A server started during the trial, under a new id or again under its own; its cold period begins. */
     SERVER_STARTED,
     /** A server wrote its answer or the end of an attempt; the code is the cause, 0 for an answer. */
     SERVER_ANSWERED,
--- a/soak/src/main/java/spanrill/soak/FakeDiscoveryEndpoint.java
+++ b/soak/src/main/java/spanrill/soak/FakeDiscoveryEndpoint.java
@@ -23,28 +23,29 @@
     private static final double OLD_STREAM_CLOSE_DELAY_MS = 1500;
 
     private static final int MAX_REQUEST_CHARS = 8192;
+    /** Time until a slow discovery answers a request, ms. */
+    private static final double SLOW_RESPONSE_MS = 2500;
 
     private final FakeDiscovery discovery;
     private final int nodeIndex;
     private final EventLoop loop;
     private final Timers timers;
     private final Set<EventStream> streams = new LinkedHashSet<>();
-    private Channel listener;
+    private FaultyListener listener;
     private boolean mute;
-    private int port;
+    private boolean slow;
 
     FakeDiscoveryEndpoint(FakeDiscovery discovery, int nodeIndex, EventLoop loop, Timers timers) throws IOException {
         this.discovery = discovery;
         this.nodeIndex = nodeIndex;
         this.loop = loop;
         this.timers = timers;
-        listener = Sockets.listen(loop, 0, EventStream::new);
-        port = Sockets.localPort(listener);
+        listener = FaultyListener.open(loop, timers, EventStream::new);
         timers.scheduleRepeating(COMMENT_PERIOD_MS, () -> List.copyOf(streams).forEach(EventStream::sendComment));
     }
 
     int port() {
-        return port;
+        return listener.port();
     }
 
     /** Sends the events that are new to each open stream. */
@@ -58,24 +59,32 @@
             case DISCOVERY_FROZEN -> streams.forEach(EventStream::stopSending);
             case DISCOVERY_DOWN -> takeDown(fault.lengthMs());
             case DISCOVERY_MUTE -> muteFor(fault.lengthMs());
+            case DISCOVERY_SLOW -> slowDownFor(fault.lengthMs());
+            case DISCOVERY_UNREACHABLE -> makeUnreachable(fault.lengthMs());
             default -> throw new IllegalArgumentException("not a fault of discovery: " + fault.kind());
         }
     }
 
     private void takeDown(double durationMs) {
-        listener.close();
+        setModeFor(FaultyListener.Mode.REFUSES, durationMs);
         List.copyOf(streams).forEach(EventStream::close);
-        timers.schedule(durationMs, this::reopenListener);
     }
 
-    private void reopenListener() {
-        Sockets.bind(loop, port, EventStream::new).addListener(bound -> {
-            if (bound.isSuccess()) {
-                listener = ((io.netty.channel.ChannelFuture) bound).channel();
-            } else {
-                timers.schedule(10, this::reopenListener);
-            }
-        });
+    private void makeUnreachable(double durationMs) {
+        setModeFor(FaultyListener.Mode.UNREACHABLE, durationMs);
+        streams.forEach(EventStream::stopSending);
+    }
+
+    private void setModeFor(FaultyListener.Mode mode, double durationMs) {
+        FaultyListener affected = listener;
+        affected.setMode(mode);
+        timers.schedule(durationMs, () -> affected.setMode(FaultyListener.Mode.ACCEPTS));
+    }
+
+    private void slowDownFor(double durationMs) {
+        slow = true;
+        List.copyOf(streams).forEach(EventStream::close);
+        timers.schedule(durationMs, () -> slow = false);
     }
 
     private void muteFor(double durationMs) {
@@ -86,12 +95,11 @@
 
     /** Moves to a new port; {@code onMoved} runs once the endpoint listens there. */
     void moveToNewPort(Runnable onMoved) {
-        Channel oldListener = listener;
+        FaultyListener oldListener = listener;
         List<EventStream> oldStreams = List.copyOf(streams);
-        Sockets.bind(loop, 0, EventStream::new).addListener(bound -> {
-            listener = ((io.netty.channel.ChannelFuture) bound).channel();
-            port = Sockets.localPort(listener);
-            oldListener.close();
+        FaultyListener.open(loop, timers, EventStream::new, newListener -> {
+            listener = newListener;
+            oldListener.setMode(FaultyListener.Mode.STOPPED);
             oldStreams.forEach(EventStream::stopSending);
             timers.schedule(OLD_STREAM_CLOSE_DELAY_MS, () -> oldStreams.forEach(EventStream::close));
             onMoved.run();
@@ -99,7 +107,7 @@
     }
 
     void stop() {
-        listener.close();
+        listener.setMode(FaultyListener.Mode.STOPPED);
         List.copyOf(streams).forEach(EventStream::close);
     }
 
@@ -108,6 +116,7 @@
         private final StringBuilder request = new StringBuilder();
         private Channel channel;
         private boolean requestReceived;
+        private boolean responded;
         private boolean stopped;
         private int lastSentEvent;
 
@@ -129,20 +138,27 @@
                 stopped |= mute;
                 Matcher lastEventId = LAST_ID.matcher(request);
                 lastSentEvent = lastEventId.find() ? Integer.parseInt(lastEventId.group(1)) : 0;
+                timers.schedule(slow ? SLOW_RESPONSE_MS : 0, this::respond);
+            }
+        }
+
+        private void respond() {
+            if (channel.isActive()) {
+                responded = true;
                 write("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n: hello\n\n");
                 sendNewEvents();
             }
         }
 
         void sendNewEvents() {
-            while (requestReceived && !stopped && lastSentEvent < discovery.lastEventNumber()) {
+            while (responded && !stopped && lastSentEvent < discovery.lastEventNumber()) {
                 lastSentEvent++;
                 write("id: " + lastSentEvent + "\ndata: " + discovery.eventJson(lastSentEvent, nodeIndex) + "\n\n");
             }
         }
 
         void sendComment() {
-            if (requestReceived) {
+            if (responded) {
                 write(": \n\n");
             }
         }
@@ -153,7 +169,7 @@
 
         /** Writes the beginning of an event and closes the connection. */
         void truncateAndClose() {
-            if (requestReceived) {
+            if (responded) {
                 write("id: " + (lastSentEvent + 1) + "\ndata: {\"no\":" + (lastSentEvent + 1) + ",\"ros");
             }
             close();
--- a/soak/src/main/java/spanrill/soak/FakeServer.java
+++ b/soak/src/main/java/spanrill/soak/FakeServer.java
@@ -73,6 +73,10 @@
         }
     }
 
+    boolean isServing() {
+        return mode == Mode.SERVES;
+    }
+
     ChannelHandler newConnection(int node) {
         return new Connection(node);
     }
@@ -92,6 +96,21 @@
         resetConnections();
     }
 
+    /** The machine vanishes: its sessions are lost, and its connections stay open and silent. */
+    void vanish() {
+        mode = Mode.SILENT;
+        sessions.clear();
+        unacknowledgedEnds.clear();
+        log.add(EventKind.SERVER_LOST, -1, id, 0);
+    }
+
+    /** The machine is back: old connections are reset, and a new process serves. */
+    void startAgain() {
+        resetConnections();
+        mode = Mode.SERVES;
+        log.add(EventKind.SERVER_STARTED, -1, id, 0);
+    }
+
     /**
      * Ends a session and sends its release to the node. A release that the node does not acknowledge, or that cannot be
      * sent, is sent when the node opens its next connection.
@@ -166,7 +185,9 @@
         public void channelRead(ChannelHandlerContext ctx, Object data) {
             ByteBuf in = (ByteBuf) data;
             try {
-                if (mode != Mode.SILENT && mode != Mode.DEAD) {
+                if (mode == Mode.SILENT) {
+                    decoder.feed(in, this::recordUnprocessed);
+                } else if (mode != Mode.DEAD) {
                     lastReceivedAtMs = log.elapsedMs();
                     decoder.feed(in, this::handle);
                 }
@@ -177,6 +198,13 @@
             }
         }
 
+        private boolean recordUnprocessed(Message message) {
+            if (message.type() == MessageType.SET_UP) {
+                log.add(EventKind.SERVER_BYTES, node, id, message.session(), 0, 0);
+            }
+            return true;
+        }
+
         private boolean handle(Message message) {
             switch (message.type()) {
                 case SET_UP -> handleSetUp(message);
--- a/soak/src/main/java/spanrill/soak/FaultKind.java
+++ b/soak/src/main/java/spanrill/soak/FaultKind.java
@@ -6,7 +6,7 @@
     NODE_TERMINATED,
     /** Sends SIGKILL to a node without SIGTERM, and restarts the node later. */
     NODE_KILLED,
-    /** Pauses a node briefly (SIGSTOP, SIGCONT), as if other processes used its core. */
+    /** Pauses a node (SIGSTOP, SIGCONT), as if other processes used its core or its machine stood still. */
     NODE_PAUSED,
     /** Moves discovery to a new address, writes it to a node's configuration and sends SIGHUP. */
     NODE_RECONFIGURED,
@@ -18,6 +18,12 @@
     SERVER_REPLACED,
     /** A server resets its connections and keeps running. */
     SERVER_RESETS,
+    /**
+     * Several servers vanish at once, as machines without power do: their sessions are lost, open connections stay
+     * silent and new ones are never established. Discovery publishes late that they are gone. They start again under
+     * their ids and at their addresses, which discovery publishes a little later.
+     */
+    SERVER_GROUP_VANISHES,
     /** A server drains and is then removed. */
     SERVER_DRAINED,
     /** Discovery closes its event streams in the middle of an event and accepts new requests at once. */
@@ -28,6 +34,10 @@
     DISCOVERY_DOWN,
     /** Discovery accepts connections and answers nothing. */
     DISCOVERY_MUTE,
+    /** Discovery ends its event streams and answers each new request late. */
+    DISCOVERY_SLOW,
+    /** Open event streams send nothing more, and connections to discovery are not established. */
+    DISCOVERY_UNREACHABLE,
     /** Hundreds of client connections that send nothing. */
     CLIENT_CROWD,
     /** A client that sends invalid input. */
--- a/soak/src/main/java/spanrill/soak/ProtocolChecker.java
+++ b/soak/src/main/java/spanrill/soak/ProtocolChecker.java
@@ -241,13 +241,14 @@
     }
 
     /**
-     * Returns true if a server was silent during the trial. It receives no cancellation, so that a node cannot end an
+     * Returns true if a server was silent or had vanished during the trial. It receives no cancellation, so that a node cannot end an
      * attempt there.
      */
     private boolean anyServerWasSilent() {
         return events.stream()
-                .anyMatch(event ->
-                        event.kind() == EventKind.FAULT && event.peer().equals(FaultKind.SERVER_SILENT.name()));
+                .anyMatch(event -> event.kind() == EventKind.FAULT
+                        && (event.peer().equals(FaultKind.SERVER_SILENT.name())
+                                || event.peer().equals(FaultKind.SERVER_GROUP_VANISHES.name())));
     }
 
     private void checkGoneClients() {
--- a/soak/src/main/java/spanrill/soak/ReleaseChecker.java
+++ b/soak/src/main/java/spanrill/soak/ReleaseChecker.java
@@ -14,6 +14,9 @@
     /** Time for which a server fault may still delay a release, ms. */
     private static final double FAULT_INFLUENCE_MS = 3000;
 
+    /** A node that stands still for longer than this may miss the deadline of a release, ms. */
+    private static final double LONG_PAUSE_MS = 200;
+
     private final List<SoakEvent> events;
     private final List<ProcessLifetime> lifetimes;
     private final Map<Long, RequestTrace> requests;
@@ -68,12 +71,23 @@
                         && event.atMs() >= lifetime.readyAtMs()
                         && event.atMs() + RELEASE_DEADLINE_MS
                                 < Math.min(lifetime.exitAtMs(), Math.min(lifetime.termAtMs(), lifetime.killAtMs())));
-        boolean serverFault = events.stream()
+        boolean disturbed = events.stream()
                 .anyMatch(e -> e.kind() == EventKind.FAULT
-                        && e.peer().startsWith("SERVER_")
-                        && e.atMs() > event.atMs() - FAULT_INFLUENCE_MS
+                        && mayDelayReleases(e)
+                        && e.atMs() + influenceMs(e) > event.atMs()
                         && e.atMs() < event.atMs() + RELEASE_DEADLINE_MS);
-        return nodeKeepsRunning && !serverFault && event.atMs() + RELEASE_DEADLINE_MS < endMs;
+        return nodeKeepsRunning && !disturbed && event.atMs() + RELEASE_DEADLINE_MS < endMs;
+    }
+
+    private static boolean mayDelayReleases(SoakEvent fault) {
+        boolean longPause = fault.peer().equals(FaultKind.NODE_PAUSED.name()) && fault.code() > LONG_PAUSE_MS;
+        return longPause || fault.peer().startsWith("SERVER_");
+    }
+
+    /** Time for which a fault may delay releases: a server that has vanished takes none until it is back. */
+    private static double influenceMs(SoakEvent fault) {
+        boolean lasting = fault.peer().equals(FaultKind.SERVER_GROUP_VANISHES.name());
+        return FAULT_INFLUENCE_MS + (lasting ? fault.code() : 0);
     }
 
     private boolean clientNotified(RequestTrace request, SoakEvent ended) {
--- a/soak/src/main/java/spanrill/soak/ServerFleet.java
+++ b/soak/src/main/java/spanrill/soak/ServerFleet.java
@@ -1,6 +1,5 @@
 package spanrill.soak;
 
-import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -18,6 +17,22 @@
 
     private static final int CELL_COUNT = 2;
 
+    /** Share of the servers that vanish together. */
+    private static final double VANISHING_SHARE = 0.21;
+
+    private static final int MIN_VANISHING = 2;
+    /** Distance between the slots of servers that vanish together. */
+    private static final int GROUP_STRIDE = 3;
+
+    /** Time from the silence of a server until discovery publishes that it is gone, ms. */
+    private static final double MIN_SILENT_NOTICE_MS = 2200;
+
+    private static final double MAX_SILENT_NOTICE_MS = 6000;
+    /** Time from the start of a server until discovery publishes it, ms. */
+    private static final double MIN_START_NOTICE_MS = 350;
+
+    private static final double MAX_START_NOTICE_MS = 1600;
+
     private final Trial trial;
     private final EventLoop loop;
     private final EventLog log;
@@ -31,8 +46,10 @@
     private static final class Slot {
         private final int index;
         private final List<Integer> ports = new ArrayList<>();
-        private final List<Channel> listeners = new ArrayList<>();
+        private final List<FaultyListener> listeners = new ArrayList<>();
         private FakeServer server;
+        /** True from the time at which the machine vanishes until discovery has published that it is back. */
+        private boolean vanished;
         /** True if discovery has published the current server. */
         private boolean published;
 
@@ -64,9 +81,9 @@
             slot.server = startServer(slot);
             for (int node = 0; node < trial.nodes(); node++) {
                 int nodeIndex = node;
-                Channel channel = Sockets.listen(loop, 0, () -> slot.server.newConnection(nodeIndex));
-                slot.listeners.add(channel);
-                slot.ports.add(Sockets.localPort(channel));
+                FaultyListener listener = FaultyListener.open(loop, timers, () -> slot.server.newConnection(nodeIndex));
+                slot.listeners.add(listener);
+                slot.ports.add(listener.port());
             }
         }
         slots.forEach(slot -> slot.published = true);
@@ -89,10 +106,14 @@
     void injectFault(Fault fault) {
         Slot slot = slots.get(fault.target() % slots.size());
         FakeServer server = slot.server;
+        if (slot.vanished) {
+            return;
+        }
         switch (fault.kind()) {
+            case SERVER_GROUP_VANISHES -> vanishTogether(fault);
             case SERVER_HANGS -> {
                 server.setMode(FakeServer.Mode.HANGS);
-                timers.schedule(fault.lengthMs(), () -> server.setMode(FakeServer.Mode.SERVES));
+                timers.schedule(fault.lengthMs(), () -> serveAgain(slot, server));
             }
             case SERVER_SILENT -> {
                 server.setMode(FakeServer.Mode.SILENT);
@@ -105,8 +126,53 @@
         }
     }
 
+    /** Several machines vanish at once; one event of discovery says that they are gone, and a later one that they are back. */
+    private void vanishTogether(Fault fault) {
+        List<Slot> group = new ArrayList<>();
+        int size = Math.max(MIN_VANISHING, (int) Math.round(slots.size() * VANISHING_SHARE));
+        for (int i = 0; i < size; i++) {
+            Slot slot = slots.get((fault.target() + i * GROUP_STRIDE) % slots.size());
+            if (slot.published && !slot.vanished && slot.server.isServing()) {
+                group.add(slot);
+            }
+        }
+        for (Slot slot : group) {
+            slot.vanished = true;
+            slot.server.vanish();
+            slot.listeners.forEach(listener -> listener.setMode(FaultyListener.Mode.UNREACHABLE));
+        }
+        double noticeMs = random.nextDouble(MIN_SILENT_NOTICE_MS, MAX_SILENT_NOTICE_MS);
+        if (noticeMs < fault.lengthMs()) {
+            timers.schedule(noticeMs, () -> publish(group, ServerState.GONE, 0));
+        }
+        timers.schedule(fault.lengthMs(), () -> startAgain(group));
+    }
+
+    private void startAgain(List<Slot> group) {
+        long startedAtMs = System.currentTimeMillis();
+        for (Slot slot : group) {
+            slot.server.startAgain();
+            slot.listeners.forEach(listener -> listener.setMode(FaultyListener.Mode.ACCEPTS));
+        }
+        timers.schedule(random.nextDouble(MIN_START_NOTICE_MS, MAX_START_NOTICE_MS), () -> {
+            publish(group, ServerState.SERVING, startedAtMs);
+            group.forEach(slot -> slot.vanished = false);
+        });
+    }
+
+    private void publish(List<Slot> group, ServerState state, long startedAtMs) {
+        discovery.publish(
+                group.stream().map(slot -> entry(slot, state, startedAtMs)).toList());
+    }
+
+    private void serveAgain(Slot slot, FakeServer server) {
+        if (!slot.vanished) {
+            server.setMode(FakeServer.Mode.SERVES);
+        }
+    }
+
     private void recover(Slot slot, FakeServer server) {
-        if (slot.server == server) {
+        if (slot.server == server && !slot.vanished) {
             server.resetConnections();
             server.setMode(FakeServer.Mode.SERVES);
         }
@@ -134,7 +200,7 @@
         FakeServer draining = slot.server;
         discovery.publish(List.of(entry(slot, ServerState.DRAINING, 0)));
         timers.schedule(drainDurationMs, () -> {
-            if (slot.server == draining) {
+            if (slot.server == draining && !slot.vanished) {
                 replace(slot);
             }
         });
@@ -142,7 +208,7 @@
 
     void stop() {
         slots.forEach(slot -> {
-            slot.listeners.forEach(Channel::close);
+            slot.listeners.forEach(listener -> listener.setMode(FaultyListener.Mode.STOPPED));
             slot.server.resetConnections();
         });
     }
--- a/soak/src/main/java/spanrill/soak/Sockets.java
+++ b/soak/src/main/java/spanrill/soak/Sockets.java
@@ -11,10 +11,15 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Supplier;
 
 /** Opens connections and listeners on loopback addresses; all run on the event loop of the peers. */
@@ -27,6 +32,9 @@
     private static final int FIRST_NODE_HOST = 10;
 
     private static final int BACKLOG = 256;
+    /** A backlog of 1 holds two connections; the others keep it full while the kernel retransmits their SYNs. */
+    private static final int FULL_BACKLOG_CONNECTIONS = 4;
+
     private static final int CONNECT_TIMEOUT_MS = 1000;
 
     private Sockets() {}
@@ -80,6 +88,37 @@
         }
     }
 
+    /**
+     * Occupies a port so that connections to it are not established: the accept queue is full, so the kernel drops
+     * further SYNs. Closing the result ends this.
+     *
+     * @throws IOException when the port is still in use
+     */
+    static Closeable listenWithFullBacklog(int port) throws IOException {
+        ServerSocketChannel listener = ServerSocketChannel.open();
+        List<Closeable> opened = new ArrayList<>(List.of(listener));
+        Closeable all = () -> {
+            for (Closeable socket : opened) {
+                socket.close();
+            }
+        };
+        try {
+            InetSocketAddress address = new InetSocketAddress(LOOPBACK, port);
+            listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            listener.bind(address, 1);
+            for (int i = 0; i < FULL_BACKLOG_CONNECTIONS; i++) {
+                java.nio.channels.SocketChannel filler = java.nio.channels.SocketChannel.open();
+                opened.add(filler);
+                filler.configureBlocking(false);
+                filler.connect(address);
+            }
+            return all;
+        } catch (IOException e) {
+            all.close();
+            throw e;
+        }
+    }
+
     /** Closes a connection with a TCP reset. */
     static void reset(Channel channel) {
         if (channel.isOpen()) {
--- a/soak/src/main/java/spanrill/soak/TrialGenerator.java
+++ b/soak/src/main/java/spanrill/soak/TrialGenerator.java
@@ -14,6 +14,10 @@
     private static final double[] DEADLINES_MS = {200, 400, 1019, 1500, 3500, 6000};
     private static final double MIN_LOAD_DURATION_MS = 7000;
     private static final double MAX_LOAD_DURATION_MS = 11_000;
+    private static final double MIN_LONG_LOAD_DURATION_MS = 16_000;
+    private static final double MAX_LONG_LOAD_DURATION_MS = 20_000;
+    private static final double MIN_PAUSE_MS = 150;
+    private static final double MAX_PAUSE_MS = 1950;
     private static final double MIN_FIRST_FAULT_MS = 800;
     private static final int[] PLACES_PER_SERVER = {40, 120, 500};
     private static final double MIN_REQUESTS_PER_SECOND = 60;
@@ -47,7 +51,13 @@
         nodeCount = uniformInt(2, 3);
         serverCount = uniformInt(4, 7);
         loadDurationMs = uniform(MIN_LOAD_DURATION_MS, MAX_LOAD_DURATION_MS);
+        if (kind == TrialKind.LOST_SERVERS) {
+            serverCount = uniformInt(8, 14);
+            loadDurationMs = uniform(MIN_LONG_LOAD_DURATION_MS, MAX_LONG_LOAD_DURATION_MS);
+        }
         List<ClassPlan> classes = classes();
+        boolean withPauses = kind == TrialKind.PAUSES;
+        boolean withLostServers = kind == TrialKind.LOST_SERVERS || kind == TrialKind.MIXED;
         boolean withSignals = kind == TrialKind.SIGNALS || kind == TrialKind.MIXED;
         boolean withDiscovery = kind == TrialKind.DISCOVERY || kind == TrialKind.MIXED;
         boolean withClients = kind == TrialKind.CLIENTS || kind == TrialKind.MIXED;
@@ -64,7 +74,14 @@
         if (withNetwork || withSignals) {
             addServerFaults();
         }
-        addPauses();
+        if (withLostServers) {
+            addLostServers();
+        }
+        if (withPauses) {
+            addLongPauses(classes);
+        } else {
+            addPauses();
+        }
         faults.sort(Comparator.comparingDouble(Fault::atMs));
         return new Trial(
                 seed,
@@ -78,13 +95,14 @@
                 uniform(MIN_SERVER_IDLE_MS, MAX_SERVER_IDLE_MS),
                 PLACES_PER_SERVER[random.nextInt(PLACES_PER_SERVER.length)],
                 clientHabits(withClients),
-                serverHabits(withNetwork),
+                serverHabits(withNetwork || withPauses),
                 List.copyOf(faults));
     }
 
     private List<ClassPlan> classes() {
         List<ClassPlan> classes = new ArrayList<>();
-        double longestMs = DEADLINES_MS[random.nextInt(DEADLINES_MS.length)];
+        int first = kind == TrialKind.PAUSES ? DEADLINES_MS.length / 2 : 0;
+        double longestMs = DEADLINES_MS[random.nextInt(first, DEADLINES_MS.length)];
         int count = uniformInt(2, 3);
         for (int i = 0; i < count; i++) {
             double deadlineMs = i == 0 ? longestMs : Math.max(200, longestMs * uniform(0.5, 1.0));
@@ -156,6 +174,68 @@
         }
     }
 
+    /**
+     * Adds groups of servers that vanish and return, with faults of discovery that begin near the event which says that
+     * the group is gone, and drains and replacements of other servers.
+     */
+    private void addLostServers() {
+        double atMs = uniform(MIN_FIRST_FAULT_MS, 2500);
+        double silentMs = uniform(3000, 13_000);
+        faults.add(new Fault(atMs, FaultKind.SERVER_GROUP_VANISHES, random.nextInt(serverCount), silentMs));
+        FaultKind[] discoveryFaults = {
+            FaultKind.DISCOVERY_SLOW,
+            FaultKind.DISCOVERY_UNREACHABLE,
+            FaultKind.DISCOVERY_MUTE,
+            FaultKind.DISCOVERY_CUT,
+            FaultKind.NODE_RECONFIGURED
+        };
+        for (int node = 0; node < nodeCount; node++) {
+            int choice = random.nextInt(2 * discoveryFaults.length);
+            if (choice < discoveryFaults.length) {
+                faults.add(new Fault(atMs + uniform(-500, 5000), discoveryFaults[choice], node, uniform(1000, 12_000)));
+            } else if (choice < discoveryFaults.length + 3) {
+                // Long enough that a node which never gets an answer is seen.
+                faults.add(
+                        new Fault(atMs + uniform(-500, 1500), FaultKind.DISCOVERY_SLOW, node, uniform(8000, 14_000)));
+            }
+        }
+        for (double leaveMs = uniform(500, 1500); leaveMs < loadDurationMs; leaveMs += uniform(800, 2500)) {
+            FaultKind faultKind = random.nextInt(3) == 0 ? FaultKind.SERVER_REPLACED : FaultKind.SERVER_DRAINED;
+            // Long enough that a node which never learns of the drain is seen 6 s later.
+            faults.add(new Fault(leaveMs, faultKind, random.nextInt(serverCount), uniform(1000, 12_000)));
+        }
+    }
+
+    /**
+     * Adds pauses of up to 2 s, after which an answer is still due in time, with servers that drain during them, fall
+     * silent or are replaced, and a few signals.
+     */
+    private void addLongPauses(List<ClassPlan> classes) {
+        double shortestMs =
+                classes.stream().mapToDouble(ClassPlan::deadlineMs).min().orElseThrow();
+        double longestPauseMs = Math.min(MAX_PAUSE_MS, shortestMs);
+        for (double atMs = uniform(500, 1500); atMs < loadDurationMs; atMs += uniform(700, 2200)) {
+            int node = random.nextInt(nodeCount);
+            double pauseMs = uniform(MIN_PAUSE_MS, longestPauseMs);
+            faults.add(new Fault(atMs, FaultKind.NODE_PAUSED, node, pauseMs));
+            if (random.nextInt(3) > 0) {
+                FaultKind faultKind =
+                        switch (random.nextInt(6)) {
+                            case 0 -> FaultKind.SERVER_REPLACED;
+                            case 1 -> FaultKind.SERVER_SILENT;
+                            case 2 -> FaultKind.SERVER_RESETS;
+                            default -> FaultKind.SERVER_DRAINED;
+                        };
+                faults.add(new Fault(
+                        atMs + uniform(-100, pauseMs), faultKind, random.nextInt(serverCount), uniform(600, 2500)));
+            }
+            if (random.nextInt(5) == 0) {
+                FaultKind signal = random.nextInt(3) == 0 ? FaultKind.NODE_TERMINATED : FaultKind.NODE_RECONFIGURED;
+                faults.add(new Fault(atMs + uniform(-300, 0), signal, random.nextInt(nodeCount), uniform(50, 600)));
+            }
+        }
+    }
+
     private void addClientFaults() {
         for (double atMs = uniform(300, 800); atMs < loadDurationMs - 3500; atMs += uniform(200, 700)) {
             faults.add(new Fault(atMs, FaultKind.BAD_CLIENT, random.nextInt(BadClient.Scenario.values().length), 0));
@@ -176,7 +256,7 @@
                 uniform(0.4, 1.0),
                 scale * uniform(0, 0.4),
                 uniform(0.02, 0.2),
-                uniform(0, 0.1));
+                kind == TrialKind.PAUSES ? 0 : uniform(0, 0.1));
     }
 
     private ServerHabits serverHabits(boolean frequent) {
--- a/soak/src/main/java/spanrill/soak/TrialKind.java
+++ b/soak/src/main/java/spanrill/soak/TrialKind.java
@@ -10,6 +10,10 @@
     CLIENTS,
     /** Servers that reset connections, hang, disappear and send malformed answers. */
     NETWORK,
+    /** Servers that vanish together and return, while discovery is slow, unreachable or moves. */
+    LOST_SERVERS,
+    /** Nodes that stand still for up to 2 s while servers drain, are replaced or never answer. */
+    PAUSES,
     /** Faults of all other kinds. */
     MIXED
 }
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -175,7 +175,12 @@
             case NODE_KILLED -> killNode(node, fault.lengthMs());
             case NODE_RECONFIGURED -> reconfigureNode(node);
             case NODE_PAUSED -> pauseFor(node, fault.lengthMs());
-            case DISCOVERY_CUT, DISCOVERY_FROZEN, DISCOVERY_DOWN, DISCOVERY_MUTE -> discovery.injectFault(fault);
+            case DISCOVERY_CUT,
+                    DISCOVERY_FROZEN,
+                    DISCOVERY_DOWN,
+                    DISCOVERY_MUTE,
+                    DISCOVERY_SLOW,
+                    DISCOVERY_UNREACHABLE -> discovery.injectFault(fault);
             case CLIENT_CROWD -> openCrowd(node, fault.lengthMs());
             case BAD_CLIENT -> {
                 NodeProcess targetNode = nodes.get((int) (fault.atMs()) % nodes.size());
