--- a/soak/src/main/java/spanrill/soak/EventKind.java
+++ b/soak/src/main/java/spanrill/soak/EventKind.java
@@ -53,6 +53,10 @@
     NODE_EXIT,
     /** SIGHUP was sent. */
     NODE_HUP,
+    /** SIGSTOP is sent. */
+    NODE_STOPPED,
+    /** SIGCONT is sent. */
+    NODE_CONTINUED,
     /** Discovery published a change of a server; the code is the ordinal of its state. */
     DISCOVERY_EVENT,
     /** A bad client finished; the code is 1 when it was refused or closed in time, or no response was due. */
--- a/soak/src/main/java/spanrill/soak/ProtocolChecker.java
+++ b/soak/src/main/java/spanrill/soak/ProtocolChecker.java
@@ -31,6 +31,7 @@
     private final List<ProcessLifetime> lifetimes;
     private final Map<Long, RequestTrace> requests;
     private final Map<Integer, SoakEvent> closedByNode = new HashMap<>();
+    private final NodePauses pauses;
     private final List<Violation> violations = new ArrayList<>();
 
     /** Creates a checker of a trial's events, which are in order of time. */
@@ -39,6 +40,7 @@
         this.events = events;
         lifetimes = ProcessLifetime.of(events);
         requests = RequestTrace.of(events);
+        pauses = new NodePauses(events);
         for (SoakEvent event : events) {
             if (event.kind() == EventKind.NODE_CLOSED) {
                 closedByNode.put(event.connection(), event);
@@ -111,9 +113,10 @@
         if (firstReply == null || request.clientGoneMs() <= firstReply.atMs()) {
             return;
         }
-        double elapsedMs = firstReply.atMs()
-                - request.sent().get(request.sent().size() - 1).atMs();
-        if (elapsedMs > request.sent().get(0).code() + LOST_AFTER_MS + TOLERANCE_MS) {
+        SoakEvent lastSent = request.sent().get(request.sent().size() - 1);
+        double elapsedMs = firstReply.atMs() - lastSent.atMs();
+        double dueMs = lastSent.atMs() + request.sent().get(0).code() + LOST_AFTER_MS + TOLERANCE_MS;
+        if (firstReply.atMs() > pauses.extendDue(firstReply.node(), dueMs)) {
             addViolation(
                     Rule.LOST,
                     firstReply.atMs(),
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -296,9 +296,10 @@
         loop.schedule(() -> setPaused(node, false), (long) durationMs, TimeUnit.MILLISECONDS);
     }
 
-    private static void setPaused(NodeProcess node, boolean paused) {
+    private void setPaused(NodeProcess node, boolean paused) {
         try {
             if (node.isAlive()) {
+                log.add(paused ? EventKind.NODE_STOPPED : EventKind.NODE_CONTINUED, node.index(), "", 0);
                 node.setPaused(paused);
             }
         } catch (IOException e) {
