--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import spanrill.Control;
 import spanrill.SessionControl.ListKind;
@@ -58,7 +57,7 @@
     private volatile Channel listening;
     private final List<ServerListUpdate> updatesBeforeStart = new ArrayList<>();
     private boolean moduleStarted;
-    private ScheduledFuture<?> shutdownTimer;
+    private PeriodicTask shutdownTimer;
 
     private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable startUpTask) {
         this.config = config;
@@ -245,7 +244,7 @@
             case DRAIN ->
                 nextIteration.execute(() -> drain(stopRequestedAt + shutdown.answerDeadlineMs(), NO_ACCEPTED_COUNT));
             case END -> {
-                shutdownTimer.cancel(false);
+                shutdownTimer.cancel();
                 log.info(
                         "shutdown.end",
                         "afterMs",
