Node: a request read after a pause gets the time that its viewer has left

Cause: the time that a message may have waited was judged from a timer of the loop that runs before the sockets are read, so after a pause the wait came out as 0.

decisions.PauseMonitor measures pauses for the whole node and remembers the last one for 50 ms. It assumes that what is read then came at the pause's beginning, and uses 400 of the 500 ms for which an answer is late but not lost. A request without time left is refused with cause 42, as it was never sent on; it was failed with 41 and charged as abuse. node.pause in the log says how long.

--- a/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
+++ b/decisions/src/test/java/spanrill/decisions/NodeDecisionsTest.java
@@ -155,18 +155,6 @@
         assertEquals(Reason.FAILED, policy.callDue(2070), "soon after an update that was applied");
     }
 
-    /** A process throttled by its CPU share reads late, while the viewer's patience already runs. */
-    @Test
-    void receiveDelayIsTheTimeSinceTheLastIterationBeyondTheNormalInterval() {
-        ReceiveDelayEstimator estimator = new ReceiveDelayEstimator(20);
-        assertEquals(0, estimator.estimateMs(50), "no iteration recorded");
-        estimator.onLoopIteration(100);
-        assertEquals(0, estimator.estimateMs(115));
-        assertEquals(80, estimator.estimateMs(200));
-        estimator.onLoopIteration(201);
-        assertEquals(0, estimator.estimateMs(202));
-    }
-
     @Test
     void connectionsWithoutUsefulInputAreEvictedFirstAndBusyOnesNever() {
         ConnectionEviction.Candidate waiting =
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -19,6 +19,7 @@
 import spanrill.decisions.FailureDetector;
 import spanrill.decisions.FileDescriptorBudget;
 import spanrill.decisions.GracefulShutdown;
+import spanrill.decisions.PauseMonitor;
 import spanrill.loop.Clock;
 import spanrill.loop.EventLoopScheduler;
 import spanrill.loop.NextIterationExecutor;
@@ -38,8 +39,10 @@
  */
 public final class FrontNode implements AutoCloseable {
     private static final long SHUTDOWN_CHECK_INTERVAL_MS = 20;
+    private static final long PAUSE_CHECK_INTERVAL_MS = 20;
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 5;
     private static final long NO_ACCEPTED_COUNT = -1;
+    private static final double MIN_LOGGED_PAUSE_MS = 100;
     private static final long COUNTERS_LOG_INTERVAL_MS = 10_000;
     // Caps max_streams of the settings: one unreadable answer fails every set-up that is open on its connection.
     private static final int MAX_SET_UPS_PER_CONNECTION = 32;
@@ -57,6 +60,7 @@
     private volatile Channel listening;
     private final List<ServerListUpdate> updatesBeforeStart = new ArrayList<>();
     private boolean moduleStarted;
+    private final PauseMonitor pauses = new PauseMonitor(PAUSE_CHECK_INTERVAL_MS);
     private PeriodicTask shutdownTimer;
 
     private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable startUpTask) {
@@ -67,6 +71,7 @@
         viewers = new ClientListener(
                 loop,
                 new ConnectionBudget(descriptorBudget.maxViewerConnections()),
+                pauses,
                 config.retryAfterAllowed(),
                 log,
                 trace);
@@ -82,6 +87,7 @@
                 actions -> new Control(config.settings(), config.seed(), actions));
         discovery = new DiscoveryClient(
                 loop, log, config.discovery(), config.lastKnownUpdate(), config.seed(), this::onServerListUpdate);
+        loop.scheduleWithFixedDelay(this::checkPause, 0, PAUSE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.submit(discovery::start).syncUninterruptibly();
         startUpTask.run();
         Promise<Void> caughtUp = loop.newPromise();
@@ -144,6 +150,13 @@
         return new FrontNode(config, log, trace, startUpTask);
     }
 
+    private void checkPause() {
+        double pauseMs = pauses.onCheck(Clock.monotonicMs());
+        if (pauseMs >= MIN_LOGGED_PAUSE_MS) {
+            log.info("node.pause", "ms", Math.round(pauseMs), "open", host.openRequests());
+        }
+    }
+
     private void checkCaughtUp(Promise<Void> caughtUp) {
         if (discovery.caughtUp()) {
             caughtUp.setSuccess(null);
--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -210,10 +210,11 @@
                     Cause.TEMPORARY_FAILURE,
                     "the viewer released the session before its set-up was read");
         }
-        double remainingMs = setUp.waitMs() - listener.receiveDelayMs();
+        double remainingMs = listener.remainingMs(setUp.waitMs());
         if (remainingMs < 1) {
-            // The viewer has given the request up by now.
-            return rejectSetUp(setUp.session(), Cause.TEMPORARY_FAILURE, "the viewer's wait time has expired");
+            // The viewer may have given the request up while it waited in the socket; it was never forwarded.
+            listener.traceRejected(this, setUp.session(), "the viewer's wait time has expired");
+            return writeRelease(setUp.session(), Cause.CONGESTION, 0);
         }
         openRequests.add(setUp.session());
         host.setUp(setUp, this, remainingMs);
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -10,12 +10,11 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import spanrill.decisions.ClientConnectionState.Phase;
 import spanrill.decisions.CloseReason;
 import spanrill.decisions.ConnectionBudget;
 import spanrill.decisions.ConnectionEviction;
-import spanrill.decisions.ReceiveDelayEstimator;
+import spanrill.decisions.PauseMonitor;
 import spanrill.decisions.ReleaseRoutes;
 import spanrill.loop.Clock;
 import spanrill.loop.NextIterationExecutor;
@@ -30,7 +29,6 @@
 public final class ClientListener {
     private static final int ACCEPT_BACKLOG = 1024;
     private static final long TICK_INTERVAL_MS = 100;
-    private static final long LOOP_CHECK_INTERVAL_MS = 20;
     /** Closing connections do not count against the budget; their descriptors come from a reserve of the process. */
     private static final int MAX_CLOSING = 12;
 
@@ -39,7 +37,7 @@
     private final EventLoop loop;
     private final NextIterationExecutor nextIteration;
     private final ConnectionBudget budget;
-    private final ReceiveDelayEstimator receiveDelay = new ReceiveDelayEstimator(LOOP_CHECK_INTERVAL_MS);
+    private final PauseMonitor pauses;
     private final EventSink log;
     private final EventSink trace;
     private final boolean retryAfterAllowed;
@@ -59,11 +57,18 @@
      * Creates a listener that does not accept connections yet.
      *
      * @param budget limits the number of open connections
+     * @param pauses measures the pauses of the loop
      * @param retryAfterAllowed true when a refusal may tell the viewer when to retry
      */
     public ClientListener(
-            EventLoop loop, ConnectionBudget budget, boolean retryAfterAllowed, EventSink log, EventSink trace) {
+            EventLoop loop,
+            ConnectionBudget budget,
+            PauseMonitor pauses,
+            boolean retryAfterAllowed,
+            EventSink log,
+            EventSink trace) {
         this.loop = loop;
+        this.pauses = pauses;
         nextIteration = new NextIterationExecutor(loop);
         this.budget = budget;
         this.retryAfterAllowed = retryAfterAllowed;
@@ -74,13 +79,7 @@
     /** Starts to accept connections; the future completes when the address is bound, or fails. */
     public ChannelFuture bind(EventLoopGroup group, InetSocketAddress address, SessionHost sessionHost) {
         host = sessionHost;
-        // Runs after an iteration that reads, so that a connection with unread input does not count as idle.
-        PeriodicTask.start(loop, TICK_INTERVAL_MS, log, "clients", () -> nextIteration.execute(this::onTick));
-        loop.scheduleWithFixedDelay(
-                () -> receiveDelay.onLoopIteration(Clock.monotonicMs()),
-                0,
-                LOOP_CHECK_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
+        PeriodicTask.start(loop, TICK_INTERVAL_MS, log, "clients", this::onTick);
         return TcpListener.bind(group, address, ACCEPT_BACKLOG, WRITE_BUFFER_LIMITS, this::accept);
     }
 
@@ -162,9 +161,13 @@
         }
     }
 
-    /** Returns an estimate of how long the message being read has waited in the socket, ms. */
-    double receiveDelayMs() {
-        return receiveDelay.estimateMs(Clock.monotonicMs());
+    /**
+     * Returns the time that is left for a request that is being read, ms; below 1 when none is.
+     *
+     * @param waitMs how long its viewer waits from when it sent the request, ms
+     */
+    double remainingMs(double waitMs) {
+        return pauses.remainingMs(waitMs, Clock.monotonicMs());
     }
 
     /** Returns the number of connections accepted so far, including those closed at once for lack of budget. */
