Shutdown: a pause at SIGTERM or as the drain falls due is taken into account

Causes: the time until SIGKILL was counted from when the signal was handled, not from the beginning of the pause in which it may have been sent; and the step after DRAIN could end the process before the drain, which waits for input to be read, had taken place.

GracefulShutdown begins with the pause that PauseMonitor measured, and leaves 100 ms for answers at least; it does not end before the drain was carried out, except 50 ms before the kill.

--- a/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
+++ b/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
@@ -47,11 +47,25 @@
     private static final double END_MARGIN_MS = 50;
 
     private final double killMs;
+    private final double signalWaitMs;
+    private boolean drainRequested;
     private boolean draining;
 
-    /** Creates the plan for the longest deadline of all classes, ms. */
-    public GracefulShutdown(double longestDeadlineMs) {
+    /**
+     * Creates a plan.
+     *
+     * @param longestDeadlineMs the longest deadline of all classes, ms
+     * @param maxSignalWaitMs longest time for which the signal may have waited because this process paused, ms
+     */
+    public GracefulShutdown(double longestDeadlineMs, double maxSignalWaitMs) {
         killMs = Math.min(MAX_DEADLINE_MS, longestDeadlineMs) + KILL_DELAY_MS;
+        // The process still runs, so the signal was not sent so long ago that no time is left for answers.
+        signalWaitMs = Math.min(maxSignalWaitMs, answerDeadlineMs() - DRAIN_MARGIN_MS);
+    }
+
+    /** Time for which the signal is assumed to have waited, ms: the plan begins that long before it was handled. */
+    public double signalWaitMs() {
+        return signalWaitMs;
     }
 
     /** Time of the last answers, ms since the stop signal: no attempt and no request may take longer. */
@@ -59,15 +73,23 @@
         return killMs - ANSWER_MARGIN_MS;
     }
 
+    /** Records that the connections drain: requests that have arrived are read, and no further connection is accepted. */
+    public void onDraining() {
+        draining = true;
+    }
+
     /** The next action, {@code sinceMs} after the stop signal. */
     public Step nextStep(double sinceMs, View view) {
-        if (!draining) {
-            draining = sinceMs >= Math.min(SERVE_MS, answerDeadlineMs() - DRAIN_MARGIN_MS);
-            return draining ? Step.DRAIN : Step.SERVE;
+        if (!drainRequested) {
+            drainRequested = sinceMs >= Math.min(SERVE_MS, answerDeadlineMs() - DRAIN_MARGIN_MS);
+            return drainRequested ? Step.DRAIN : Step.SERVE;
         }
         if (sinceMs >= killMs - END_MARGIN_MS) {
             return Step.END;
         }
+        if (!draining) {
+            return Step.AWAIT;
+        }
         boolean pastAnswerDeadline = sinceMs >= answerDeadlineMs();
         if (view.clientsFinished() && (pastAnswerDeadline || view.pendingServerReleases() == 0)) {
             return Step.END;
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -235,9 +235,11 @@
             if (shutdownTimer != null) {
                 return;
             }
-            double stopRequestedAt = scheduler.now();
-            GracefulShutdown shutdown = new GracefulShutdown(config.maxDeadlineMs());
-            host.answerWithin(shutdown.answerDeadlineMs());
+            // The signal may have been sent at the beginning of a pause, and SIGKILL follows its sending.
+            GracefulShutdown shutdown =
+                    new GracefulShutdown(config.maxDeadlineMs(), pauses.maxWaitMs(Clock.monotonicMs()));
+            double stopRequestedAt = scheduler.now() - shutdown.signalWaitMs();
+            host.answerWithin(shutdown.answerDeadlineMs() - shutdown.signalWaitMs());
             shutdownTimer = PeriodicTask.start(
                     loop, SHUTDOWN_CHECK_INTERVAL_MS, log, "shutdown", () -> stop(shutdown, stopRequestedAt, done));
         });
@@ -255,7 +257,8 @@
             // Input that has arrived is read before the connections drain, so that no request is left unread when its
             // connection closes.
             case DRAIN ->
-                nextIteration.execute(() -> drain(stopRequestedAt + shutdown.answerDeadlineMs(), NO_ACCEPTED_COUNT));
+                nextIteration.execute(
+                        () -> drain(shutdown, stopRequestedAt + shutdown.answerDeadlineMs(), NO_ACCEPTED_COUNT));
             case END -> {
                 shutdownTimer.cancel();
                 log.info(
@@ -276,17 +279,18 @@
      * Closes the listener and drains all connections once a loop iteration has accepted no new connection, or at the
      * answer deadline. Closing the listener earlier would reset connections that wait to be accepted.
      */
-    private void drain(double answerDeadline, long previouslyAccepted) {
+    private void drain(GracefulShutdown shutdown, double answerDeadline, long previouslyAccepted) {
         long accepted = viewers.accepted();
         if (accepted != previouslyAccepted && scheduler.now() < answerDeadline) {
-            nextIteration.execute(() -> drain(answerDeadline, accepted));
+            nextIteration.execute(() -> drain(shutdown, answerDeadline, accepted));
             return;
         }
         log.info("shutdown.drain", "connections", viewers.size(), "open", host.openRequests());
         if (listening != null) {
             listening.close();
         }
-        viewers.shutDown(answerDeadline - scheduler.now());
+        viewers.shutDown(Math.max(0, answerDeadline - scheduler.now()));
+        shutdown.onDraining();
     }
 
     /** Returns the address on which the node accepts client connections. */
--- a/node/src/test/java/spanrill/node/PauseTest.java
+++ b/node/src/test/java/spanrill/node/PauseTest.java
@@ -21,6 +21,8 @@
     private static final long WAIT_MS = 1500;
     /** Silence of the list after which the node asks again, and more, ms. */
     private static final long LONG_PAUSE_MS = 2500;
+    /** Time from SIGTERM to SIGKILL with the deadlines of the test's classes, ms. */
+    private static final long KILL_MS = 2200;
     /** Time after the viewer's time until which an answer is late but not lost, ms. */
     private static final long LOST_AFTER_MS = 500;
 
@@ -55,6 +57,23 @@
         assertEquals(0, setUpsAt(firstServer) + setUpsAt(secondServer));
     }
 
+    /** Guards against SIGKILL finding requests unanswered because SIGTERM came at the beginning of a pause (issue 54). */
+    @Test
+    void stopRequestedInAPauseAnswersBeforeTheKill() throws Exception {
+        onSetUpAtBoth((connection, message) -> {});
+        TestConnection viewer = connectViewer();
+        sendPatientSetUp(viewer, "paid");
+        assertNotNull(awaitSetUpAtServers());
+        pauseLoopBeforeItsTimers(PAUSE_MS);
+        long stoppedNs = System.nanoTime();
+        CountDownLatch done = new CountDownLatch(1);
+        node.stop(done::countDown);
+        assertNotNull(awaitAnswer(viewer, PAUSE_MS + TIMEOUT_MS));
+        assertTrue(done.await(TIMEOUT_MS, TimeUnit.MILLISECONDS));
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - stoppedNs);
+        assertTrue(elapsedMs <= KILL_MS, "ended after " + elapsedMs + " ms");
+    }
+
     /** Guards against set-ups placed by the list as it was before the pause (review/3). */
     @Test
     void setUpReadAfterAPauseIsNotSentToAServerThatDrainsSinceThen() throws Exception {
