Node: each set-up waits for its own round of reading before it is sent

Cause: set-ups leave after one more iteration that reads, but one timer served the whole queue: a set-up read in that very iteration left with the earlier ones, while the close behind it was unread. Each attempt now has its own.

--- a/node/src/main/java/spanrill/node/server/ConnectionPools.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -127,24 +127,13 @@
      */
     @Override
     public void setUp(Attempt attempt) {
-        if (unsent.isEmpty()) {
-            nextIteration.execute(this::sendQueuedSetUps);
-        }
         unsent.add(attempt);
-    }
-
-    /** Sends the set-ups that were queued before this iteration of the event loop. */
-    private void sendQueuedSetUps() {
-        for (Attempt attempt : List.copyOf(unsent)) {
-            // When the outcome of one attempt is reported, the host may give up another, which leaves the queue.
+        // Each attempt waits for its own iteration: input behind a set-up is not read in that of an earlier one.
+        nextIteration.execute(() -> {
             if (unsent.remove(attempt)) {
                 send(attempt);
             }
-        }
-        if (!unsent.isEmpty()) {
-            // An outcome reported above has added an attempt, which waits for the next iteration as well.
-            nextIteration.execute(this::sendQueuedSetUps);
-        }
+        });
     }
 
     private void send(Attempt attempt) {
--- a/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
+++ b/node/src/test/java/spanrill/node/AcceptedRequestsTest.java
@@ -161,6 +161,7 @@
     void unreadRequestIsRefusedWhenTheLastAnswerFallsDue() throws Exception {
         onSetUpAtBoth((connection, message) -> {});
         BlockingLog log = new BlockingLog("discovery.malformed");
+        log.arm();
         NodeConfig config =
                 createConfig(discovery.port(), firstServer.listEntry("SERVING"), secondServer.listEntry("SERVING"));
         discovery.awaitRequest(TIMEOUT_MS);
@@ -173,7 +174,7 @@
         long lastAnsweredId = sendSetUp(client, "paid");
         assertNull(client.awaitMessage(1050), "the request stays open until 0.2 s before the kill");
         stream.write("id: 2\ndata: nonsense\n\n");
-        log.awaitBlocked();
+        assertTrue(log.awaitBlocked(TIMEOUT_MS));
         long unreadId = sendSetUp(client, "free");
         assertNull(client.awaitMessage(150));
         log.release();
@@ -186,40 +187,6 @@
         assertEquals(Map.of(unreadId, 42, lastAnsweredId, 41), causes);
     }
 
-    /** Blocks the thread that logs a given event until the test releases it. */
-    private static final class BlockingLog implements EventSink {
-        private final String event;
-        private final CountDownLatch blocked = new CountDownLatch(1);
-        private final CountDownLatch released = new CountDownLatch(1);
-
-        BlockingLog(String event) {
-            this.event = event;
-        }
-
-        void awaitBlocked() throws InterruptedException {
-            assertTrue(blocked.await(TIMEOUT_MS, TimeUnit.MILLISECONDS));
-        }
-
-        void release() {
-            released.countDown();
-        }
-
-        @Override
-        public void info(String loggedEvent, Object... fields) {
-            if (loggedEvent.equals(event)) {
-                blocked.countDown();
-                try {
-                    released.await();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }
-        }
-
-        @Override
-        public void error(String loggedEvent, Throwable cause, Object... fields) {}
-    }
-
     /**
      * Guards against requests lost when the process ends: clients use another front only once their connection has
      * ended.
--- a/node/src/test/java/spanrill/node/EventRaceTest.java
+++ b/node/src/test/java/spanrill/node/EventRaceTest.java
@@ -72,6 +72,33 @@
 
     // ---- clients that leave
 
+    /** Guards against a set-up sent together with those read one iteration earlier, before its viewer's close is read. */
+    @Test
+    void setUpIsNotSentWithEarlierOnesWhileCloseIsUnreadBehindIt() throws Exception {
+        BlockingLog trace = new BlockingLog("request");
+        NodeConfig config =
+                createConfig(discovery.port(), firstServer.listEntry("SERVING"), secondServer.listEntry("SERVING"));
+        discovery.awaitRequest(TIMEOUT_MS);
+        node.close();
+        node = FrontNode.start(config, EventSink.none(), trace);
+        openConnectionsToBoth();
+        TestConnection earlier = connectViewer();
+        TestConnection leaving = connectViewer();
+        awaitLoopIterations();
+        trace.arm();
+        long earlierId = sendSetUp(earlier, "free");
+        assertTrue(trace.awaitBlocked(TIMEOUT_MS));
+        long abandonedId = sendSetUp(leaving, "free");
+        leaving.close();
+        trace.release();
+        assertEquals(earlierId, awaitAnswer(earlier, TIMEOUT_MS).session());
+        awaitLoopIterations();
+        for (ScriptedServer server : List.of(firstServer, secondServer)) {
+            assertFalse(server.received.stream()
+                    .anyMatch(received -> received.message().session() == abandonedId));
+        }
+    }
+
     @Test
     void setUpIsNotAttemptedWhenCloseIsUnreadBehindIt() throws Exception {
         openConnectionsToBoth();
