Reload: two SIGHUPs close together no longer leave the previous address of discovery

Each signal runs on a thread of its own, so of two reloads the one that read the older file could apply it last; the node would then ask an address that tells nothing for good. Reloads now run one after the other.

--- a/node/src/main/java/spanrill/node/Main.java
+++ b/node/src/main/java/spanrill/node/Main.java
@@ -26,7 +26,8 @@
         LineLog log = new LineLog(System.out);
         AtomicReference<FrontNode> runningNode = new AtomicReference<>();
         AtomicBoolean reloadRequested = new AtomicBoolean();
-        installSignalHandlers(runningNode, reloadRequested, file, log);
+        ConfigReloader reloader = new ConfigReloader(file, () -> NodeConfig.read(Path.of(file)), log);
+        installSignalHandlers(runningNode, reloadRequested, reloader, log);
         try {
             NodeConfig config = NodeConfig.read(Path.of(file));
             FrontNode node = FrontNode.prepare(config, log, Trace.open(config.name()), () -> warmUp(config, log));
@@ -41,7 +42,7 @@
         }
         log.info("node.serving", "listen", runningNode.get().address());
         if (reloadRequested.get()) {
-            reload(runningNode.get(), file, log);
+            reloader.reload(runningNode.get()::reconfigure);
         }
         if (args.length == 1 && args[0].equals("once")) {
             // The build makes the class-data archive with this argument; the node shuts down as after SIGTERM.
@@ -52,11 +53,14 @@
 
     /** Replaces the handlers of the runtime before anything else runs, since its SIGHUP handler ends the process. */
     private static void installSignalHandlers(
-            AtomicReference<FrontNode> runningNode, AtomicBoolean reloadRequested, String file, LineLog log) {
+            AtomicReference<FrontNode> runningNode,
+            AtomicBoolean reloadRequested,
+            ConfigReloader reloader,
+            LineLog log) {
         Runnable reloadAction = () -> {
             reloadRequested.set(true);
             if (runningNode.get() != null) {
-                reload(runningNode.get(), file, log);
+                reloader.reload(runningNode.get()::reconfigure);
             }
         };
         if (!Signals.handle("HUP", reloadAction)) {
@@ -85,13 +89,4 @@
         int sessions = WarmUp.run(config, MAX_WARM_UP_SESSIONS, MAX_WARM_UP_MS);
         log.info("node.warm", "sessions", sessions, "ms", (System.nanoTime() - startedNs) / 1_000_000);
     }
-
-    private static void reload(FrontNode node, String file, LineLog log) {
-        try {
-            node.reconfigure(NodeConfig.read(Path.of(file)));
-            log.info("config.loaded", "file", file);
-        } catch (InvalidFieldException | IOException e) {
-            log.error("config.unusable", null, "file", file, "reason", e.getMessage());
-        }
-    }
 }
