Node: a client connection that has ended does not leave the budget a second time

Callers could be accepted beyond the descriptor budget, or a connection's end was half processed.

Cause: when a write fails in a task, Netty ends the channel at once and tells the handler later; a drain that was waiting for its round of reading went on in between and took the connection out of the budget again.

--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -83,7 +83,7 @@
         return TcpListener.bind(group, address, ACCEPT_BACKLOG, WRITE_BUFFER_LIMITS, this::accept);
     }
 
-    private void accept(SocketChannel channel) {
+    void accept(SocketChannel channel) {
         accepted++;
         if (!budget.tryOpen() && !(evictConnection() && budget.tryOpen())) {
             channel.close();
@@ -113,9 +113,12 @@
         nextIteration.execute(action);
     }
 
-    /** Removes a connection from the budget: its output is being shut down, or it is evicted. */
+    /**
+     * Removes a connection from the budget: its output is being shut down, or it is evicted. One whose channel is closed has
+     * left the budget already.
+     */
     void onClosing(ClientConnection connection) {
-        if (closing.add(connection)) {
+        if (connections.contains(connection) && closing.add(connection)) {
             budget.onClosed();
         }
         if (closing.size() > MAX_CLOSING && Double.isNaN(answerDeadline)) {
--- a/soak/src/main/java/spanrill/soak/TrialGenerator.java
+++ b/soak/src/main/java/spanrill/soak/TrialGenerator.java
@@ -31,6 +31,8 @@
     private int nodeCount;
     private int serverCount;
     private double loadDurationMs;
+    /** True if nodes pause for so long that requests need enough time left to be answered after it. */
+    private boolean withLongPauses;
 
     private TrialGenerator(long seed, TrialKind kind) {
         random = new SplittableRandom(seed);
@@ -48,6 +50,7 @@
     }
 
     private Trial build(long seed) {
+        withLongPauses = kind == TrialKind.PAUSES || (kind == TrialKind.LOST_SERVERS && random.nextInt(3) == 0);
         nodeCount = uniformInt(2, 3);
         serverCount = uniformInt(4, 7);
         loadDurationMs = uniform(MIN_LOAD_DURATION_MS, MAX_LOAD_DURATION_MS);
@@ -56,7 +59,6 @@
             loadDurationMs = uniform(MIN_LONG_LOAD_DURATION_MS, MAX_LONG_LOAD_DURATION_MS);
         }
         List<ClassPlan> classes = classes();
-        boolean withPauses = kind == TrialKind.PAUSES;
         boolean withLostServers = kind == TrialKind.LOST_SERVERS || kind == TrialKind.MIXED;
         boolean withSignals = kind == TrialKind.SIGNALS || kind == TrialKind.MIXED;
         boolean withDiscovery = kind == TrialKind.DISCOVERY || kind == TrialKind.MIXED;
@@ -77,7 +79,7 @@
         if (withLostServers) {
             addLostServers();
         }
-        if (withPauses) {
+        if (withLongPauses) {
             addLongPauses(classes);
         } else {
             addPauses();
@@ -95,13 +97,13 @@
                 uniform(MIN_SERVER_IDLE_MS, MAX_SERVER_IDLE_MS),
                 PLACES_PER_SERVER[random.nextInt(PLACES_PER_SERVER.length)],
                 clientHabits(withClients),
-                serverHabits(withNetwork || withPauses),
+                serverHabits(withNetwork || withLongPauses),
                 List.copyOf(faults));
     }
 
     private List<ClassPlan> classes() {
         List<ClassPlan> classes = new ArrayList<>();
-        int first = kind == TrialKind.PAUSES ? DEADLINES_MS.length / 2 : 0;
+        int first = withLongPauses ? DEADLINES_MS.length / 2 : 0;
         double longestMs = DEADLINES_MS[random.nextInt(first, DEADLINES_MS.length)];
         int count = uniformInt(2, 3);
         for (int i = 0; i < count; i++) {
@@ -256,7 +258,7 @@
                 uniform(0.4, 1.0),
                 scale * uniform(0, 0.4),
                 uniform(0.02, 0.2),
-                kind == TrialKind.PAUSES ? 0 : uniform(0, 0.1));
+                withLongPauses ? 0 : uniform(0, 0.1));
     }
 
     private ServerHabits serverHabits(boolean frequent) {
