Node: a lost server is probed again when its queue took one more connection

Callers heard of the end of their sessions only after the server's silence was noticed (over 2.2 s).

Cause: after a connection ended, a new one shows whether the server is alive, at most one per connect time-out. A process that dies may accept that one too and reset it; no further one was tried, as only a refusal was remembered. In the test the closed listener stays open until its accepting thread wakes. A connection that was due and throttled is now remembered.

--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -56,6 +56,8 @@
     private boolean addressReplaced;
     private double nextOpenAt;
     private boolean lastConnectRefused;
+    /** True when a connection ended and no other could be opened at once: the server may have died. */
+    private boolean reconnectPending;
 
     ConnectionPool(
             String id,
@@ -296,6 +298,7 @@
         if (retainedConnections() < 2 && !addressReplaced && now >= nextOpenAt && budget.open() < budget.limit()) {
             nextOpenAt = now + limits.connectMs();
             openConnection();
+            reconnectPending = false;
         }
     }
 
@@ -355,6 +358,7 @@
             if (establishedSessions > 0 && !connection.isRetired()) {
                 // The server closed it or it broke: a new connection shows whether the server is alive.
                 ensureConnection();
+                reconnectPending = retainedConnections() < 2;
             }
         }
     }
@@ -399,7 +403,7 @@
             ensureConnection();
             return;
         }
-        if (lastConnectRefused) {
+        if (lastConnectRefused || reconnectPending) {
             // Another refusal, after an interval without any data, distinguishes a dead server from one whose accept
             // queue was full.
             ensureConnection();
--- a/node/src/test/java/spanrill/node/FrontNodeTest.java
+++ b/node/src/test/java/spanrill/node/FrontNodeTest.java
@@ -202,10 +202,25 @@
      */
     @Test
     void deadServerIsDetectedThoughOneConnectionStaysOpen() throws Exception {
-        // The set-ups are concurrent, so a server that gets two of them has two connections.
+        TestConnection viewer = connectViewer();
+        serverWithSeveralConnections(viewer).crashLeavingOneConnectionOpen();
+        assertEquals(41, viewer.awaitMessage(1800).cause());
+    }
+
+    /** Guards against a dead server being noticed by its silence only, when its queue took one more connection. */
+    @Test
+    void deadServerIsDetectedThoughItAcceptedOneMoreConnection() throws Exception {
+        TestConnection viewer = connectViewer();
+        serverWithSeveralConnections(viewer).crashWhileOneMoreConnectionIsAccepted();
+        Message end = viewer.awaitMessage(1800);
+        assertNotNull(end);
+        assertEquals(41, end.cause());
+    }
+
+    /** Establishes sessions by concurrent set-ups, and returns a server that got several of them. */
+    private ScriptedServer serverWithSeveralConnections(TestConnection viewer) throws Exception {
         List<ScriptedServer.ReceivedMessage> received = new java.util.concurrent.CopyOnWriteArrayList<>();
         onSetUpAtBoth((connection, message) -> received.add(new ScriptedServer.ReceivedMessage(connection, message)));
-        TestConnection viewer = connectViewer();
         for (int i = 0; i < 8; i++) {
             sendSetUp(viewer, "paid");
         }
@@ -217,10 +232,9 @@
         for (int i = 0; i < 8; i++) {
             awaitAnswer(viewer, TIMEOUT_MS);
         }
-        ScriptedServer dying = firstServer.connectionCount() > 1 ? firstServer : secondServer;
-        assertTrue(dying.connectionCount() > 1);
-        dying.crashLeavingOneConnectionOpen();
-        assertEquals(41, viewer.awaitMessage(1800).cause());
+        ScriptedServer several = firstServer.connectionCount() > 1 ? firstServer : secondServer;
+        assertTrue(several.connectionCount() > 1);
+        return several;
     }
 
     // ---- Shutdown
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -24,6 +24,7 @@
     private final ServerSocket listener;
     private final List<TestConnection> connections = new CopyOnWriteArrayList<>();
     private final RequestRuleChecker judge;
+    private volatile boolean crashing;
     private volatile BiConsumer<TestConnection, Message> onSetUp = this::sendAnswer;
 
     ScriptedServer(String id, RequestRuleChecker judge) throws IOException {
@@ -39,6 +40,12 @@
         try {
             while (true) {
                 Socket socket = listener.accept();
+                if (crashing) {
+                    socket.setSoLinger(true, 0);
+                    socket.close();
+                    listener.close();
+                    return;
+                }
                 socket.setTcpNoDelay(true);
                 connections.add(new TestConnection(socket, this::onMessage));
             }
@@ -92,6 +99,15 @@
         connections.subList(1, connections.size()).forEach(TestConnection::reset);
     }
 
+    /**
+     * Resets all connections but the first, and the next one that is opened: a dying process accepts for a moment longer.
+     * Connections after that are refused.
+     */
+    void crashWhileOneMoreConnectionIsAccepted() {
+        crashing = true;
+        connections.subList(1, connections.size()).forEach(TestConnection::reset);
+    }
+
     /** Closes all connections in order, as a server does with idle ones, and goes on listening. */
     void closeConnections() {
         connections.forEach(TestConnection::close);
