Soak tests: slow discovery, silent machines and pauses as its judge sees them

Four planted event logs: a drain during slow discovery counts 6 s after the change, bytes at a silent machine count until the list names it again, an answer due while its node is stopped is due 100 ms after it continues, an earlier pause is no excuse.

--- a/soak/src/test/java/spanrill/soak/ProtocolCheckerTest.java
+++ b/soak/src/test/java/spanrill/soak/ProtocolCheckerTest.java
@@ -177,6 +177,44 @@
         assertEquals(List.of(Rule.DRAIN), brokenRules());
     }
 
+    @Test
+    void slowDiscoveryExtendsTheDrainGraceBySixSecondsFromTheChange() {
+        addEvent(900, EventKind.FAULT, FaultKind.DISCOVERY_SLOW.name(), 0, 0, 9000);
+        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0, ServerState.DRAINING.ordinal()));
+        addAnsweredRequest(7200, 1, repeatableClass);
+        addAnsweredRequest(7400, 2, repeatableClass);
+        assertEquals(List.of(Rule.DRAIN), brokenRules());
+    }
+
+    @Test
+    void setUpsThatReachASilentMachineCountUntilItIsListedAgain() {
+        events.add(new SoakEvent(1000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0, ServerState.GONE.ordinal()));
+        addEvent(1400, EventKind.SERVER_BYTES, "s-1", 1, 0, 0);
+        events.add(new SoakEvent(2000, EventKind.DISCOVERY_EVENT, -1, "s-1", 0, 0, ServerState.SERVING.ordinal()));
+        addAnsweredRequest(2100, 2, repeatableClass);
+        assertEquals(List.of(Rule.DRAIN), brokenRules());
+    }
+
+    @Test
+    void answerThatFallsDueWhileTheNodeIsStoppedIsDueOnceItContinues() {
+        addEvent(1000, EventKind.CLIENT_SENT, repeatableClass, 1, 1, DEADLINE_MS);
+        addEvent(1000, EventKind.CLIENT_SENT, repeatableClass, 2, 1, DEADLINE_MS);
+        addEvent(2000, EventKind.NODE_STOPPED, "", 0, 0, 0);
+        addEvent(3500, EventKind.NODE_CONTINUED, "", 0, 0, 0);
+        addEvent(3590, EventKind.CLIENT_RELEASED, "", 1, 1, 41);
+        addEvent(3610, EventKind.CLIENT_RELEASED, "", 2, 1, 41);
+        assertEquals(List.of(Rule.LOST), brokenRules());
+    }
+
+    @Test
+    void pauseThatEndsBeforeAnAnswerFallsDueIsNoExcuse() {
+        addEvent(1000, EventKind.CLIENT_SENT, repeatableClass, 1, 1, DEADLINE_MS);
+        addEvent(1000, EventKind.NODE_STOPPED, "", 0, 0, 0);
+        addEvent(2400, EventKind.NODE_CONTINUED, "", 0, 0, 0);
+        addEvent(2600, EventKind.CLIENT_RELEASED, "", 1, 1, 41);
+        assertEquals(List.of(Rule.LOST), brokenRules());
+    }
+
     @Test
     void missingReleasesAreReported() {
         addAnsweredRequest(1000, 1, repeatableClass);
