Node: a pause counts until its input was read, and longer for a signal

The pause now counts until eight rounds of reading are over and for 50 ms after, for a signal for 250 ms after. The soak logs a node as continued once kill has ended; it was up to tens of ms early.

PauseMonitorTest.pauseCountsUntilItsInputIsReadHoweverLongThatTakes.

--- a/decisions/src/main/java/spanrill/decisions/PauseMonitor.java
+++ b/decisions/src/main/java/spanrill/decisions/PauseMonitor.java
@@ -10,8 +10,10 @@
 public final class PauseMonitor {
     /** Shorter gaps are normal operation of a busy loop, ms. */
     private static final double MIN_PAUSE_MS = 50;
-    /** Time after a pause within which the loop has read everything that arrived during it, ms. */
+    /** Time for which input counts as having waited once the loop has read what was there, ms: it may take further rounds. */
     private static final double READ_MS = 50;
+    /** Time after that within which a signal sent during the pause is handled, ms: the runtime starts a thread for it. */
+    private static final double SIGNAL_MS = 250;
     /** Delays up to this are subtracted in full, ms; longer ones may be much longer than the message's wait. */
     private static final double FULL_DELAY_MS = 100;
     /** An answer up to 500 ms after the viewer's time is late but not lost; this leaves 100 ms to write it, ms. */
@@ -21,6 +23,8 @@
     private double lastCheckAt = Double.NaN;
     private double lastPauseEndAt = Double.NEGATIVE_INFINITY;
     private double lastPauseMs;
+    private double inputReadAt = Double.NEGATIVE_INFINITY;
+    private boolean inputPending;
     /** Time for which input may have waited at the end of the last pause, ms. */
     private double inputWaitMs;
 
@@ -45,13 +49,29 @@
         inputWaitMs = pauseMs + (followsAPause ? lastPauseMs : 0);
         lastPauseMs = pauseMs;
         lastPauseEndAt = now;
+        inputPending = true;
         return pauseMs;
     }
 
+    /** Records that the loop has read what had arrived at the end of the last pause. */
+    public void onInputRead(double now) {
+        inputPending = false;
+        inputReadAt = now;
+    }
+
     /** Longest time for which input that is read at {@code now} may have waited, ms. */
     public double maxWaitMs(double now) {
-        boolean justPaused = now - lastPauseEndAt < READ_MS;
-        return gapMs(now) + (justPaused ? inputWaitMs : 0);
+        return waitMs(now, READ_MS);
+    }
+
+    /** Longest time for which a signal that is handled at {@code now} may have waited, ms. */
+    public double maxSignalWaitMs(double now) {
+        return waitMs(now, SIGNAL_MS);
+    }
+
+    private double waitMs(double now, double afterReadMs) {
+        boolean ofThePause = inputPending || now - inputReadAt < afterReadMs;
+        return gapMs(now) + (ofThePause ? inputWaitMs : 0);
     }
 
     /**
--- a/decisions/src/test/java/spanrill/decisions/PauseMonitorTest.java
+++ b/decisions/src/test/java/spanrill/decisions/PauseMonitorTest.java
@@ -40,9 +40,40 @@
         assertEquals(1000, monitor.onCheck(1020));
         assertEquals(1000, monitor.maxWaitMs(1021));
         assertEquals(2400, monitor.remainingMs(3000, 1021));
+        monitor.onInputRead(1022);
+        assertEquals(2400, monitor.remainingMs(3000, 1030));
         monitor.onCheck(1041);
         monitor.onCheck(1062);
-        assertEquals(3000, monitor.remainingMs(3000, 1071), "everything that came in the pause was read");
+        assertEquals(3000, monitor.remainingMs(3000, 1073), "everything that came in the pause was read");
+    }
+
+    /** Guards against requests that a busy node reads late after a pause getting their whole time (issue 54). */
+    @Test
+    void pauseCountsUntilItsInputIsReadHoweverLongThatTakes() {
+        monitor.onCheck(0);
+        monitor.onCheck(1020);
+        for (double now = 1040; now <= 1400; now += 20) {
+            monitor.onCheck(now);
+            assertEquals(2400, monitor.remainingMs(3000, now));
+        }
+        monitor.onInputRead(1401);
+        monitor.onCheck(1420);
+        monitor.onCheck(1440);
+        monitor.onCheck(1460);
+        assertEquals(3000, monitor.remainingMs(3000, 1460));
+    }
+
+    /** Guards against a stop that takes a signal for new which came in a pause and was handled after its input. */
+    @Test
+    void signalMayHaveWaitedLongerThanInput() {
+        monitor.onCheck(0);
+        monitor.onCheck(1020);
+        monitor.onInputRead(1025);
+        for (double now = 1040; now <= 1300; now += 20) {
+            monitor.onCheck(now);
+        }
+        assertEquals(1000, monitor.maxSignalWaitMs(1270) - monitor.maxWaitMs(1270));
+        assertEquals(0, monitor.maxSignalWaitMs(1300));
     }
 
     /** Guards against input of the first of two pauses counting from the second, when nothing was read in between. */
@@ -54,8 +85,12 @@
         assertEquals(1020, monitor.maxWaitMs(1060));
         monitor.onCheck(1080);
         assertEquals(1020, monitor.maxWaitMs(1081));
-        monitor.onCheck(1111);
-        assertEquals(0, monitor.maxWaitMs(1112));
+        monitor.onInputRead(1082);
+        monitor.onCheck(1100);
+        monitor.onCheck(1120);
+        assertEquals(1020, monitor.maxWaitMs(1120));
+        monitor.onCheck(1140);
+        assertEquals(0, monitor.maxWaitMs(1140));
     }
 
     @Test
--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -43,6 +43,8 @@
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 5;
     private static final long NO_ACCEPTED_COUNT = -1;
     private static final double MIN_LOGGED_PAUSE_MS = 100;
+    // The loop accepts and reads a limited number of connections and buffers in one iteration.
+    private static final int READS_AFTER_PAUSE = 8;
     private static final long COUNTERS_LOG_INTERVAL_MS = 10_000;
     // Caps max_streams of the settings: one unreadable answer fails every set-up that is open on its connection.
     private static final int MAX_SET_UPS_PER_CONNECTION = 32;
@@ -61,6 +63,7 @@
     private final List<ServerListUpdate> updatesBeforeStart = new ArrayList<>();
     private boolean moduleStarted;
     private final PauseMonitor pauses = new PauseMonitor(PAUSE_CHECK_INTERVAL_MS);
+    private int readsAfterPause;
     private PeriodicTask shutdownTimer;
 
     private FrontNode(NodeConfig config, EventSink log, EventSink trace, Runnable startUpTask) {
@@ -152,11 +155,28 @@
 
     private void checkPause() {
         double pauseMs = pauses.onCheck(Clock.monotonicMs());
+        if (pauseMs == 0) {
+            return;
+        }
+        boolean reading = readsAfterPause > 0;
+        readsAfterPause = READS_AFTER_PAUSE;
+        if (!reading) {
+            nextIteration.execute(this::onReadAfterPause);
+        }
         if (pauseMs >= MIN_LOGGED_PAUSE_MS) {
             log.info("node.pause", "ms", Math.round(pauseMs), "open", host.openRequests());
         }
     }
 
+    private void onReadAfterPause() {
+        readsAfterPause--;
+        if (readsAfterPause > 0) {
+            nextIteration.execute(this::onReadAfterPause);
+        } else {
+            pauses.onInputRead(Clock.monotonicMs());
+        }
+    }
+
     private void checkCaughtUp(Promise<Void> caughtUp) {
         if (discovery.caughtUp()) {
             caughtUp.setSuccess(null);
@@ -237,7 +257,7 @@
             }
             // The signal may have been sent at the beginning of a pause, and SIGKILL follows its sending.
             GracefulShutdown shutdown =
-                    new GracefulShutdown(config.maxDeadlineMs(), pauses.maxWaitMs(Clock.monotonicMs()));
+                    new GracefulShutdown(config.maxDeadlineMs(), pauses.maxSignalWaitMs(Clock.monotonicMs()));
             double stopRequestedAt = scheduler.now() - shutdown.signalWaitMs();
             host.answerWithin(shutdown.answerDeadlineMs() - shutdown.signalWaitMs());
             shutdownTimer = PeriodicTask.start(
--- a/soak/src/main/java/spanrill/soak/EventKind.java
+++ b/soak/src/main/java/spanrill/soak/EventKind.java
@@ -53,9 +53,9 @@
     NODE_EXIT,
     /** SIGHUP was sent. */
     NODE_HUP,
-    /** SIGSTOP is sent. */
+    /** SIGSTOP is about to be sent. */
     NODE_STOPPED,
-    /** SIGCONT is sent. */
+    /** SIGCONT was sent. */
     NODE_CONTINUED,
     /** Discovery published a change of a server; the code is the ordinal of its state. */
     DISCOVERY_EVENT,
--- a/soak/src/main/java/spanrill/soak/NodeProcess.java
+++ b/soak/src/main/java/spanrill/soak/NodeProcess.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 /** A node with its address, its current process and the phase of that process. */
@@ -99,11 +100,12 @@
                 .start();
     }
 
-    /** Sends SIGSTOP to pause the process, SIGCONT to resume it. */
-    void setPaused(boolean paused) throws IOException {
-        new ProcessBuilder("kill", paused ? "-STOP" : "-CONT", Long.toString(process.pid()))
+    /** Sends SIGSTOP to pause the process, SIGCONT to resume it; the result completes once the signal was sent. */
+    CompletableFuture<?> setPaused(boolean paused) throws IOException {
+        return new ProcessBuilder("kill", paused ? "-STOP" : "-CONT", Long.toString(process.pid()))
                 .inheritIO()
-                .start();
+                .start()
+                .onExit();
     }
 
     /** Waits 5 s for the process to exit, then kills it. */
--- a/soak/src/main/java/spanrill/soak/TrialRun.java
+++ b/soak/src/main/java/spanrill/soak/TrialRun.java
@@ -298,9 +298,15 @@
 
     private void setPaused(NodeProcess node, boolean paused) {
         try {
-            if (node.isAlive()) {
-                log.add(paused ? EventKind.NODE_STOPPED : EventKind.NODE_CONTINUED, node.index(), "", 0);
-                node.setPaused(paused);
+            if (!node.isAlive()) {
+                return;
+            }
+            if (paused) {
+                log.add(EventKind.NODE_STOPPED, node.index(), "", 0);
+                node.setPaused(true);
+            } else {
+                node.setPaused(false)
+                        .thenRun(() -> loop.execute(() -> log.add(EventKind.NODE_CONTINUED, node.index(), "", 0)));
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
