--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -117,7 +117,7 @@
                 address,
                 "after",
                 lastUpdate,
-                "why",
+                "reason",
                 reason,
                 "open",
                 subscriptions.size());
