--- a/node/src/test/java/spanrill/node/DiscoveryClientTest.java
+++ b/node/src/test/java/spanrill/node/DiscoveryClientTest.java
@@ -2,12 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -28,8 +26,6 @@
     private static final long TOLD_AFTER_FAILED_CALL_MS = 6000;
     /** Longer than the silence after which the client asks again. */
     private static final long PAUSE_MS = 2500;
-    /** Period of the client's check of its calls. */
-    private static final long TIMER_PERIOD_MS = 100;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Long> applied = new LinkedBlockingQueue<>();
@@ -97,9 +93,7 @@
         ScriptedDiscovery.StreamRequest request = discovery.awaitRequest(TIMEOUT_MS);
         request.sendEvent(2, TestConfig.event(2, false, TestConfig.member("s-1", 1, "DRAINING")));
         assertEquals(2L, applied.poll(TIMEOUT_MS, TimeUnit.MILLISECONDS));
-        CountDownLatch paused = new CountDownLatch(1);
-        pauseLoopBeforeItsTimers(paused);
-        paused.await();
+        LoopPause.start(group.next(), PAUSE_MS);
         request.sendEvent(3, TestConfig.event(3, false, TestConfig.member("s-1", 1, "DELETED")));
         assertEquals(
                 3L,
@@ -107,30 +101,6 @@
                 "read from the connection on which it had arrived");
     }
 
-    /** Pauses the loop for {@link #PAUSE_MS}; afterwards its timers that are due run before it reads any input. */
-    private void pauseLoopBeforeItsTimers(CountDownLatch paused) {
-        EventLoop loop = group.next();
-        loop.execute(() -> {
-            // Due before the client's timer, so that both run in the same round of timers.
-            loop.schedule(
-                    () -> {
-                        paused.countDown();
-                        sleep(PAUSE_MS);
-                    },
-                    0,
-                    TimeUnit.MILLISECONDS);
-            sleep(TIMER_PERIOD_MS + 50);
-        });
-    }
-
-    private static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private static String draining(long number) {
         String event = TestConfig.event(number, false, TestConfig.member("s-1", 1, "DRAINING"));
         return "id: " + number + "\ndata: " + event + "\n\n";
--- a/node/src/test/java/spanrill/node/PauseTest.java
+++ b/node/src/test/java/spanrill/node/PauseTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -26,9 +25,6 @@
     /** Time after the viewer's time until which an answer is late but not lost, ms. */
     private static final long LOST_AFTER_MS = 500;
 
-    /** Longest period of a timer of the node that judges by time, ms. */
-    private static final long TIMER_PERIOD_MS = 100;
-
     private static final Set<Integer> REFUSAL_CAUSES = Set.of(34, 42, 102);
 
     /** Guards against a request that gets its whole time again after a pause and is answered too late (issue 54). */
@@ -108,30 +104,8 @@
                 .with(Parameter.DESCRIPTION, "v=0".getBytes(StandardCharsets.UTF_8)));
     }
 
-    /** Pauses the loop; afterwards its timers that are due run before it reads any input. */
     private void pauseLoopBeforeItsTimers(long pauseMs) throws InterruptedException {
-        EventLoop loop = node.eventLoop();
         awaitLoopIterations();
-        CountDownLatch paused = new CountDownLatch(1);
-        loop.execute(() -> {
-            // Due before all timers of the node, so that they run in the same round.
-            loop.schedule(
-                    () -> {
-                        paused.countDown();
-                        sleep(pauseMs);
-                    },
-                    0,
-                    TimeUnit.MILLISECONDS);
-            sleep(TIMER_PERIOD_MS + 50);
-        });
-        assertTrue(paused.await(TIMEOUT_MS, TimeUnit.MILLISECONDS));
-    }
-
-    private static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
+        LoopPause.start(node.eventLoop(), pauseMs);
     }
 }
