--- a/decisions/src/main/java/spanrill/decisions/DiscoveryRetryPolicy.java
+++ b/decisions/src/main/java/spanrill/decisions/DiscoveryRetryPolicy.java
@@ -11,8 +11,8 @@
  * than its comments (one per second) allow. The protocol counts a missed update as delivered 2 s after a broken stream,
  * 4 s after a stalled one and 6 s after a failed call, so the delays stay well below these limits.
  *
- * <p>A new call does not end the earlier ones: the answer of a slow discovery may be under way, or updates may lie unread
- * in the socket because this process stood still. An earlier call ends once a later one has received data.
+ * <p>A new call does not end the earlier ones: the answer of a slow discovery may be under way, or updates may lie
+ * unread in the socket because this process stood still. An earlier call ends once a later one has received data.
  */
 public final class DiscoveryRetryPolicy {
     /** Why a call is made. */
--- a/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
+++ b/decisions/src/main/java/spanrill/decisions/GracefulShutdown.java
@@ -73,7 +73,9 @@
         return killMs - ANSWER_MARGIN_MS;
     }
 
-    /** Records that the connections drain: requests that have arrived are read, and no further connection is accepted. */
+    /**
+     * Records that the connections drain: requests that have arrived are read, and no further connection is accepted.
+     */
     public void onDraining() {
         draining = true;
     }
--- a/decisions/src/main/java/spanrill/decisions/PauseMonitor.java
+++ b/decisions/src/main/java/spanrill/decisions/PauseMonitor.java
@@ -1,18 +1,23 @@
 package spanrill.decisions;
 
 /**
- * Measures pauses of the process: times in which the event loop read nothing, because the process was stopped, its machine
- * stood still or its CPU share was used up. A viewer's patience counts from the sending of the set-up, and the time until
- * SIGKILL from the sending of SIGTERM, so both may have begun with the pause.
+ * Measures pauses of the process: times in which the event loop read nothing, because the process was stopped, its
+ * machine stood still or its CPU share was used up. A viewer's patience counts from the sending of the set-up, and
+ * the time until SIGKILL from the sending of SIGTERM, so both may have begun with the pause.
  *
  * <p>What is read right after a pause may have arrived at any time of it. The monitor assumes the earliest.
  */
 public final class PauseMonitor {
     /** Shorter gaps are normal operation of a busy loop, ms. */
     private static final double MIN_PAUSE_MS = 50;
-    /** Time for which input counts as having waited once the loop has read what was there, ms: it may take further rounds. */
+    /**
+     * Time for which input counts as having waited once the loop has read what was there, ms: it may take further
+     * rounds.
+     */
     private static final double READ_MS = 50;
-    /** Time after that within which a signal sent during the pause is handled, ms: the runtime starts a thread for it. */
+    /**
+     * Time after that within which a signal sent during the pause is handled, ms: the runtime starts a thread for it.
+     */
     private static final double SIGNAL_MS = 250;
     /** Delays up to this are subtracted in full, ms; longer ones may be much longer than the message's wait. */
     private static final double FULL_DELAY_MS = 100;
--- a/loop/src/main/java/spanrill/loop/EventLoopScheduler.java
+++ b/loop/src/main/java/spanrill/loop/EventLoopScheduler.java
@@ -6,9 +6,9 @@
 import spanrill.session.Scheduler;
 
 /**
- * Scheduler of a session core that runs on a Netty event loop. After a pause of the process the loop runs the timers that
- * are due before it reads its sockets. A timer that is late therefore runs only after input that has arrived was read:
- * the input may make the timer's action wrong or unnecessary.
+ * Scheduler of a session core that runs on a Netty event loop. After a pause of the process the loop runs the timers
+ * that are due before it reads its sockets. A timer that is late therefore runs only after input that has arrived was
+ * read: the input may make the timer's action wrong or unnecessary.
  */
 public final class EventLoopScheduler implements Scheduler {
     /** Lateness from which the loop counts as having paused, ms. */
--- a/loop/src/main/java/spanrill/loop/PeriodicTask.java
+++ b/loop/src/main/java/spanrill/loop/PeriodicTask.java
@@ -6,9 +6,9 @@
 import spanrill.session.EventSink;
 
 /**
- * An action that an event loop repeats at a fixed rate. Each run follows an iteration that reads the loop's input, so that
- * a check by time does not judge by what it knew before a pause. A fault in one run is logged and the next run takes
- * place all the same; Netty ends a periodic task silently at its first exception.
+ * An action that an event loop repeats at a fixed rate. Each run follows an iteration that reads the loop's input, so
+ * that a check by time does not judge by what it knew before a pause. A fault in one run is logged and the next run
+ * takes place all the same; Netty ends a periodic task silently at its first exception.
  */
 public final class PeriodicTask {
     private final EventSink log;
--- a/loop/src/test/java/spanrill/loop/LateTimersTest.java
+++ b/loop/src/test/java/spanrill/loop/LateTimersTest.java
@@ -63,7 +63,9 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
-    /** Guards against a time-out or retry that unread input makes wrong, such as an attempt for a viewer who has left. */
+    /**
+     * Guards against a time-out or retry that unread input makes wrong, such as an attempt for a viewer who has left.
+     */
     @Test
     void lateTimerOfTheSchedulerRunsAfterInputIsRead() throws Exception {
         EventLoopScheduler scheduler = new EventLoopScheduler(loop, new Clock());
@@ -95,8 +97,8 @@
     }
 
     /**
-     * Starts a timer and pauses the loop until it is overdue; input arrives during the pause, and after it the timers that
-     * are due run before the loop reads.
+     * Starts a timer and pauses the loop until it is overdue; input arrives during the pause, and after it the timers
+     * that are due run before the loop reads.
      */
     private void pauseWithTimer(Consumer<Runnable> startTimer) throws Exception {
         CountDownLatch paused = new CountDownLatch(1);
--- a/node/src/main/java/spanrill/node/ConfigReloader.java
+++ b/node/src/main/java/spanrill/node/ConfigReloader.java
@@ -7,8 +7,8 @@
 import spanrill.setup.InvalidFieldException;
 
 /**
- * Reads the configuration file again and applies it. The runtime handles each signal on a thread of its own; reloads run one
- * after the other, so that the file as it was read last is applied last.
+ * Reads the configuration file again and applies it. The runtime handles each signal on a thread of its own; reloads
+ * run one after the other, so that the file as it was read last is applied last.
  */
 final class ConfigReloader {
     /** Reads the configuration file. */
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -114,8 +114,8 @@
     }
 
     /**
-     * Removes a connection from the budget: its output is being shut down, or it is evicted. One whose channel is closed has
-     * left the budget already.
+     * Removes a connection from the budget: its output is being shut down, or it is evicted. One whose channel is
+     * closed has left the budget already.
      */
     void onClosing(ClientConnection connection) {
         if (connections.contains(connection) && closing.add(connection)) {
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -25,8 +25,8 @@
 import spanrill.wire.http.ResponseHead;
 
 /**
- * Subscribes to discovery, resuming after the last update that was applied. Several subscriptions may be open at a time;
- * {@link DiscoveryRetryPolicy} decides when one is opened and which are ended.
+ * Subscribes to discovery, resuming after the last update that was applied. Several subscriptions may be open at a
+ * time; {@link DiscoveryRetryPolicy} decides when one is opened and which are ended.
  */
 public final class DiscoveryClient {
     private static final String PATH = "/bulletins";
--- a/node/src/test/java/spanrill/node/EventRaceTest.java
+++ b/node/src/test/java/spanrill/node/EventRaceTest.java
@@ -72,7 +72,9 @@
 
     // ---- clients that leave
 
-    /** Guards against a set-up sent together with those read one iteration earlier, before its viewer's close is read. */
+    /**
+     * Guards against a set-up sent together with those read one iteration earlier, before its viewer's close is read.
+     */
     @Test
     void setUpIsNotSentWithEarlierOnesWhileCloseIsUnreadBehindIt() throws Exception {
         BlockingLog trace = new BlockingLog("request");
--- a/node/src/test/java/spanrill/node/PauseTest.java
+++ b/node/src/test/java/spanrill/node/PauseTest.java
@@ -53,7 +53,9 @@
         assertEquals(0, setUpsAt(firstServer) + setUpsAt(secondServer));
     }
 
-    /** Guards against SIGKILL finding requests unanswered because SIGTERM came at the beginning of a pause (issue 54). */
+    /**
+     * Guards against SIGKILL finding requests unanswered because SIGTERM came at the beginning of a pause (issue 54).
+     */
     @Test
     void stopRequestedInAPauseAnswersBeforeTheKill() throws Exception {
         onSetUpAtBoth((connection, message) -> {});
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Resets all connections but the first, and the next one that is opened: a dying process accepts for a moment longer.
-     * Connections after that are refused.
+     * Resets all connections but the first, and the next one that is opened: a dying process accepts for a moment
+     * longer. Connections after that are refused.
      */
     void crashWhileOneMoreConnectionIsAccepted() {
         crashing = true;
--- a/soak/src/main/java/spanrill/soak/NodePauses.java
+++ b/soak/src/main/java/spanrill/soak/NodePauses.java
@@ -26,8 +26,8 @@
     }
 
     /**
-     * Returns the time by which a node has to have acted that must act by {@code dueMs}: a process that is stopped at that
-     * time can act only once it is continued.
+     * Returns the time by which a node has to have acted that must act by {@code dueMs}: a process that is stopped at
+     * that time can act only once it is continued.
      */
     double extendDue(int node, double dueMs) {
         double extendedMs = dueMs;
--- a/soak/src/main/java/spanrill/soak/ProtocolChecker.java
+++ b/soak/src/main/java/spanrill/soak/ProtocolChecker.java
@@ -244,8 +244,8 @@
     }
 
     /**
-     * Returns true if a server was silent or had vanished during the trial. It receives no cancellation, so that a node cannot end an
-     * attempt there.
+     * Returns true if a server was silent or had vanished during the trial. It receives no cancellation, so that a
+     * node cannot end an attempt there.
      */
     private boolean anyServerWasSilent() {
         return events.stream()
--- a/soak/src/main/java/spanrill/soak/ServerFleet.java
+++ b/soak/src/main/java/spanrill/soak/ServerFleet.java
@@ -126,7 +126,10 @@
         }
     }
 
-    /** Several machines vanish at once; one event of discovery says that they are gone, and a later one that they are back. */
+    /**
+     * Several machines vanish at once; one event of discovery says that they are gone, and a later one that they are
+     * back.
+     */
     private void vanishTogether(Fault fault) {
         List<Slot> group = new ArrayList<>();
         int size = Math.max(MIN_VANISHING, (int) Math.round(slots.size() * VANISHING_SHARE));
