Soak: releases are judged beside pauses, on the node that is stopped alone

Read again: the judge left out every release within 3 s of a pause of over 0.2 s, of any node, and no trace had shown that this is allowed. Now a release that falls due while its own node is stopped is due 100 ms after it continues, as an answer is; all others keep their bound.

--- a/soak/src/main/java/spanrill/soak/ReleaseChecker.java
+++ b/soak/src/main/java/spanrill/soak/ReleaseChecker.java
@@ -14,19 +14,18 @@
     /** Time for which a server fault may still delay a release, ms. */
     private static final double FAULT_INFLUENCE_MS = 3000;
 
-    /** A node that stands still for longer than this may miss the deadline of a release, ms. */
-    private static final double LONG_PAUSE_MS = 200;
-
     private final List<SoakEvent> events;
     private final List<ProcessLifetime> lifetimes;
     private final Map<Long, RequestTrace> requests;
     private final Map<Integer, Double> connectionEnds = new HashMap<>();
+    private final NodePauses pauses;
     private final double endMs;
 
     ReleaseChecker(List<SoakEvent> events, List<ProcessLifetime> lifetimes, Map<Long, RequestTrace> requests) {
         this.events = events;
         this.lifetimes = lifetimes;
         this.requests = requests;
+        pauses = new NodePauses(events);
         endMs = events.get(events.size() - 1).atMs();
         for (SoakEvent event : events) {
             if (event.kind() == EventKind.NODE_CLOSED || event.kind() == EventKind.CLIENT_CLOSED) {
@@ -69,19 +68,14 @@
         boolean nodeKeepsRunning = lifetimes.stream()
                 .anyMatch(lifetime -> lifetime.node() == event.node()
                         && event.atMs() >= lifetime.readyAtMs()
-                        && event.atMs() + RELEASE_DEADLINE_MS
+                        && dueMs(event)
                                 < Math.min(lifetime.exitAtMs(), Math.min(lifetime.termAtMs(), lifetime.killAtMs())));
         boolean disturbed = events.stream()
                 .anyMatch(e -> e.kind() == EventKind.FAULT
-                        && mayDelayReleases(e)
+                        && e.peer().startsWith("SERVER_")
                         && e.atMs() + influenceMs(e) > event.atMs()
-                        && e.atMs() < event.atMs() + RELEASE_DEADLINE_MS);
-        return nodeKeepsRunning && !disturbed && event.atMs() + RELEASE_DEADLINE_MS < endMs;
-    }
-
-    private static boolean mayDelayReleases(SoakEvent fault) {
-        boolean longPause = fault.peer().equals(FaultKind.NODE_PAUSED.name()) && fault.code() > LONG_PAUSE_MS;
-        return longPause || fault.peer().startsWith("SERVER_");
+                        && e.atMs() < dueMs(event));
+        return nodeKeepsRunning && !disturbed && dueMs(event) < endMs;
     }
 
     /** Time for which a fault may delay releases: a server that has vanished takes none until it is back. */
@@ -90,8 +84,13 @@
         return FAULT_INFLUENCE_MS + (lasting ? fault.code() : 0);
     }
 
+    /** Returns when a release is due; a node that is stopped then can send it only once it is continued. */
+    private double dueMs(SoakEvent ended) {
+        return pauses.extendDue(ended.node(), ended.atMs() + RELEASE_DEADLINE_MS);
+    }
+
     private boolean clientNotified(RequestTrace request, SoakEvent ended) {
-        return clientNotified(request, ended.atMs(), RELEASE_DEADLINE_MS);
+        return clientNotified(request, ended.atMs(), dueMs(ended) - ended.atMs());
     }
 
     /** Returns true if the client was notified in time, had left or had lost its connection. */
@@ -152,6 +151,6 @@
                         && (e.kind() == EventKind.SERVER_TOLD_TO_END
                                 || e.kind() == EventKind.SERVER_ENDED
                                 || e.kind() == EventKind.SERVER_LOST)
-                        && e.atMs() <= cancelled.atMs() + RELEASE_DEADLINE_MS);
+                        && e.atMs() <= dueMs(cancelled));
     }
 }
--- a/soak/src/test/java/spanrill/soak/ProtocolCheckerTest.java
+++ b/soak/src/test/java/spanrill/soak/ProtocolCheckerTest.java
@@ -215,6 +215,20 @@
         assertEquals(List.of(Rule.LOST), brokenRules());
     }
 
+    @Test
+    void releaseThatFallsDueWhileTheNodeIsStoppedIsDueOnceItContinues() {
+        addAnsweredRequest(1000, 1, repeatableClass);
+        addAnsweredRequest(1000, 2, repeatableClass);
+        addEvent(2000, EventKind.FAULT, FaultKind.NODE_PAUSED.name(), 0, 0, 1500);
+        addEvent(2000, EventKind.NODE_STOPPED, "", 0, 0, 0);
+        addEvent(2200, EventKind.SERVER_ENDED, "s-1", 1, 0, 16);
+        addEvent(2200, EventKind.SERVER_ENDED, "s-1", 2, 0, 16);
+        addEvent(3500, EventKind.NODE_CONTINUED, "", 0, 0, 0);
+        addEvent(3590, EventKind.CLIENT_RELEASED, "", 1, 1, 16);
+        addEvent(3610, EventKind.CLIENT_RELEASED, "", 2, 1, 16);
+        assertEquals(List.of(Rule.RELEASE), brokenRules());
+    }
+
     @Test
     void missingReleasesAreReported() {
         addAnsweredRequest(1000, 1, repeatableClass);
