Review case 10: sessions of a silent server whose address was taken over are released late

Cause: a connection to the new process counts as a sign of life of the old server, and keeps its sessions from being reported lost though the bulletin has listed another server at the address. Change: a case with its script; the stand-in of a server can go silent. Nothing is fixed.

--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -186,6 +186,19 @@
             task.cancel()
         self.record(self.name, 'died')
 
+    def vanish(self):
+        """The machine is cut off: its connections stay open and say nothing, its sessions are over.
+
+        Whoever has its address from then on answers what comes on these connections with a reset, as any machine does.
+        """
+        self.alive = False
+        self.listener.close()
+        vanished = now_ms()
+        for session in self.standing:
+            self.ended[session] = (vanished, 'vanished')
+        self.standing.clear()
+        self.record(self.name, 'went silent')
+
     def write(self, writer, data):
         if self.alive and not writer.is_closing():
             writer.write(data)
@@ -210,8 +223,12 @@
             self.record(self.name, 'released again %016x' % session, 'cause', cause)
         self.unsent.clear()
         try:
-            while self.alive:
+            while True:
                 kind, session, parameters = await read_message(reader)
+                if not self.alive:
+                    self.record('a connection to', self.name, 'was reset: its address belongs to another machine')
+                    reset(writer)
+                    return
                 if kind == SET_UP:
                     self.arrived.append((now_ms(), session, parameters))
                     self.record(self.name, 'got set-up %016x' % session, parameters.get(TITLE, b'').decode())
