Review case 6: a paid set-up that crosses the end of its connection is set up twice

Cause: a withdrawn session is forgotten with its knowledge of being paid and possibly run, so the same id, sent again once on a new connection, is set up again. Change: a case with its script, in the first place; the cases committed before move to 7 (large list), 8 (address), 9 (hand-over, release) and 10 (hand-over, seats). Nothing is fixed.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A server is replaced by a new one at its address; the bulletin lists the new one before it calls the old one gone."""
+"""Six in ten servers of a large fleet are replaced within 7 s; the bulletin tells each change as an event of its own."""
 import asyncio
 import os
 import sys
@@ -7,78 +7,76 @@
 sys.path.insert(0, os.path.join(FOLDER, '..', 'stand2'))
 from stand import *  # noqa: E402,F403
 
-ADDED_S, GONE_S = 0.5, 3.0    # within add_s = [0.35, 1.6] and notice_s = [0.62, 3.2] of the site
+FLEET = int(os.environ.get('FLEET', '3200'))    # 3,200 at most
+REPLACED_S = 7.0
+SHARE = 0.6
+# Changes in an event. The page's own example holds one server; the operators may try more.
+GRAIN = int(os.environ.get('GRAIN', '1'))
+WAIT_MS = 1500    # the example of the page
 TITLES = ['7f3a9c21e0b4d6%02x' % i for i in range(8)]
 
 
+def listed(number, generation=0, phase='SERVING', since=0):
+    # No viewer of this case wants a title of these servers; nothing listens at their loopback addresses.
+    return {'id': 's-%08x' % (number + generation * 0x10000), 'locality': 'north', 'flavor': 'std',
+            'host_port': '127.%d.%d.%d:3868' % (20 + generation, number // 250, number % 250 + 1),
+            'cell': 2 + number // 8, 'phase': phase, 'size': 1, 'up_since_ms': since}
+
+
 async def play(record, nodes):
     bulletin = await Bulletin(record).start()
-    old = [await Server(record, 's-%d' % i, cell=i // 2, life_s=(3, 6)).start() for i in range(4)]
-    bulletin.publish([server.member() for server in old], complete=True)
-    node = Node(record, bulletin, settings(cells=2))
+    servers = [await Server(record, 's-%d' % i, cell=i // 3, life_s=(3, 6)).start() for i in range(6)]
+    others = FLEET - len(servers)
+    bulletin.publish([s.member() for s in servers] + [listed(i) for i in range(others)], complete=True)
+    node = Node(record, bulletin, settings(cells=3 + others // 8, family_info__racks=FLEET // 16), sockets=1024)
     nodes.append(node)
     await node.start()
     await asyncio.sleep(4)
     client = await Client(record, node).connect()
-
     stop = asyncio.Event()
 
     async def viewers():
         count = 0
         while not stop.is_set():
             count += 1
-            # Titles of cell 0, which s-0 and s-1 hold; every third request is for a title of cell 1.
-            home = 1 if count % 3 == 0 else 0
-            client.ask('highlight' if count % 4 else 'radio-replay', TITLES[count % 4 + 4 * home], home, 1)
+            client.ask('highlight' if count % 2 else 'radio-replay', TITLES[count % 8], count % 2, wait=WAIT_MS)
             await asyncio.sleep(0.1)
 
     asking = asyncio.ensure_future(viewers())
-    await asyncio.sleep(6)
-    told = None
-    new = None
+    await asyncio.sleep(5)
     if TROUBLE:
-        first = old[0]
-        port = first.port
-        first.die()
-        new = Server(record, 's-new', cell=1, life_s=(3, 6))
-        # A server answers 'error' to what it can't use: it holds titles of cell 1 only.
-        held = set(TITLES[4:])
-
-        def judge(session, parameters, writer):
-            if parameters[TITLE].decode() in held:
-                return False
-            new.write(writer, message(RELEASE, session, (CAUSE, b'\x2f'), (REPORT, new.report())))
-            record('s-new says error to %016x: it does not hold the title' % session)
-            return True
-
-        new.on_set_up = judge
-        await new.start(port)
-        started = now_ms()
-        record('s-new started at the address of s-0')
-        await asyncio.sleep(ADDED_S)
-        told = bulletin.publish([new.member(since=int(started))])
-        await asyncio.sleep(GONE_S - ADDED_S)
-        bulletin.publish([first.member(phase='DELETED')])
-        await asyncio.sleep(3)
+        began = now_ms()
+        replaced = int(SHARE * others)
+        record('the replacement of', replaced, 'servers begins')
+        changes = []
+        for i in range(replaced):
+            for change in (listed(i, 1, since=int(now_ms())), listed(i, phase='DELETED')):
+                changes.append(change)
+                if len(changes) >= GRAIN:
+                    bulletin.publish(changes)
+                    changes = []
+            await asyncio.sleep(max(0, (began + (i + 1) * REPLACED_S * 1000 / replaced - now_ms()) / 1000))
+        record.say('%d servers were replaced in %.1f s' % (replaced, (now_ms() - began) / 1000))
     else:
-        await asyncio.sleep(6)
+        await asyncio.sleep(REPLACED_S)
+    await asyncio.sleep(15)
     stop.set()
     await asking
-    await asyncio.sleep(3.2)
-    served = sum(1 for a in client.answers.values() if a[1] == 'served')
-    record.say('asked', len(client.asked), 'answered', len(client.answers), 'served', served)
-    wrong = []
-    if new is not None:
-        wrong = [(at, s) for at, s, p in new.arrived if p[TITLE].decode() in TITLES[:4]]
-        for at, session in wrong:
-            record.say('s-new got %016x, a title of cell 0 only, %.0f ms after it was listed' % (session, at - told))
-    else:
-        for server in old:
-            wrong += [(at, s) for at, s, p in server.arrived if (p[TITLE].decode() in TITLES[:4]) != (server.cell == 0)]
-    # 250 ms of the rule on drains and 50 ms of the rules on sockets.
-    late = [w for w in wrong if told is None or w[0] > told + 300]
-    record.say('set-ups at a server that the session may not go to, told 300 ms before:', len(late))
-    return bool(late)
+    await asyncio.sleep(10)
+    lost, slowest = 0, 0
+    for session, (asked, _, _, wait) in client.asked.items():
+        answer = client.answers.get(session)
+        took = (answer[0] if answer else now_ms()) - asked
+        slowest = max(slowest, took)
+        # Up to half a second after its time a request only earns nothing; 50 ms are the slack of the sockets.
+        if took > wait + 550:
+            lost += 1
+            record('lost: %016x' % session, 'answered %s after %.0f ms' % (answer[1], took) if answer else 'never answered')
+    words = [a[1] for a in client.answers.values()]
+    record.say('asked', len(client.asked), 'served', words.count('served'), 'refused', words.count('refused'),
+               'failed', words.count('failed'), 'slowest %.0f ms' % slowest)
+    record.say('requests without an answer %.2f s after they were sent:' % (WAIT_MS / 1000 + 0.55), lost)
+    return lost > 0
 
 
 run_case(FOLDER, play)
--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -150,6 +150,7 @@
         self.writers, self.standing, self.open = [], {}, {}
         self.arrived = []        # (time, session, parameters)
         self.ended = {}          # session -> (time, cause)
+        self.full = set()        # refused as full: these never ran
         self.unsent = {}         # releases that wait for the next connection
         self.on_set_up = None
         self.tasks = set()
@@ -266,6 +267,7 @@
             return
         self.open.pop(session)
         if len(self.standing) >= self.places:
+            self.full.add(session)
             self.record(self.name, 'is full for %016x' % session)
             self.write(writer, message(RELEASE, session, (CAUSE, b'\x22'), (REPORT, self.report())))
             return
@@ -312,6 +314,43 @@
                 self.note(session, 'tor', self.load * 0.8)
 
 
+class Network:
+    """One connection of viewers on its way to a front node; it can be reset on both sides."""
+
+    def __init__(self, node):
+        self.node, self.ends = node, []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.listen = '127.0.0.1:%d' % self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        host, port = self.node.listen.split(':')
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        for end in (writer, far_writer):
+            end.get_extra_info('socket').setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.ends = [writer, far_writer]
+        await asyncio.gather(self.pass_on(reader, far_writer), self.pass_on(far_reader, writer))
+
+    @staticmethod
+    async def pass_on(reader, writer):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                writer.write(data)
+        except ConnectionError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for end in self.ends:
+            reset(end)
+        self.ends = []
+
+
 class Client:
     """Viewers behind a connection to a front node. Releases are acknowledged at once."""
 
