--- a/review/9/case.py
+++ b/review/9/case.py
@@ -13,13 +13,13 @@
 
 async def play(record, nodes):
     bulletin = await Bulletin(record).start()
-    old = [await Server(record, 's-%d' % i, cell=0, life_s=(12, 16)).start() for i in range(4)]
+    old = [await Server(record, 's-%d' % i, cell=0, life_s=(12, 16)).start() for i in range(6)]
     for server in old:
         server.places, server.capacity_kb = 120, 40000.0
     bulletin.publish([server.member() for server in old], complete=True)
     node = Node(record, bulletin, settings(
-        cells=2, family_info__places_by_kind=[120], family_info__weight_kb=40000.0, family_info__links_kb=160000.0,
-        family_info__rack_kb=160000.0))
+        cells=2, family_info__places_by_kind=[120], family_info__weight_kb=40000.0, family_info__links_kb=240000.0,
+        family_info__rack_kb=240000.0))
     nodes.append(node)
     await node.start()
     await asyncio.sleep(4)
@@ -31,7 +31,7 @@
         while not stop.is_set():
             count += 1
             client.ask('highlight' if count % 2 else 'radio-replay', TITLES[count % 4], 0)
-            await asyncio.sleep(0.06)
+            await asyncio.sleep(0.04)
 
     asking = asyncio.ensure_future(viewers())
     await asyncio.sleep(10)
