A server list event costs what it changes, and a burst of them lets requests through

Cause: for each event the module grouped all servers anew and looked up the streams of each kind twice with streams and collectors, and the node compared and copied all connection pools. The loop also read up to some 1 MB of events at a time. On the same paths: each placement walked all servers for the mean load; servers that had gone, times of requests and changes of load were kept for the life of the process.

Change: LinkCapacities keeps sums, so a change of one server takes constant time; cells are updated in place; the mean load looks at measured servers only; servers that are gone for a minute are forgotten, and the other two records are bounded in time. Pools are found by address, and only pools with something to do are checked. Discovery is read in parts of 32 KB, one an iteration of the loop. The members of a list are read one by one in place of one map of all values.

--- a/core/src/main/java/spanrill/Control.java
+++ b/core/src/main/java/spanrill/Control.java
@@ -14,6 +14,8 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.DoubleSupplier;
 
 /**
  * Decides placement, rungs and moves for one front. {@link SessionControl} defines its settings, events and actions.
@@ -94,7 +96,12 @@
     // Tenants' arrival rates are averaged over this time.
     private static final double RATE_AVERAGE_MS = 10_000;
 
+    // A server that the list calls gone is forgotten after this time, or after a cold phase if that is longer. Until
+    // then its failures and set-ups count, should it return.
+    private static final double GONE_RETENTION_MS = 60_000;
+
     private static final double NEVER = Double.NEGATIVE_INFINITY;
+    private static final Comparator<Holder> HOLDER_ORDER = Comparator.comparingInt(holder -> holder.ordinal);
 
     private final Settings settings;
     private final Actions actions;
@@ -103,7 +110,10 @@
     private final Map<String, Tenant> tenants = new HashMap<>();
     private final Map<String, double[]> tenantRates = new HashMap<>();
     private final Map<String, Holder> holders = new LinkedHashMap<>();
-    private final Map<Integer, List<Holder>> cells = new HashMap<>();
+    // In the order in which the list first showed them, so that equal events lead to equal actions.
+    private final Map<Integer, Set<Holder>> cells = new HashMap<>();
+    private final Set<Holder> measured = new TreeSet<>(HOLDER_ORDER);
+    private final LinkCapacities capacities;
     private final Rack[] racks;
     private final Map<String, Session> sessions = new LinkedHashMap<>();
     private final Map<String, RecentMove> recentMoves = new HashMap<>();
@@ -111,10 +121,12 @@
     private final ArrayDeque<Double> retryTimes = new ArrayDeque<>();
     private final double logWorthStep;
     private double frontStartedAt, averageUtilization;
+    private int holdersSeen;
 
     /** Estimated load of a link or an uplink: the last estimate, and this front's changes since that measurement. */
     private static final class LinkLoad {
-        private double capacity = 1, ownKbPerS;
+        private final DoubleSupplier capacityKbPerS;
+        private double ownKbPerS;
         private double estimate = Double.NaN, estimateAt;
         private double overload, overloadAt, steppedDownAt = NEVER;
         private int updates;
@@ -122,6 +134,14 @@
         // Cached result of changesSince(), updated with each change: a front with thousands of sessions needs it often.
         private double sumSince = Double.NaN, changeSum;
 
+        LinkLoad(DoubleSupplier capacityKbPerS) {
+            this.capacityKbPerS = capacityKbPerS;
+        }
+
+        double capacity() {
+            return capacityKbPerS.getAsDouble();
+        }
+
         /**
          * Records a change of load.
          *
@@ -130,6 +150,10 @@
          */
         void addChange(double now, double ownChange, double totalChange) {
             ownKbPerS = Math.max(0, ownKbPerS + ownChange);
+            // No older change is asked for: by then an estimate counts as unknown.
+            while (!recentChanges.isEmpty() && recentChanges.peek()[0] < now - 2 * ESTIMATE_EXPIRY_MS) {
+                recentChanges.poll();
+            }
             recentChanges.add(new double[] {now, totalChange});
             changeSum += now > sumSince ? totalChange : 0;
         }
@@ -142,7 +166,7 @@
                     changeSum += change[0] > time ? change[1] : 0;
                 }
             }
-            return changeSum / capacity;
+            return changeSum / capacity();
         }
 
         /** Moves the estimate, brought up to date with the changes since, towards a measurement of the utilization. */
@@ -184,28 +208,40 @@
          * All fronts react to the same measurement in proportion to their load.
          */
         double totalToOwnLoadRatio(double utilization, int fronts) {
-            return Math.min(Math.max(utilization * capacity / Math.max(ownKbPerS, 1), 1), 2.0 * fronts);
+            return Math.min(Math.max(utilization * capacity() / Math.max(ownKbPerS, 1), 1), 2.0 * fronts);
         }
     }
 
     private static final class Rack {
-        private final LinkLoad uplink = new LinkLoad();
-        private double linkKbPerS;
+        private final LinkLoad uplink;
+
+        Rack(DoubleSupplier uplinkKbPerS) {
+            uplink = new LinkLoad(uplinkKbPerS);
+        }
     }
 
     private static final class Holder {
+        private final int ordinal;
+        private final LinkLoad link;
         private Server server;
         private Rack rack;
-        private double places;
-        private final LinkLoad link = new LinkLoad();
         private final Set<Session> playing = new LinkedHashSet<>();
         private int pendingSetUps, failures;
         private double setUpDelayMs = Double.NaN;
         private double shortfall, meanShortfall, movedKbPerS;
         private double lastContactAt = NEVER, shortfallAt = NEVER, failedAt = NEVER;
-        private double avoidUntil = NEVER, fullUntil = NEVER, coldUntil = NEVER, coldPacingFrom = NEVER;
+        private double goneAt = NEVER, avoidUntil = NEVER, fullUntil = NEVER, coldUntil = NEVER, coldPacingFrom = NEVER;
         private final ArrayDeque<Double> coldSendTimes = new ArrayDeque<>();
 
+        Holder(int ordinal, LinkCapacities capacities) {
+            this.ordinal = ordinal;
+            link = new LinkLoad(() -> capacities.linkKbPerS(server));
+        }
+
+        boolean isListed() {
+            return server != null && server.state() != ServerState.GONE;
+        }
+
         /** Number of measurements of its link and uplink so far. */
         int linkUpdates() {
             return link.updates + rack.uplink.updates;
@@ -242,8 +278,9 @@
         random = new SplittableRandom(seed);
         settings.classes().forEach(type -> classes.put(type.name(), type));
         settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenant));
-        racks = new Rack[Math.max(1, settings.racks())];
-        Arrays.setAll(racks, i -> new Rack());
+        capacities = new LinkCapacities(settings);
+        racks = new Rack[capacities.rackCount()];
+        Arrays.setAll(racks, i -> new Rack(() -> capacities.uplinkKbPerS(i)));
         int top = settings.rungKb().size() - 1;
         logWorthStep = top < 2 ? 1 : Math.max(0.1, Math.log(stepWorthPerKb(1) / stepWorthPerKb(top)) / (top - 1));
     }
@@ -261,14 +298,11 @@
         if (kind == ListKind.FAILED) {
             return;
         }
-        Set<String> listedIds = new HashSet<>();
         for (Server server : list) {
-            listedIds.add(server.id());
-            Holder holder = holders.computeIfAbsent(server.id(), id -> new Holder());
+            Holder holder = holders.computeIfAbsent(server.id(), id -> new Holder(holdersSeen++, capacities));
             double previousStartedAt = holder.server == null ? Double.NaN : holder.server.startedAt();
             boolean isNew = holder.server == null;
-            holder.server = server;
-            holder.rack = racks[Math.floorMod(server.cell(), racks.length)];
+            updateListing(now, holder, server);
             double serverStartedAt = server.startedAt();
             if (!Double.isNaN(serverStartedAt) && serverStartedAt != previousStartedAt) {
                 holder.coldUntil = Math.max(
@@ -287,71 +321,41 @@
                 holder.coldUntil = Math.max(holder.coldUntil, frontStartedAt + UNLISTED_RESTART_MS);
             }
         }
+        if (kind != ListKind.CHANGES) {
+            markUnlistedGone(now, list);
+        }
+    }
+
+    private void markUnlistedGone(double now, List<Server> list) {
+        Set<String> listedIds = new HashSet<>();
+        list.forEach(server -> listedIds.add(server.id()));
         for (Holder holder : holders.values()) {
-            Server server = holder.server;
-            if (kind != ListKind.CHANGES && !listedIds.contains(server.id())) {
-                holder.server = new Server(
-                        server.id(),
-                        server.zone(),
-                        server.kind(),
-                        server.cell(),
-                        ServerState.GONE,
-                        server.weight(),
-                        server.startedAt());
+            if (holder.isListed() && !listedIds.contains(holder.server.id())) {
+                updateListing(now, holder, holder.server.inState(ServerState.GONE));
             }
         }
-        updateTopology();
     }
 
-    /** Groups the listed servers by cell and derives the capacities of links and uplinks from the settings. */
-    private void updateTopology() {
-        cells.clear();
-        List<Holder> listed = new ArrayList<>(holders.values());
-        listed.removeIf(holder -> holder.server.state() == ServerState.GONE);
-        boolean equalWeights =
-                listed.stream().mapToDouble(Control::weight).distinct().count() <= 1;
-        double meanPlaces = listed.stream()
-                .mapToDouble(holder -> maxStreams(holder.server.kind()))
-                .average()
-                .orElse(1);
-        Arrays.stream(racks).forEach(rack -> rack.linkKbPerS = 0);
-        double totalLinkKbPerS = 1;
-        for (Holder holder : listed) {
-            cells.computeIfAbsent(holder.server.cell(), cell -> new ArrayList<>())
+    /** Applies a list entry: updates the holder's cell, its rack and the capacities of the links. */
+    private void updateListing(double now, Holder holder, Server server) {
+        if (holder.isListed()) {
+            capacities.remove(holder.server);
+            cells.get(holder.server.cell()).remove(holder);
+            holder.goneAt = now;
+        }
+        holder.server = server;
+        holder.rack = racks[capacities.rackOf(server)];
+        if (holder.isListed()) {
+            capacities.add(server);
+            cells.computeIfAbsent(server.cell(), cell -> new TreeSet<>(HOLDER_ORDER))
                     .add(holder);
-            holder.places = maxStreams(holder.server.kind());
-            // Where all listed weights are equal, the places of its kind give a server's size.
-            double size = weight(holder) * (equalWeights ? holder.places / meanPlaces : 1);
-            holder.link.capacity = Math.max(1, size * settings.weightKb());
-            holder.rack.linkKbPerS += holder.link.capacity;
-            totalLinkKbPerS += holder.link.capacity;
         }
-        for (Rack rack : racks) {
-            rack.uplink.capacity = Math.max(1, rack.linkKbPerS * settings.uplinkKb() * racks.length / totalLinkKbPerS);
-        }
-    }
-
-    private static double weight(Holder holder) {
-        double weight = holder.server.weight();
-        return Double.isFinite(weight) && weight > 0 ? weight : 1;
-    }
-
-    /** Maximum number of concurrent streams of a server of a kind; for an unknown kind, the minimum over all kinds. */
-    private double maxStreams(String serverKind) {
-        return settings.kinds().stream()
-                .filter(kind -> kind.name().equals(serverKind))
-                .mapToDouble(Kind::places)
-                .findFirst()
-                .orElse(settings.kinds().stream()
-                        .mapToDouble(Kind::places)
-                        .min()
-                        .orElse(1));
     }
 
     @Override
     public void request(double now, Request request) {
         Session session = addSession(now, request, request.returning() ? 0 : 1);
-        requestTimes.add(now);
+        recordAttempt(now, requestTimes);
         RecentMove lastMove = recentMoves.get(request.key());
         if (request.moved() && lastMove != null) {
             session.movedAt = lastMove.movedAt;
@@ -476,19 +480,25 @@
                             : holder.link;
                     limiting.update(
                             measuredAt, Math.max(1 / Math.max(value, 0.2), limiting.estimate), MEASUREMENT_WEIGHT);
+                    measured.add(holder);
                 }
             }
-            case LINK_USE -> holder.link.update(measuredAt, value, MEASUREMENT_WEIGHT);
+            case LINK_USE -> updateLink(holder, measuredAt, value, MEASUREMENT_WEIGHT);
             default -> holder.rack.uplink.update(measuredAt, value, MEASUREMENT_WEIGHT / 2);
         }
     }
 
+    private void updateLink(Holder holder, double measuredAt, double value, double weight) {
+        holder.link.update(measuredAt, value, weight);
+        measured.add(holder);
+    }
+
     @Override
     public void ended(double now, String id, boolean closed, Outcome outcome, String server, Load load) {
         Session session = sessions.get(id);
         Holder holder = server == null ? null : holders.get(server);
         if (holder != null && load != null) {
-            holder.link.update(now - REPORT_AGE_MS, load.link(), MEASUREMENT_WEIGHT / 2);
+            updateLink(holder, now - REPORT_AGE_MS, load.link(), MEASUREMENT_WEIGHT / 2);
             holder.rack.uplink.update(now - REPORT_AGE_MS, load.uplink(), MEASUREMENT_WEIGHT / 3);
         }
         if (holder != null) {
@@ -598,7 +608,7 @@
     private List<Holder> holdersOf(Request request) {
         List<Holder> found = new ArrayList<>();
         for (int i = 0; i < Math.min(request.copies(), settings.cells()); i++) {
-            found.addAll(cells.getOrDefault(Math.floorMod(request.home() + i, settings.cells()), List.of()));
+            found.addAll(cells.getOrDefault(Math.floorMod(request.home() + i, settings.cells()), Set.of()));
         }
         return found;
     }
@@ -625,14 +635,15 @@
 
     private double addedUtilization(double now, Holder holder, double kbPerS) {
         double warmth = now < holder.coldUntil ? settings.rules().coldShare() : 1;
-        return kbPerS / Math.min(holder.link.capacity * warmth, holder.rack.uplink.capacity);
+        return kbPerS / Math.min(holder.link.capacity() * warmth, holder.rack.uplink.capacity());
     }
 
     private double computeAverageUtilization(double now) {
         double sum = 0;
         int known = 0;
-        for (Holder holder : holders.values()) {
-            if (holder.server.state() != ServerState.GONE && holder.link.isFresh(now)) {
+        measured.removeIf(holder -> !holder.link.isFresh(now));
+        for (Holder holder : measured) {
+            if (holder.isListed()) {
                 LinkLoad uplink = holder.rack.uplink;
                 double uplinkUtilization = uplink.isFresh(now) ? uplink.utilization(now, averageUtilization) : 0;
                 sum += Math.max(holder.link.utilization(now, averageUtilization), uplinkUtilization);
@@ -680,7 +691,7 @@
         holder.pendingSetUps++;
         addLoad(now, holder, session.kbPerS, session.kbPerS);
         if (session.attempts > 0) {
-            retryTimes.add(now);
+            recordAttempt(now, retryTimes);
         }
         session.attempts++;
         if (now < holder.coldUntil || holder.failures > 0) {
@@ -714,8 +725,18 @@
         return retryTimes.size() + 1 <= rules.spareAttempts() + rules.attemptShare() * requestTimes.size();
     }
 
+    /** Counts an attempt if the settings state a budget of retries. */
+    private void recordAttempt(double now, ArrayDeque<Double> times) {
+        if (!Double.isNaN(settings.rules().attemptWindowMs())) {
+            removeUntil(times, now - settings.rules().attemptWindowMs());
+            times.add(now);
+        }
+    }
+
     private static void removeUntil(ArrayDeque<Double> times, double until) {
-        times.removeIf(time -> time <= until);
+        while (!times.isEmpty() && times.peek() <= until) {
+            times.poll();
+        }
     }
 
     private void detach(double now, Session session) {
@@ -867,7 +888,7 @@
             double utilization = load.utilization(now, averageUtilization);
             double added = (kbPerS(session.type, rung) - session.kbPerS)
                     * load.totalToOwnLoadRatio(utilization, settings.fronts())
-                    / load.capacity;
+                    / load.capacity();
             maxUtilization = Math.max(maxUtilization, load.isFresh(now) ? utilization + added : 0);
         }
         return maxUtilization - allowedUtilization(stepsAboveTarget(session, rung));
@@ -877,28 +898,40 @@
 
     private void sweep(double now) {
         averageUtilization = computeAverageUtilization(now);
+        removeGoneHolders(now);
         Map<Rack, List<Session>> byRack = new LinkedHashMap<>();
+        List<Holder> withSessions = new ArrayList<>();
         for (Holder holder : holders.values()) {
             if (!holder.playing.isEmpty()) {
+                withSessions.add(holder);
                 byRack.computeIfAbsent(holder.rack, r -> new ArrayList<>()).addAll(holder.playing);
             }
         }
         byRack.values().forEach(playing -> adjustRungs(now, playing));
         for (Holder holder : holders.values()) {
+            if (isSilent(now, holder, withSessions)) {
+                recordFailure(now, holder);
+            }
             updateShortfall(now, holder);
             moveSessions(now, holder);
         }
         recentMoves.values().removeIf(move -> now - move.movedAt > MIN_MOVE_INTERVAL_MS);
     }
 
+    private void removeGoneHolders(double now) {
+        double retentionMs = Math.max(GONE_RETENTION_MS, settings.rules().coldMs());
+        holders.values()
+                .removeIf(holder -> !holder.isListed()
+                        && now - holder.goneAt > retentionMs
+                        && holder.playing.isEmpty()
+                        && holder.pendingSetUps == 0);
+    }
+
     /**
      * Updates the average of the share of its sessions' rates that a server fails to deliver. A server that is silent,
      * draining or gone counts as delivering nothing.
      */
     private void updateShortfall(double now, Holder holder) {
-        if (isSilent(now, holder)) {
-            recordFailure(now, holder);
-        }
         double shortfall = now - holder.shortfallAt < 2500 ? holder.shortfall : 0;
         boolean deliversNothing = holder.server.state() != ServerState.READY
                 || (holder.failures > 0
@@ -983,7 +1016,7 @@
     }
 
     /** Detects servers that vanish: their notes are overdue while most other servers still send theirs. */
-    private boolean isSilent(double now, Holder holder) {
+    private boolean isSilent(double now, Holder holder, List<Holder> withSessions) {
         if (settings.tellMs() <= 0 || holder.failures > 0 || holder.playing.isEmpty()) {
             return false;
         }
@@ -994,7 +1027,7 @@
         }
         int others = 0;
         int reporting = 0;
-        for (Holder other : holders.values()) {
+        for (Holder other : withSessions) {
             if (other != holder && !other.playing.isEmpty() && other.failures == 0) {
                 others++;
                 reporting += now - other.lastContactAt < settings.tellMs() ? 1 : 0;
@@ -1029,7 +1062,7 @@
         return COLD_BUDGET_SHARE
                 * rules.fallMultiple()
                 * rules.coldShare()
-                * maxStreams(holder.server.kind())
+                * capacities.maxStreams(holder.server.kind())
                 / rules.coldMs()
                 * rules.fallMs()
                 / Math.max(1, settings.fronts());
--- a/core/src/main/java/spanrill/SessionControl.java
+++ b/core/src/main/java/spanrill/SessionControl.java
@@ -188,7 +188,12 @@
      * @param weight listed size, relative to other servers
      * @param startedAt time of its last start; NaN: long ago
      */
-    record Server(String id, String zone, String kind, int cell, ServerState state, double weight, double startedAt) {}
+    record Server(String id, String zone, String kind, int cell, ServerState state, double weight, double startedAt) {
+        /** Returns the same server in another state. */
+        public Server inState(ServerState newState) {
+            return new Server(id, zone, kind, cell, newState, weight, startedAt);
+        }
+    }
 
     /**
      * A viewer's request for a session, or a session that was under way when the front started.
--- a/core/src/main/java/spanrill/setup/FlattenedObject.java
+++ b/core/src/main/java/spanrill/setup/FlattenedObject.java
@@ -11,20 +11,27 @@
 public final class FlattenedObject {
     private final Map<String, String> values;
     private final String prefix;
+    private final String location;
 
     /** Wraps values by path. */
     public FlattenedObject(Map<String, String> values) {
-        this(values, "");
+        this(values, "", "");
     }
 
-    private FlattenedObject(Map<String, String> values, String prefix) {
+    private FlattenedObject(Map<String, String> values, String prefix, String location) {
         this.values = values;
         this.prefix = prefix;
+        this.location = location;
+    }
+
+    /** Returns the same values as part of a larger object: exceptions name keys below {@code path}. */
+    public FlattenedObject located(String path) {
+        return new FlattenedObject(values, prefix, path);
     }
 
     /** Returns a view of the values below a path, which ends with a dot or is empty. */
     public FlattenedObject section(String path) {
-        return new FlattenedObject(values, prefix + path);
+        return new FlattenedObject(values, prefix + path, location);
     }
 
     /** Returns whether there is a value at a key. */
@@ -84,7 +91,7 @@
 
     /** Returns an exception that names the full path of a key. */
     public InvalidFieldException invalid(String key, String problem) {
-        return new InvalidFieldException(prefix + key, problem);
+        return new InvalidFieldException(location + prefix + key, problem);
     }
 
     private double parse(String key, String value) {
--- a/core/src/test/java/spanrill/ScriptedFront.java
+++ b/core/src/test/java/spanrill/ScriptedFront.java
@@ -63,17 +63,27 @@
     /** Settings for three fronts, with tenants. */
     static Settings withTenants(List<SessionControl.Tenant> tenants) {
         Settings base = settings(3, 3, rules());
+        return with(base, tenants, base.kinds(), base.racks());
+    }
+
+    /** Settings for three fronts, with the given kinds of server and number of racks. */
+    static Settings withKinds(int racks, Kind... kinds) {
+        Settings base = settings(3, 3, rules());
+        return with(base, base.tenants(), List.of(kinds), racks);
+    }
+
+    private static Settings with(Settings base, List<SessionControl.Tenant> tenants, List<Kind> kinds, int racks) {
         return new Settings(
                 base.me(),
                 base.fronts(),
                 base.zone(),
                 base.classes(),
                 tenants,
-                base.kinds(),
+                kinds,
                 base.rungKb(),
                 base.rungWorth(),
                 base.cells(),
-                base.racks(),
+                racks,
                 base.linksKb(),
                 base.weightKb(),
                 base.uplinkKb(),
--- a/node/src/main/java/spanrill/node/config/JsonPairs.java
+++ b/node/src/main/java/spanrill/node/config/JsonPairs.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import spanrill.setup.FlattenedObject;
 import spanrill.setup.InvalidFieldException;
 
@@ -26,9 +28,15 @@
                     .build())
             .build();
 
-    private final Map<String, String> values = new LinkedHashMap<>();
+    private final String itemsPath;
+    private final Consumer<FlattenedObject> onItem;
+    private Map<String, String> values = new LinkedHashMap<>();
+    private int valueCount;
 
-    private JsonPairs() {}
+    private JsonPairs(String itemsPath, Consumer<FlattenedObject> onItem) {
+        this.itemsPath = itemsPath;
+        this.onItem = onItem;
+    }
 
     /**
      * Parses one JSON object.
@@ -37,7 +45,18 @@
      *     within the limits
      */
     public static FlattenedObject read(byte[] json) {
-        JsonPairs parsed = new JsonPairs();
+        return read(json, null, null);
+    }
+
+    /**
+     * Parses one JSON object with a long list of objects, whose values are not kept together: each item is passed on
+     * once it is read. The object that is returned holds the number of the items only.
+     *
+     * @param itemsPath path of the list
+     * @throws InvalidFieldException as {@link #read(byte[])} does
+     */
+    public static FlattenedObject read(byte[] json, String itemsPath, Consumer<FlattenedObject> onItem) {
+        JsonPairs parsed = new JsonPairs(itemsPath, onItem);
         String pointer = "";
         try (JsonParser parser = FACTORY.createParser(json)) {
             try {
@@ -86,7 +105,7 @@
         int scalarCount = 0;
         for (JsonToken token = parser.nextToken(); token != JsonToken.END_ARRAY; token = parser.nextToken()) {
             if (token == JsonToken.START_OBJECT) {
-                flattenObject(parser, path + "." + objectCount++ + ".");
+                flattenItem(parser, path, objectCount++);
             } else if (token == JsonToken.START_ARRAY) {
                 throw new InvalidFieldException(path, "is a list that contains a list");
             } else {
@@ -103,8 +122,22 @@
         }
     }
 
+    private void flattenItem(JsonParser parser, String listPath, int index) throws IOException {
+        String path = listPath + "." + index + ".";
+        if (!listPath.equals(itemsPath)) {
+            flattenObject(parser, path);
+            return;
+        }
+        Map<String, String> outside = values;
+        values = new HashMap<>();
+        flattenObject(parser, "");
+        FlattenedObject item = new FlattenedObject(values).located(path);
+        values = outside;
+        onItem.accept(item);
+    }
+
     private void put(String path, String value) {
-        if (values.size() >= MAX_VALUES) {
+        if (++valueCount > MAX_VALUES) {
             throw new InvalidFieldException(path, "exceeds the limit of " + MAX_VALUES + " values");
         }
         values.put(path, value);
--- a/node/src/main/java/spanrill/node/config/ServerListUpdate.java
+++ b/node/src/main/java/spanrill/node/config/ServerListUpdate.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import spanrill.SessionControl.Server;
 import spanrill.SessionControl.ServerState;
 import spanrill.setup.FlattenedObject;
@@ -25,6 +26,7 @@
     public record Member(Server server, InetSocketAddress address) {}
 
     private static final int MAX_MEMBERS = 100_000;
+    private static final Pattern NUMERIC_HOST = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+]");
 
     /** Returns the number of servers in a state. */
     public long count(ServerState state) {
@@ -34,26 +36,46 @@
     }
 
     /**
-     * Reads an update.
+     * Reads an update in JSON.
      *
      * @throws InvalidFieldException with the path of the first field that is missing or invalid; no part of the update
      *     may be applied then
      */
-    public static ServerListUpdate of(FlattenedObject event) {
-        FlattenedObject roster = event.section("roster.");
+    public static ServerListUpdate read(byte[] json) {
+        List<Member> members = new ArrayList<>();
+        FlattenedObject event = JsonPairs.read(json, "roster.members", member -> members.add(member(member)));
+        requireMemberCount(event);
+        return of(event, members);
+    }
+
+    /**
+     * Reads an update that is part of a larger object.
+     *
+     * @throws InvalidFieldException as {@link #read} does
+     */
+    static ServerListUpdate of(FlattenedObject event) {
+        int count = requireMemberCount(event);
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(member(event.section("roster.members." + i + ".")));
+        }
+        return of(event, members);
+    }
+
+    private static int requireMemberCount(FlattenedObject event) {
+        int count = event.itemCount("roster.members");
+        if (!event.has("roster.members.count") || count > MAX_MEMBERS) {
+            throw event.invalid("roster.members", "is not a list of at most " + MAX_MEMBERS + " servers");
+        }
+        return count;
+    }
+
+    private static ServerListUpdate of(FlattenedObject event, List<Member> members) {
         long number = (long) event.number("no");
         if (number < 1) {
             throw event.invalid("no", "must be greater than 0");
         }
-        int count = roster.itemCount("members");
-        if (!roster.has("members.count") || count > MAX_MEMBERS) {
-            throw roster.invalid("members", "is not a list of at most " + MAX_MEMBERS + " servers");
-        }
-        List<Member> members = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            members.add(member(roster.section("members." + i + ".")));
-        }
-        return new ServerListUpdate(number, flag(roster, "complete"), members);
+        return new ServerListUpdate(number, flag(event.section("roster."), "complete"), members);
     }
 
     private static boolean flag(FlattenedObject json, String key) {
@@ -96,7 +118,7 @@
         String text = json.text(key);
         int colon = text.lastIndexOf(':');
         String host = text.substring(0, Math.max(0, colon));
-        if (host.matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[[0-9a-fA-F:.]+]")) {
+        if (NUMERIC_HOST.matcher(host).matches()) {
             try {
                 int port = Integer.parseInt(text.substring(colon + 1));
                 if (port >= minPort && port < 65_536) {
--- a/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
+++ b/node/src/main/java/spanrill/node/discovery/DiscoveryClient.java
@@ -13,7 +13,6 @@
 import spanrill.loop.Clock;
 import spanrill.loop.NextIterationExecutor;
 import spanrill.loop.PeriodicTask;
-import spanrill.node.config.JsonPairs;
 import spanrill.node.config.ServerListUpdate;
 import spanrill.session.EventSink;
 import spanrill.setup.InvalidFieldException;
@@ -32,6 +31,9 @@
     private static final String PATH = "/bulletins";
     private static final int CONNECT_TIMEOUT_MS = (int) DiscoveryRetryPolicy.MAX_CALL_MS;
     private static final int MAX_EVENT_LENGTH = 1 << 20;
+    /** Read in one iteration of the event loop, at most: some 120 updates, between which requests are served. */
+    private static final int MAX_READ_BYTES = 32 * 1024;
+
     private static final long TICK_INTERVAL_MS = 100;
 
     private final EventLoop loop;
@@ -143,6 +145,7 @@
 
         void onConnected(HttpClientConnection newConnection) {
             connection = newConnection;
+            connection.limitReadsPerIteration(MAX_READ_BYTES);
             Headers headers = new Headers()
                     .add("host", calledAddress.getHostString() + ":" + calledAddress.getPort())
                     .add("accept", "text/event-stream")
@@ -213,7 +216,7 @@
             }
             ServerListUpdate update;
             try {
-                update = ServerListUpdate.of(JsonPairs.read(data.getBytes(StandardCharsets.UTF_8)));
+                update = ServerListUpdate.read(data.getBytes(StandardCharsets.UTF_8));
             } catch (InvalidFieldException e) {
                 // The current list stays unchanged; the same update is requested again on the next connection.
                 log.info("discovery.malformed", "id", id, "reason", e.getMessage());
--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -141,6 +141,11 @@
         return gone && establishedSessions == 0 && connections.isEmpty();
     }
 
+    /** True when there is nothing to check periodically. */
+    boolean isIdle() {
+        return establishedSessions == 0 && connections.isEmpty() && pendingReleases.isEmpty();
+    }
+
     // ---- requests of the session host
 
     void setUp(Attempt attempt) {
@@ -376,13 +381,13 @@
         }
     }
 
-    /**
-     * Closes idle connections and checks whether the server is alive; called periodically.
-     *
-     * @param connectionShare number of connections that each server may have within the budget
-     */
-    void onTick(int connectionShare) {
+    /** Limits the number of connections to the server's share of the budget. */
+    void limitConnections(int connectionShare) {
         maxConnections = Math.min(connectionShare, MAX_CONNECTIONS);
+    }
+
+    /** Closes idle connections and checks whether the server is alive; called periodically unless it is idle. */
+    void onTick() {
         double now = Clock.monotonicMs();
         for (ServerConnection connection : List.copyOf(connections)) {
             boolean idle = connection.isConnected() && connection.openSetUps() == 0;
--- a/node/src/main/java/spanrill/node/server/ConnectionPools.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -32,6 +31,12 @@
     private final EventSink trace;
     private final NextIterationExecutor nextIteration;
     private final Map<String, ConnectionPool> servers = new HashMap<>();
+    private final Map<InetSocketAddress, Set<ConnectionPool>> byAddress = new HashMap<>();
+    /** The pools with sessions, connections or pending releases, and those that may be removed. */
+    private final Set<ConnectionPool> active = new LinkedHashSet<>();
+    /** The pools of servers that the update being applied calls draining or gone. */
+    private final Set<ConnectionPool> leaving = new LinkedHashSet<>();
+
     private final Set<Attempt> unsent = new LinkedHashSet<>();
     private SessionHost host;
 
@@ -56,12 +61,21 @@
     public void onServerListed(String id, InetSocketAddress address, boolean draining) {
         ConnectionPool pool = servers.computeIfAbsent(
                 id, i -> new ConnectionPool(i, address, loop, nextIteration, limits, budget, host, log, trace));
+        removeFromAddress(pool);
         pool.updateListing(address, draining);
-        for (ConnectionPool other : servers.values()) {
-            if (!other.id().equals(id) && other.address().equals(address)) {
-                // A new server has the address: a connection opened to it does not reach the old server.
-                other.markAddressReplaced();
-            }
+        Set<ConnectionPool> atAddress = byAddress.computeIfAbsent(address, a -> new LinkedHashSet<>());
+        // A new server has the address: a connection opened to it does not reach the old server.
+        List.copyOf(atAddress).forEach(ConnectionPool::markAddressReplaced);
+        atAddress.add(pool);
+        if (draining) {
+            leaving.add(pool);
+        }
+    }
+
+    private void removeFromAddress(ConnectionPool pool) {
+        Set<ConnectionPool> atAddress = byAddress.get(pool.address());
+        if (atAddress != null && atAddress.remove(pool) && atAddress.isEmpty()) {
+            byAddress.remove(pool.address());
         }
     }
 
@@ -69,25 +83,33 @@
     public void onServerGone(String id) {
         ConnectionPool server = servers.get(id);
         if (server != null) {
-            server.markGone();
+            markGone(server);
         }
     }
 
+    private void markGone(ConnectionPool server) {
+        activate(server);
+        leaving.add(server);
+        server.markGone();
+    }
+
     /** Applies a complete list: a server that is not on it is gone. */
     public void retainOnly(List<spanrill.SessionControl.Server> list) {
         Set<String> listedIds = new HashSet<>();
         list.forEach(server -> listedIds.add(server.id()));
         servers.values().stream()
                 .filter(server -> !listedIds.contains(server.id()))
-                .forEach(ConnectionPool::markGone);
+                .forEach(this::markGone);
     }
 
     /**
-     * Withdraws the set-ups that wait for a connection to a draining or gone server: the connection may be established
-     * only after the server has stopped accepting set-ups.
+     * Withdraws the set-ups that wait for a connection to a server that was found draining or gone since the last call:
+     * the connection may be established only after the server has stopped accepting set-ups.
      */
     public void withdrawUnsent() {
-        for (ConnectionPool server : List.copyOf(servers.values())) {
+        List<ConnectionPool> pools = List.copyOf(leaving);
+        leaving.clear();
+        for (ConnectionPool server : pools) {
             if (server.isLeaving()) {
                 server.withdrawUnsent().forEach(this::reportNotSent);
             }
@@ -99,26 +121,42 @@
      * connection, or its failure shows that the server cannot be reached.
      */
     public int poolsWithPendingReleases() {
-        return (int) servers.values().stream()
-                .filter(ConnectionPool::hasPendingReleases)
-                .count();
+        return (int) active.stream().filter(ConnectionPool::hasPendingReleases).count();
     }
 
     /** True while set-ups or other messages have not been handed to the operating system. */
     public boolean hasUnflushed() {
-        return !unsent.isEmpty() || servers.values().stream().anyMatch(ConnectionPool::hasUnflushed);
+        return !unsent.isEmpty() || active.stream().anyMatch(ConnectionPool::hasUnflushed);
     }
 
     private void onTick() {
-        List<ConnectionPool> removable = new ArrayList<>();
-        int maxConnectionsPerServer = Math.max(2, budget.limit() / Math.max(1, servers.size()));
-        for (ConnectionPool server : new ArrayList<>(servers.values())) {
-            server.onTick(maxConnectionsPerServer);
+        int maxConnections = maxConnectionsPerServer();
+        for (ConnectionPool server : List.copyOf(active)) {
+            server.limitConnections(maxConnections);
+            server.onTick();
             if (server.isRemovable()) {
-                removable.add(server);
+                remove(server);
+            } else if (server.isIdle()) {
+                active.remove(server);
             }
         }
-        removable.forEach(server -> servers.remove(server.id()));
+    }
+
+    private int maxConnectionsPerServer() {
+        return Math.max(2, budget.limit() / Math.max(1, servers.size()));
+    }
+
+    /** Includes a pool in the periodic checks. */
+    private void activate(ConnectionPool server) {
+        if (active.add(server)) {
+            server.limitConnections(maxConnectionsPerServer());
+        }
+    }
+
+    private void remove(ConnectionPool server) {
+        active.remove(server);
+        servers.remove(server.id());
+        removeFromAddress(server);
     }
 
     /**
@@ -143,6 +181,7 @@
         } else if (server.isLeaving()) {
             reportNotSent(attempt);
         } else {
+            activate(server);
             server.setUp(attempt);
         }
     }
@@ -164,6 +203,7 @@
     public void release(String id, long session) {
         ConnectionPool server = servers.get(id);
         if (server != null) {
+            activate(server);
             server.release(session);
         }
     }
@@ -181,6 +221,7 @@
     public void setEstablishedSessions(String id, int sessions) {
         ConnectionPool server = servers.get(id);
         if (server != null) {
+            activate(server);
             server.setEstablishedSessions(sessions);
         }
     }
--- a/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
+++ b/wire/src/main/java/spanrill/wire/http/HttpClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -132,6 +133,11 @@
         channel.config().setAutoRead(enabled);
     }
 
+    /** Limits what is read in one iteration of the event loop, so that a burst does not delay other connections. */
+    public void limitReadsPerIteration(int bytes) {
+        channel.config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(bytes).maxMessagesPerRead(1));
+    }
+
     /** Closes the connection without calling the listener of a pending exchange. */
     public void abort() {
         listener = null;
