A server whose address another one has counts as gone, and its connections are given up

Cause: who is at an address was known to each connection pool alone, which only opened no further connections. The module learned that the old server was gone when the list said so.

Change: AddressOwners knows which listed server has an address; where a new one takes it, the old one counts as gone for the module and for its pool at once, and late news of the same process do not give the address back. The old one's sessions are released to their viewers and, as the new server may run them, on the connection heard last; open attempts are given up, and the connections are closed. A later start decides where a list names two servers at one address.

--- a/node/src/main/java/spanrill/node/FrontNode.java
+++ b/node/src/main/java/spanrill/node/FrontNode.java
@@ -9,7 +9,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import spanrill.Control;
 import spanrill.SessionControl.ListKind;
@@ -25,6 +27,7 @@
 import spanrill.loop.NextIterationExecutor;
 import spanrill.loop.PeriodicTask;
 import spanrill.node.client.ClientListener;
+import spanrill.node.config.AddressOwners;
 import spanrill.node.config.NodeConfig;
 import spanrill.node.config.ServerListUpdate;
 import spanrill.node.discovery.DiscoveryClient;
@@ -61,6 +64,7 @@
     private final DiscoveryClient discovery;
     private volatile Channel listening;
     private final List<ServerListUpdate> updatesBeforeStart = new ArrayList<>();
+    private final AddressOwners addressOwners = new AddressOwners();
     private boolean moduleStarted;
     private final PauseMonitor pauses = new PauseMonitor(PAUSE_CHECK_INTERVAL_MS);
     private int readsAfterPause;
@@ -208,25 +212,26 @@
     }
 
     private void applyUpdate(ServerListUpdate update, ListKind kind) {
+        if (kind != ListKind.CHANGES) {
+            retainOnly(update);
+        }
         List<Server> listed = new ArrayList<>();
         for (ServerListUpdate.Member member : update.members()) {
-            Server server = member.server();
-            listed.add(server);
-            if (server.state() == ServerState.GONE) {
-                servers.onServerGone(server.id());
-            } else {
-                servers.onServerListed(server.id(), member.address(), server.state() == ServerState.DRAINING);
-                if (!Double.isNaN(server.startedAt())) {
-                    host.onServerRestarted(server.id(), server.startedAt());
-                }
+            listed.add(member.server());
+            ServerListUpdate.Member replaced = addressOwners.apply(member);
+            if (replaced != member) {
+                applyMember(member);
+            }
+            if (replaced != null) {
+                Server gone = replaced.server().inState(ServerState.GONE);
+                log.info("server.replaced", "server", gone.id(), "address", replaced.address());
+                listed.add(gone);
+                servers.onServerReplaced(gone.id());
             }
-        }
-        if (kind != ListKind.CHANGES) {
-            servers.retainOnly(listed);
         }
         host.updateServers(kind, listed);
         // After the module has the new list: it sends withdrawn attempts to other servers.
-        servers.withdrawUnsent();
+        servers.withdrawAttempts();
         log.info(
                 "discovery.update",
                 "no",
@@ -241,6 +246,25 @@
                 update.count(ServerState.GONE));
     }
 
+    private void retainOnly(ServerListUpdate update) {
+        Set<String> listedIds = new HashSet<>();
+        update.members().forEach(member -> listedIds.add(member.server().id()));
+        addressOwners.retainOnly(listedIds);
+        servers.retainOnly(listedIds);
+    }
+
+    private void applyMember(ServerListUpdate.Member member) {
+        Server server = member.server();
+        if (server.state() == ServerState.GONE) {
+            servers.onServerGone(server.id());
+            return;
+        }
+        servers.onServerListed(server.id(), member.address(), server.state() == ServerState.DRAINING);
+        if (!Double.isNaN(server.startedAt())) {
+            host.onServerRestarted(server.id(), server.startedAt());
+        }
+    }
+
     /** Applies a new configuration: only the address of discovery can change while the node runs. */
     public void reconfigure(NodeConfig newConfig) {
         loop.execute(() -> discovery.reconnectTo(newConfig.discovery()));
--- a/node/src/main/java/spanrill/node/server/ConnectionPool.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPool.java
@@ -87,10 +87,6 @@
         return id;
     }
 
-    InetSocketAddress address() {
-        return address;
-    }
-
     void updateListing(InetSocketAddress listedAddress, boolean isDraining) {
         trace.info("listed", "server", id, "address", listedAddress);
         boolean moved = !listedAddress.equals(address);
@@ -125,10 +121,28 @@
         List.copyOf(connections).forEach(ServerConnection::retire);
     }
 
-    /** Records that another server has this server's address: no new connection may be opened. */
-    void markAddressReplaced() {
+    /**
+     * Records that another server has this server's address, so that this one has gone. A connection may lead to either
+     * server: the sessions are released on it, in case that the other one runs them, and no new one is opened.
+     */
+    void markReplaced() {
+        if (addressReplaced) {
+            return;
+        }
         addressReplaced = true;
-        reportLostIfReplaced();
+        gone = true;
+        ServerConnection connection = preferredConnection();
+        if (connection != null) {
+            host.establishedSessions(id).forEach(connection::release);
+        }
+        reportLost("replaced");
+    }
+
+    /** Gives up all attempts that are open here, and closes the connections, if another server has the address. */
+    void giveUpIfReplaced() {
+        if (addressReplaced) {
+            List.copyOf(connections).forEach(ServerConnection::giveUpAndClose);
+        }
     }
 
     /** True when the server gets no new set-ups. */
--- a/node/src/main/java/spanrill/node/server/ConnectionPools.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +30,6 @@
     private final EventSink trace;
     private final NextIterationExecutor nextIteration;
     private final Map<String, ConnectionPool> servers = new HashMap<>();
-    private final Map<InetSocketAddress, Set<ConnectionPool>> byAddress = new HashMap<>();
     /** The pools with sessions, connections or pending releases, and those that may be removed. */
     private final Set<ConnectionPool> active = new LinkedHashSet<>();
     /** The pools of servers that the update being applied calls draining or gone. */
@@ -61,24 +59,12 @@
     public void onServerListed(String id, InetSocketAddress address, boolean draining) {
         ConnectionPool pool = servers.computeIfAbsent(
                 id, i -> new ConnectionPool(i, address, loop, nextIteration, limits, budget, host, log, trace));
-        removeFromAddress(pool);
         pool.updateListing(address, draining);
-        Set<ConnectionPool> atAddress = byAddress.computeIfAbsent(address, a -> new LinkedHashSet<>());
-        // A new server has the address: a connection opened to it does not reach the old server.
-        List.copyOf(atAddress).forEach(ConnectionPool::markAddressReplaced);
-        atAddress.add(pool);
         if (draining) {
             leaving.add(pool);
         }
     }
 
-    private void removeFromAddress(ConnectionPool pool) {
-        Set<ConnectionPool> atAddress = byAddress.get(pool.address());
-        if (atAddress != null && atAddress.remove(pool) && atAddress.isEmpty()) {
-            byAddress.remove(pool.address());
-        }
-    }
-
     /** Applies a list entry that says that a server is gone. */
     public void onServerGone(String id) {
         ConnectionPool server = servers.get(id);
@@ -87,6 +73,16 @@
         }
     }
 
+    /** Applies that another server has a server's address: the server is gone, and its connections may lead astray. */
+    public void onServerReplaced(String id) {
+        ConnectionPool server = servers.get(id);
+        if (server != null) {
+            activate(server);
+            leaving.add(server);
+            server.markReplaced();
+        }
+    }
+
     private void markGone(ConnectionPool server) {
         activate(server);
         leaving.add(server);
@@ -94,9 +90,7 @@
     }
 
     /** Applies a complete list: a server that is not on it is gone. */
-    public void retainOnly(List<spanrill.SessionControl.Server> list) {
-        Set<String> listedIds = new HashSet<>();
-        list.forEach(server -> listedIds.add(server.id()));
+    public void retainOnly(Set<String> listedIds) {
         servers.values().stream()
                 .filter(server -> !listedIds.contains(server.id()))
                 .forEach(this::markGone);
@@ -104,14 +98,16 @@
 
     /**
      * Withdraws the set-ups that wait for a connection to a server that was found draining or gone since the last call:
-     * the connection may be established only after the server has stopped accepting set-ups.
+     * the connection may be established only after the server has stopped accepting set-ups. Those that were sent to a
+     * server whose address belongs to another one are given up.
      */
-    public void withdrawUnsent() {
+    public void withdrawAttempts() {
         List<ConnectionPool> pools = List.copyOf(leaving);
         leaving.clear();
         for (ConnectionPool server : pools) {
             if (server.isLeaving()) {
                 server.withdrawUnsent().forEach(this::reportNotSent);
+                server.giveUpIfReplaced();
             }
         }
     }
@@ -156,7 +152,6 @@
     private void remove(ConnectionPool server) {
         active.remove(server);
         servers.remove(server.id());
-        removeFromAddress(server);
     }
 
     /**
--- a/node/src/main/java/spanrill/node/server/ServerConnection.java
+++ b/node/src/main/java/spanrill/node/server/ServerConnection.java
@@ -231,6 +231,17 @@
         return false;
     }
 
+    /** Gives up the attempts that are open here and closes the connection: the server at its other end is not known. */
+    void giveUpAndClose() {
+        closedToSetUps = true;
+        retired = true;
+        for (Attempt attempt : List.copyOf(openAttempts.values())) {
+            Stage stage = giveUp(attempt) ? Stage.CONNECTING : Stage.WRITTEN;
+            host.onAttemptEnded(attempt, OutcomeTable.outcomeOf(stage, Event.RESET), null);
+        }
+        close();
+    }
+
     /** Withdraws and returns the attempts that wait for the connection to be established. */
     List<Attempt> withdrawUnsent() {
         List<Attempt> waiting = List.copyOf(unwritten);
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -339,6 +339,13 @@
         executor.execute(now -> control.ended(now, session.name(), true, outcome, server, load));
     }
 
+    /** Ids of the sessions that are established at a server. */
+    public List<Long> establishedSessions(String server) {
+        return establishedSessions.establishedBefore(server, Double.POSITIVE_INFINITY).stream()
+                .map(NodeSession::id)
+                .toList();
+    }
+
     /** Ends all sessions at a server that is gone. */
     public void onServerLost(String server) {
         onServerRestarted(server, Double.POSITIVE_INFINITY);
