Unread input delays a request, and one client can't fill the memory or the loop's time

Cause: a read took up to some 1 MB of one connection and started each request at once, before its withdrawal or the close behind it was read; a request withdrawn at once cost nothing; hand-overs were not bounded.

Change: 16 KB are read of a client connection in one iteration of the loop. A request withdrawn meanwhile is charged like a rejected one, so that a flood closes its connection. No more sessions are taken over at a server than twice its streams, nor more than 4,096 together.

--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -46,6 +47,11 @@
     /** Clients send a request at once on a new connection; the request may take this long to arrive. */
     private static final double MAX_REQUEST_TRANSIT_MS = 300;
 
+    /** Read from a connection in one iteration of the event loop, at most, so that all connections get their turn. */
+    private static final int READ_BYTES = 16 * 1024;
+
+    private static final int READS_PER_ITERATION = 1;
+
     private final ClientListener listener;
     private final SessionHost host;
     private final boolean retryAfterAllowed;
@@ -53,6 +59,7 @@
     private final ClientConnectionState state = new ClientConnectionState();
     private final AbuseLimiter abuseLimiter = new AbuseLimiter();
     private final Set<Long> openRequests = new LinkedHashSet<>();
+    private final UnstartedRequests unstarted = new UnstartedRequests();
     private final RecentAnswers recentAnswers = new RecentAnswers();
     private final ChannelFutureListener flushListener = future -> onFlushed();
     private final double acceptedAt = Clock.monotonicMs();
@@ -63,6 +70,11 @@
     private int establishedSessions;
     private ClientActivity activity = ClientActivity.NOTHING_USEFUL;
 
+    /** True when the last read filled its buffer: the socket may hold more input. */
+    private boolean moreInput;
+
+    private long reads;
+
     private boolean anyWritten;
     /** True while the channel is reading; the next step of closing the connection waits until the read is complete. */
     private boolean readInProgress;
@@ -83,6 +95,9 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = (SocketChannel) ctx.channel();
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_PER_ITERATION));
     }
 
     // ---- Input
@@ -91,6 +106,8 @@
     public void channelRead(ChannelHandlerContext ctx, Object buffer) {
         ByteBuf in = (ByteBuf) buffer;
         readInProgress = true;
+        moreInput = in.readableBytes() >= READ_BYTES;
+        reads++;
         try {
             if (state.phase() == Phase.CLOSING) {
                 state.onDiscarded(in.readableBytes());
@@ -110,9 +127,22 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         readInProgress = false;
+        startDueRequests();
+        if (unstarted.size() > 0) {
+            long readsBefore = reads;
+            listener.runAfterReading(() -> onNextIteration(readsBefore));
+        }
         runNextStep();
     }
 
+    /** Starts the requests that wait for unread input if an iteration of the loop has found none. */
+    private void onNextIteration(long readsBefore) {
+        if (reads == readsBefore) {
+            moreInput = false;
+            startDueRequests();
+        }
+    }
+
     private double partialMessageStart() {
         if (!decoder.hasPartialMessage()) {
             return Double.NaN;
@@ -128,7 +158,7 @@
         boolean useful =
                 switch (message.type()) {
                     case SET_UP -> handleSetUp(message);
-                    case RELEASE -> handleViewerMessage(message, host.onClientRelease(message.session()));
+                    case RELEASE -> handleRelease(message);
                     case RELEASE_ACKNOWLEDGED ->
                         handleViewerMessage(message, host.onReleaseAcknowledged(message.session()));
                     case TEST -> chargeMessage(message, answerTest(message));
@@ -140,6 +170,21 @@
         return state.readable();
     }
 
+    private boolean handleRelease(Message message) {
+        if (!unstarted.remove(message.session())) {
+            return handleViewerMessage(message, host.onClientRelease(message.session()));
+        }
+        // A set-up that is withdrawn at once costs as much to read as one that is rejected.
+        chargeRejectedSetUp();
+        return true;
+    }
+
+    private void chargeRejectedSetUp() {
+        if (abuseLimiter.chargeRejectedSetUp(Clock.monotonicMs())) {
+            startDrain(CloseReason.ABUSE);
+        }
+    }
+
     /** Charges a message other than a set-up to the abuse limiter; returns {@code useful} unchanged. */
     private boolean chargeMessage(Message message, boolean useful) {
         if (abuseLimiter.chargeMessage(Clock.monotonicMs(), message.size())) {
@@ -181,6 +226,9 @@
             return rejectSetUp(message.session(), e.releaseCause(), e.getMessage());
         }
         boolean established = setUp.attributes().currentServer() != null;
+        if (unstarted.contains(setUp.session())) {
+            return ignoreSetUp(setUp.session(), "repeats a set-up of this connection");
+        }
         if (host.hasSession(setUp.session())) {
             return established || handleReusedId(setUp.session());
         }
@@ -196,8 +244,8 @@
         }
         if (established) {
             raiseActivity(ClientActivity.SERVED);
-            host.takeOver(setUp, this);
-            return true;
+            return host.takeOver(setUp, this)
+                    || rejectSetUp(setUp.session(), Cause.TEMPORARY_FAILURE, "more sessions than the servers can hold");
         }
         raiseActivity(ClientActivity.REQUESTED);
         return startRequest(setUp);
@@ -216,11 +264,28 @@
             listener.traceRejected(this, setUp.session(), "the viewer's wait time has expired");
             return writeRelease(setUp.session(), Cause.CONGESTION, 0);
         }
-        openRequests.add(setUp.session());
-        host.setUp(setUp, this, remainingMs);
+        if (!unstarted.add(new UnstartedRequests.Request(setUp, Clock.monotonicMs(), remainingMs))) {
+            return rejectSetUp(setUp.session(), Cause.CONGESTION, "too many requests at once on one connection");
+        }
         return true;
     }
 
+    /** Starts the requests behind which no input is unread, and those that have waited for long. */
+    private void startDueRequests() {
+        double now = Clock.monotonicMs();
+        for (UnstartedRequests.Request request : unstarted.takeDue(now, !moreInput)) {
+            long session = request.setUp().session();
+            if (state.requestHandling() != ClientConnectionState.RequestHandling.SERVE) {
+                refuseWhileDraining(session);
+            } else if (host.hasSession(session)) {
+                handleReusedId(session);
+            } else {
+                openRequests.add(session);
+                host.setUp(request.setUp(), this, Math.max(0, request.remainingMs() - (now - request.readAt())));
+            }
+        }
+    }
+
     /** Refuses a request that arrives while the connection drains. The request never ran, so a retry is safe. */
     private boolean refuseWhileDraining(long session) {
         listener.traceRejected(this, session, "connection is " + state.phase() + " because of " + state.reason());
@@ -235,9 +300,7 @@
     private boolean rejectSetUp(long session, int cause, String reason) {
         listener.traceRejected(this, session, reason);
         writeRelease(session, cause, 0);
-        if (abuseLimiter.chargeRejectedSetUp(Clock.monotonicMs())) {
-            startDrain(CloseReason.ABUSE);
-        }
+        chargeRejectedSetUp();
         return false;
     }
 
@@ -255,9 +318,7 @@
 
     private boolean ignoreSetUp(long session, String reason) {
         listener.traceRejected(this, session, reason);
-        if (abuseLimiter.chargeRejectedSetUp(Clock.monotonicMs())) {
-            startDrain(CloseReason.ABUSE);
-        }
+        chargeRejectedSetUp();
         return false;
     }
 
@@ -365,7 +426,7 @@
 
     /** Returns the view of this connection by which a connection is chosen for eviction. */
     ConnectionEviction.Candidate evictionCandidate(double now) {
-        return new ConnectionEviction.Candidate(openRequests.size(), establishedSessions, activity, now - lastUsefulAt);
+        return new ConnectionEviction.Candidate(pendingRequests(), establishedSessions, activity, now - lastUsefulAt);
     }
 
     /** Returns the view of this connection by which connections are chosen for releases. */
@@ -373,17 +434,22 @@
         return new ReleaseRoutes.Route(activity, isWritable(), lastUsefulAt);
     }
 
+    private int pendingRequests() {
+        return openRequests.size() + unstarted.size();
+    }
+
     Phase phase() {
         return state.phase();
     }
 
     /** Starts to drain the connection when one of its timeouts has expired, and continues a drain that has started. */
     void onTick(double now) {
+        startDueRequests();
         if (state.phase() == Phase.OPEN) {
             ConnectionTimeouts.expiryReason(new ConnectionTimeouts.View(
                             now - acceptedAt,
                             now - lastUsefulAt,
-                            openRequests.size(),
+                            pendingRequests(),
                             establishedSessions,
                             activity != ClientActivity.NOTHING_USEFUL,
                             partialMessageMs(now)))
@@ -450,7 +516,7 @@
         boolean partial = partialMessageMs(now) > 0 && partialMessageMs(now) < MAX_REQUEST_TRANSIT_MS;
         boolean firstRequestExpected = messagesReceived == 0 && now - acceptedAt < MAX_REQUEST_TRANSIT_MS;
         return new ClientConnectionState.View(
-                openRequests.size(),
+                pendingRequests(),
                 activity.leadsToViewers() && host.hasPendingReleases(),
                 hasUnflushed(),
                 partial || firstRequestExpected,
--- a/node/src/main/java/spanrill/node/session/EstablishedSessions.java
+++ b/node/src/main/java/spanrill/node/session/EstablishedSessions.java
@@ -36,6 +36,11 @@
         }
     }
 
+    /** Number of sessions at a server. */
+    int countAt(String server) {
+        return byServer.getOrDefault(server, Set.of()).size();
+    }
+
     /** The sessions at a server that were established before a time, in ms on the scheduler's clock. */
     List<NodeSession> establishedBefore(String server, double time) {
         return byServer.getOrDefault(server, Set.of()).stream()
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -168,8 +168,14 @@
         });
     }
 
-    /** Takes over a session that already plays at a server. */
-    public void takeOver(SetUp setUp, ClientLink link) {
+    /**
+     * Takes over a session that already plays at a server; false when the server, or all of them together, can't hold
+     * that many.
+     */
+    public boolean takeOver(SetUp setUp, ClientLink link) {
+        if (!limits.mayTakeOver(establishedSessions.countAt(setUp.attributes().currentServer()), sessions.size())) {
+            return false;
+        }
         NodeSession session = new NodeSession(setUp, link, limits.runsOnce(setUp.className()));
         session.server = setUp.attributes().currentServer();
         trace.info("takenOver", "id", session.name(), "server", session.server);
@@ -190,6 +196,7 @@
         } else if (!listedServers.contains(session.server)) {
             executor.schedule(LISTING_DELAY_MS, now -> endIfUnlisted(session));
         }
+        return true;
     }
 
     /** Returns true once when the viewer released a session before it was known here: no answer is pending then. */
--- a/node/src/test/java/spanrill/node/EventRaceTest.java
+++ b/node/src/test/java/spanrill/node/EventRaceTest.java
@@ -7,6 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -125,6 +128,40 @@
         }
     }
 
+    /** Guards against requests that are sent on while a long rest of the input is unread, with a close at its end. */
+    @Test
+    void setUpsAreNotAttemptedWhenCloseIsUnreadBehindManyOthers() throws Exception {
+        openConnectionsToBoth();
+        TestConnection viewer = connectViewer();
+        ByteBuf requests = Unpooled.buffer();
+        for (int i = 0; i < 400; i++) {
+            judge.requestSent(++lastSessionId, "free");
+            setUpMessage(lastSessionId, "free", "").write(requests);
+        }
+        whileLoopIsBlocked(() -> {
+            // One write, which the receiver's buffer takes whole: some 45 KB.
+            viewer.sendRaw(ByteBufUtil.getBytes(requests));
+            viewer.close();
+        });
+        verifyNoSetUpArrives();
+    }
+
+    /** Guards against a client that keeps the node busy with requests that it withdraws at once (issue 60). */
+    @Test
+    void connectionOnWhichRequestsAreWithdrawnAtFullSpeedIsClosed() throws Exception {
+        TestConnection flooding = connectViewer();
+        TestConnection viewer = connectViewer();
+        whileLoopIsBlocked(() -> {
+            for (int i = 0; i < 300; i++) {
+                long id = ++lastSessionId;
+                flooding.send(setUpMessage(id, "free", ""));
+                flooding.send(new Message(MessageType.RELEASE, id).withCause(Cause.NORMAL_CLEARING));
+            }
+        });
+        assertTrue(flooding.awaitEnd(TIMEOUT_MS));
+        establishSession(viewer, "free");
+    }
+
     @Test
     void setUpIsNotAttemptedWhenCloseIsUnreadBehindIt() throws Exception {
         openConnectionsToBoth();
--- a/node/src/test/java/spanrill/node/session/SessionHostTest.java
+++ b/node/src/test/java/spanrill/node/session/SessionHostTest.java
@@ -591,4 +591,30 @@
         clock.advance(61_000);
         assertEquals(List.of(), repeat(id, "paid"));
     }
+
+    // ---- limits on sessions that are handed over
+
+    private int countTakenOver(int offered, java.util.function.IntFunction<String> server) {
+        int taken = 0;
+        for (int i = 0; i < offered; i++) {
+            taken += host.takeOver(newSetUp(++lastId, "free", server.apply(i)), client) ? 1 : 0;
+        }
+        return taken;
+    }
+
+    /** Guards against memory that a client fills with sessions it says to play at a server (issue 60, picture b). */
+    @Test
+    void noMoreSessionsAreTakenOverThanAServerCanHold() {
+        // Twice the 500 streams of the settings: some sessions may have ended there.
+        assertEquals(1000, countTakenOver(1500, i -> "s-1"));
+        assertEquals(10, countTakenOver(10, i -> "s-2"), "another server");
+    }
+
+    @Test
+    void sessionsTakenOverAtEverNewServersAreBoundedTogether() {
+        assertEquals(4096, countTakenOver(5000, i -> "unknown-" + i));
+        clock.advance(7000);
+        assertEquals(0, host.sessionCount(), "unlisted servers hold no sessions");
+        assertEquals(10, countTakenOver(10, i -> "s-1"));
+    }
 }
