Tests at full speed count as abuse, and many short fields cost no search each

Cause: an answered test was charged by its few bytes, so a connection could send 130,000 before it was closed; each parameter of a message was searched among those before it.

Change: a test is charged like a rejected set-up (90 at once, then 30 a second); a bit set holds the codes present.

Evidence: EventRaceTest.connectionThatTestsAtFullSpeedIsClosed fails on the text before.

--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -161,7 +161,7 @@
                     case RELEASE -> handleRelease(message);
                     case RELEASE_ACKNOWLEDGED ->
                         handleViewerMessage(message, host.onReleaseAcknowledged(message.session()));
-                    case TEST -> chargeMessage(message, answerTest(message));
+                    case TEST -> answerTest(message);
                     default -> chargeMessage(message, false);
                 };
         if (useful) {
@@ -175,11 +175,11 @@
             return handleViewerMessage(message, host.onClientRelease(message.session()));
         }
         // A set-up that is withdrawn at once costs as much to read as one that is rejected.
-        chargeRejectedSetUp();
+        chargeAnsweredMessage();
         return true;
     }
 
-    private void chargeRejectedSetUp() {
+    private void chargeAnsweredMessage() {
         if (abuseLimiter.chargeRejectedSetUp(Clock.monotonicMs())) {
             startDrain(CloseReason.ABUSE);
         }
@@ -214,7 +214,10 @@
 
     private boolean answerTest(Message message) {
         raiseActivity(ClientActivity.TESTED);
-        return send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
+        boolean sent = send(new Message(MessageType.TEST_RESULT, message.session()).withCause(1));
+        // The platform tests now and then; a flood of tests costs as much as one of rejected set-ups.
+        chargeAnsweredMessage();
+        return sent;
     }
 
     /** Handles a set-up; returns true when it was useful. */
@@ -300,7 +303,7 @@
     private boolean rejectSetUp(long session, int cause, String reason) {
         listener.traceRejected(this, session, reason);
         writeRelease(session, cause, 0);
-        chargeRejectedSetUp();
+        chargeAnsweredMessage();
         return false;
     }
 
@@ -318,7 +321,7 @@
 
     private boolean ignoreSetUp(long session, String reason) {
         listener.traceRejected(this, session, reason);
-        chargeRejectedSetUp();
+        chargeAnsweredMessage();
         return false;
     }
 
--- a/node/src/test/java/spanrill/node/EventRaceTest.java
+++ b/node/src/test/java/spanrill/node/EventRaceTest.java
@@ -146,6 +146,18 @@
         verifyNoSetUpArrives();
     }
 
+    /** Guards against clients that keep the node busy with tests, each of which is answered (issue 60). */
+    @Test
+    void connectionThatTestsAtFullSpeedIsClosed() throws Exception {
+        TestConnection flooding = connectViewer();
+        TestConnection viewer = connectViewer();
+        for (int i = 0; i < 300; i++) {
+            flooding.send(new Message(MessageType.TEST, i).withCause(0));
+        }
+        assertTrue(flooding.awaitEnd(TIMEOUT_MS));
+        establishSession(viewer, "free");
+    }
+
     /** Guards against a client that keeps the node busy with requests that it withdraws at once (issue 60). */
     @Test
     void connectionOnWhichRequestsAreWithdrawnAtFullSpeedIsClosed() throws Exception {
--- a/wire/src/main/java/spanrill/wire/platform/Message.java
+++ b/wire/src/main/java/spanrill/wire/platform/Message.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.BitSet;
 
 /**
  * One message: type, session and parameters in the order in which they were added. The decoder builds received
@@ -21,6 +22,7 @@
     private int[] codes = new int[6];
     private byte[][] values = new byte[6][];
     private int count;
+    private final BitSet presentCodes = new BitSet();
     private boolean duplicateParameter;
 
     /** Creates a message without parameters. */
@@ -31,7 +33,8 @@
 
     /** Adds a parameter. */
     public Message with(int code, byte[] value) {
-        duplicateParameter |= has(code);
+        duplicateParameter |= presentCodes.get(code);
+        presentCodes.set(code);
         if (count == codes.length) {
             codes = Arrays.copyOf(codes, 2 * count);
             values = Arrays.copyOf(values, 2 * count);
