Sessions handed over before their server is listed get a connection and take their seats

Cause: the count of sessions was dropped while there was no pool for the server, so the pool made later opened no connection and reported no loss; the module, which knows listed servers only, forgot the session and its seat.

Change: a new pool starts with the sessions that the host holds at its server; the module is told of a hand-over once the server is listed.

--- a/node/src/main/java/spanrill/node/server/ConnectionPools.java
+++ b/node/src/main/java/spanrill/node/server/ConnectionPools.java
@@ -57,14 +57,24 @@
 
     /** Applies a list entry of a server; a draining server gets no new set-ups. */
     public void onServerListed(String id, InetSocketAddress address, boolean draining) {
-        ConnectionPool pool = servers.computeIfAbsent(
-                id, i -> new ConnectionPool(i, address, loop, nextIteration, limits, budget, host, log, trace));
+        ConnectionPool pool = servers.get(id);
+        if (pool == null) {
+            pool = add(id, address);
+        }
         pool.updateListing(address, draining);
         if (draining) {
             leaving.add(pool);
         }
     }
 
+    private ConnectionPool add(String id, InetSocketAddress address) {
+        ConnectionPool pool = new ConnectionPool(id, address, loop, nextIteration, limits, budget, host, log, trace);
+        servers.put(id, pool);
+        // Sessions may have been handed over at the server before the list named it.
+        setEstablishedSessions(id, host.establishedSessions(id).size());
+        return pool;
+    }
+
     /** Applies a list entry that says that a server is gone. */
     public void onServerGone(String id) {
         ConnectionPool server = servers.get(id);
--- a/node/src/main/java/spanrill/node/session/SessionHost.java
+++ b/node/src/main/java/spanrill/node/session/SessionHost.java
@@ -1,5 +1,6 @@
 package spanrill.node.session;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
@@ -66,6 +67,9 @@
     private final MovedSessions movedSessions = new MovedSessions();
     private final RequestCounters counters = new RequestCounters();
     private final Set<String> listedServers = new HashSet<>();
+    /** Sessions handed over at servers that are not listed yet, by server: the module knows listed servers only. */
+    private final Map<String, List<UnlistedSession>> unlistedSessions = new HashMap<>();
+
     private final ExpiringMap<Boolean> earlyReleases = new ExpiringMap<>(EARLY_EVENT_TTL_MS, MAX_EARLY_EVENTS);
     private final ExpiringMap<EarlyEnd> earlyEnds = new ExpiringMap<>(EARLY_EVENT_TTL_MS, MAX_EARLY_EVENTS);
     /** Ids of sessions that have ended here, are paid for at set-up and may have run: none is set up again. */
@@ -79,6 +83,9 @@
      */
     private record EarlyEnd(String server, Outcome outcome) {}
 
+    /** A session that was handed over at a server that is not listed, as the module will see it. */
+    private record UnlistedSession(NodeSession session, Request request) {}
+
     /**
      * Creates a host; {@code module} creates the module for its actions.
      *
@@ -122,6 +129,20 @@
             }
         }
         executor.execute(now -> control.servers(now, kind, list));
+        list.forEach(server -> reportTakenOver(server.id()));
+    }
+
+    /** Reports the sessions to the module that were handed over at a server before it was listed. */
+    private void reportTakenOver(String server) {
+        if (!listedServers.contains(server)) {
+            return;
+        }
+        for (UnlistedSession unlisted : unlistedSessions.getOrDefault(server, List.of())) {
+            if (unlisted.session().state().isEstablished()) {
+                executor.execute(now -> control.takenOver(now, unlisted.request(), server));
+            }
+        }
+        unlistedSessions.remove(server);
     }
 
     // ---- viewers
@@ -186,7 +207,13 @@
         Request request = moduleRequest(session, setUp.waitMs());
         session.clearSetUp();
         establishedSessions.add(session, scheduler.now());
-        executor.execute(now -> control.takenOver(now, request, session.server));
+        if (listedServers.contains(session.server)) {
+            executor.execute(now -> control.takenOver(now, request, session.server));
+        } else {
+            unlistedSessions
+                    .computeIfAbsent(session.server, server -> new ArrayList<>())
+                    .add(new UnlistedSession(session, request));
+        }
         EarlyEnd earlyEnd = earlyEnds.remove(scheduler.now(), session.name());
         if (earlyEnd != null && earlyEnd.server().equals(session.server)) {
             onSessionEnded(session.server, session.id(), earlyEnd.outcome(), null);
@@ -206,6 +233,9 @@
 
     /** Ends a session that was handed over with a server that does not exist: nothing else would ever end it. */
     private void endIfUnlisted(NodeSession session) {
+        if (!listedServers.contains(session.server)) {
+            unlistedSessions.remove(session.server);
+        }
         if (session.state().isEstablished() && !listedServers.contains(session.server)) {
             onSessionEnded(session.server, session.id(), Outcome.RESET, null);
         }
--- a/node/src/test/java/spanrill/node/ScriptedServer.java
+++ b/node/src/test/java/spanrill/node/ScriptedServer.java
@@ -85,6 +85,14 @@
         return null;
     }
 
+    /** The first connection of the node. */
+    TestConnection awaitConnection(long ms) throws InterruptedException {
+        for (long waitedMs = 0; connections.isEmpty() && waitedMs < ms; waitedMs += 5) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return connections.get(0);
+    }
+
     int port() {
         return listener.getLocalPort();
     }
