A request that waited for unread input is checked again when it is started

Cause: the checks for an early release and for time that is left were made when a request was read; it may since have waited for 200 ms, so an early release on another connection was missed, and a request without time failed, not refused. Change: both checks are made at the start of the request; the burst test's loop stands once. Result: EventRaceTest, AcceptedRequestsTest, PauseTest, HostileViewersTest and ServerListBurstTest pass.

--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -251,22 +251,12 @@
                     || rejectSetUp(setUp.session(), Cause.TEMPORARY_FAILURE, "more sessions than the servers can hold");
         }
         raiseActivity(ClientActivity.REQUESTED);
-        return startRequest(setUp);
+        return acceptRequest(setUp);
     }
 
-    private boolean startRequest(SetUp setUp) {
-        if (host.takeEarlyRelease(setUp.session())) {
-            return rejectSetUp(
-                    setUp.session(),
-                    Cause.TEMPORARY_FAILURE,
-                    "the viewer released the session before its set-up was read");
-        }
+    /** Accepts a request, which is started once the input behind it is read. */
+    private boolean acceptRequest(SetUp setUp) {
         double remainingMs = listener.remainingMs(setUp.waitMs());
-        if (remainingMs < 1) {
-            // The viewer may have given the request up while it waited in the socket; it was never forwarded.
-            listener.traceRejected(this, setUp.session(), "the viewer's wait time has expired");
-            return writeRelease(setUp.session(), Cause.CONGESTION, 0);
-        }
         if (!unstarted.add(new UnstartedRequests.Request(setUp, Clock.monotonicMs(), remainingMs))) {
             return rejectSetUp(setUp.session(), Cause.CONGESTION, "too many requests at once on one connection");
         }
@@ -277,15 +267,25 @@
     private void startDueRequests() {
         double now = Clock.monotonicMs();
         for (UnstartedRequests.Request request : unstarted.takeDue(now, !moreInput)) {
-            long session = request.setUp().session();
-            if (state.requestHandling() != ClientConnectionState.RequestHandling.SERVE) {
-                refuseWhileDraining(session);
-            } else if (host.hasSession(session)) {
-                handleReusedId(session);
-            } else {
-                openRequests.add(session);
-                host.setUp(request.setUp(), this, Math.max(0, request.remainingMs() - (now - request.readAt())));
-            }
+            startRequest(request.setUp(), request.remainingMs() - (now - request.readAt()));
+        }
+    }
+
+    private void startRequest(SetUp setUp, double remainingMs) {
+        long session = setUp.session();
+        if (state.requestHandling() != ClientConnectionState.RequestHandling.SERVE) {
+            refuseWhileDraining(session);
+        } else if (host.hasSession(session)) {
+            handleReusedId(session);
+        } else if (host.takeEarlyRelease(session)) {
+            rejectSetUp(session, Cause.TEMPORARY_FAILURE, "the viewer released the session before its set-up was read");
+        } else if (remainingMs < 1) {
+            // The viewer may have given the request up while it waited in the socket; it was never forwarded.
+            listener.traceRejected(this, session, "the viewer's wait time has expired");
+            writeRelease(session, Cause.CONGESTION, 0);
+        } else {
+            openRequests.add(session);
+            host.setUp(setUp, this, remainingMs);
         }
     }
 
--- a/node/src/test/java/spanrill/node/ServerListBurstTest.java
+++ b/node/src/test/java/spanrill/node/ServerListBurstTest.java
@@ -75,6 +75,15 @@
         assertEquals(number, lastApplied.get());
     }
 
+    private void verifyRequestsAreServedInTime() throws InterruptedException {
+        for (int i = 0; i < 5; i++) {
+            sendSetUp(viewer, "free");
+            assertEquals(
+                    MessageType.ANSWER,
+                    awaitAnswer(viewer, WAIT_AND_HALF_A_SECOND_MS).type());
+        }
+    }
+
     private static String text(long number, String event) {
         return "id: " + number + "\ndata: " + event + "\n\n";
     }
@@ -100,12 +109,7 @@
             updates.append(text(++number, TestConfig.event(number, false, remoteMember(i, 0, "DELETED"))));
         }
         CompletableFuture<Void> written = writeInBackground(updates.toString());
-        for (int i = 0; i < 5; i++) {
-            sendSetUp(viewer, "free");
-            assertEquals(
-                    MessageType.ANSWER,
-                    awaitAnswer(viewer, WAIT_AND_HALF_A_SECOND_MS).type());
-        }
+        verifyRequestsAreServedInTime();
         written.join();
         awaitApplied(number);
     }
@@ -169,12 +173,7 @@
             updates.append(text(3 + i, wholeList(3 + i)));
         }
         CompletableFuture<Void> written = writeInBackground(updates.toString());
-        for (int i = 0; i < 5; i++) {
-            sendSetUp(viewer, "free");
-            assertEquals(
-                    MessageType.ANSWER,
-                    awaitAnswer(viewer, WAIT_AND_HALF_A_SECOND_MS).type());
-        }
+        verifyRequestsAreServedInTime();
         written.join();
         awaitApplied(2 + lists);
     }
