--- a/decisions/src/main/java/spanrill/decisions/AbuseLimiter.java
+++ b/decisions/src/main/java/spanrill/decisions/AbuseLimiter.java
@@ -1,10 +1,11 @@
 package spanrill.decisions;
 
 /**
- * Token bucket that limits the load one connection causes without being served. A rejected set-up or a test costs
- * one token, because it has to be answered, and so does a set-up that is withdrawn before it is started. Any other message costs its size as a share of the largest message that the
- * protocol allows: acknowledgements, cancels and progress messages, which are free according to the protocol, cost
- * almost nothing, but 60 MB of them are a flood. Served set-ups cost nothing.
+ * Token bucket that limits the load one connection causes without being served. A rejected set-up or a test costs one
+ * token, because it has to be answered, and so does a set-up that is withdrawn before it is started. Any other message
+ * costs its size as a share of the largest message that the protocol allows: acknowledgements, cancels and progress
+ * messages, which are free according to the protocol, cost almost nothing, but 60 MB of them are a flood. Served
+ * set-ups cost nothing.
  */
 public final class AbuseLimiter {
     /** A busy node receives up to 90 set-ups per second in total; one client may waste one second of that. */
