Requests that wait for unread input share 4 MB, in place of 256 KB on each connection

Cause: found on reading the change again: 541 connections with 256 KB each are 135 MB, more than the heap of 40 MB. Change: a budget of bytes that all client connections share; a connection that ends gives its bytes back. Result: UnstartedRequestsTest has the shared bound; it, EventRaceTest, HostileViewersTest, ClientListenerTest and AcceptedRequestsTest pass.

--- a/node/src/main/java/spanrill/node/client/ClientConnection.java
+++ b/node/src/main/java/spanrill/node/client/ClientConnection.java
@@ -59,7 +59,7 @@
     private final ClientConnectionState state = new ClientConnectionState();
     private final AbuseLimiter abuseLimiter = new AbuseLimiter();
     private final Set<Long> openRequests = new LinkedHashSet<>();
-    private final UnstartedRequests unstarted = new UnstartedRequests();
+    private final UnstartedRequests unstarted;
     private final RecentAnswers recentAnswers = new RecentAnswers();
     private final ChannelFutureListener flushListener = future -> onFlushed();
     private final double acceptedAt = Clock.monotonicMs();
@@ -88,6 +88,7 @@
 
     ClientConnection(ClientListener listener, SessionHost host, boolean retryAfterAllowed) {
         this.listener = listener;
+        unstarted = new UnstartedRequests(listener.unstartedBytes());
         this.host = host;
         this.retryAfterAllowed = retryAfterAllowed;
     }
@@ -554,6 +555,7 @@
         decoder.release();
         host.onClientConnectionEnded(new ArrayList<>(openRequests));
         openRequests.clear();
+        unstarted.clear();
     }
 
     @Override
--- a/node/src/main/java/spanrill/node/client/ClientListener.java
+++ b/node/src/main/java/spanrill/node/client/ClientListener.java
@@ -34,6 +34,10 @@
 
     private static final WriteBufferWaterMark WRITE_BUFFER_LIMITS = new WriteBufferWaterMark(64 * 1024, 128 * 1024);
 
+    /** Descriptions of requests that wait for unread input, on all connections. */
+    private static final int MAX_UNSTARTED_BYTES = 4 * 1024 * 1024;
+
+    private final ByteBudget unstartedBytes = new ByteBudget(MAX_UNSTARTED_BYTES);
     private final EventLoop loop;
     private final NextIterationExecutor nextIteration;
     private final ConnectionBudget budget;
@@ -101,6 +105,10 @@
         }
     }
 
+    ByteBudget unstartedBytes() {
+        return unstartedBytes;
+    }
+
     private void onChannelClosed(ClientConnection connection) {
         connections.remove(connection);
         if (!closing.remove(connection)) {
--- a/node/src/main/java/spanrill/node/client/UnstartedRequests.java
+++ b/node/src/main/java/spanrill/node/client/UnstartedRequests.java
@@ -16,10 +16,13 @@
     private static final double MAX_DELAY_MS = 200;
 
     private static final int MAX_REQUESTS = 512;
-    private static final int MAX_DESCRIPTION_BYTES = 256 * 1024;
-
+    private final ByteBudget descriptionBytes;
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private int descriptionBytes;
+
+    /** Creates an empty collection; the descriptions of its requests are taken from a budget of all connections. */
+    UnstartedRequests(ByteBudget descriptionBytes) {
+        this.descriptionBytes = descriptionBytes;
+    }
 
     /**
      * A request.
@@ -32,12 +35,11 @@
 
     /** Adds a request; false when there are too many. */
     boolean add(Request request) {
-        int bytes = request.setUp().description().length;
-        if (requests.size() >= MAX_REQUESTS || descriptionBytes + bytes > MAX_DESCRIPTION_BYTES) {
+        if (requests.size() >= MAX_REQUESTS
+                || !descriptionBytes.tryTake(request.setUp().description().length)) {
             return false;
         }
         requests.put(request.setUp().session(), request);
-        descriptionBytes += bytes;
         return true;
     }
 
@@ -50,7 +52,7 @@
     boolean remove(long session) {
         Request removed = requests.remove(session);
         if (removed != null) {
-            descriptionBytes -= removed.setUp().description().length;
+            descriptionBytes.giveBack(removed.setUp().description().length);
         }
         return removed != null;
     }
@@ -72,6 +74,11 @@
         return due;
     }
 
+    /** Removes all requests: the connection has ended. */
+    void clear() {
+        List.copyOf(requests.keySet()).forEach(this::remove);
+    }
+
     /** Number of requests. */
     int size() {
         return requests.size();
--- a/node/src/test/java/spanrill/node/client/UnstartedRequestsTest.java
+++ b/node/src/test/java/spanrill/node/client/UnstartedRequestsTest.java
@@ -12,7 +12,8 @@
 
 /** Guards against requests that are sent on though their withdrawal or close is unread behind them (issue 60). */
 class UnstartedRequestsTest {
-    private final UnstartedRequests requests = new UnstartedRequests();
+    private final ByteBudget budget = new ByteBudget(256 * 1024);
+    private final UnstartedRequests requests = new UnstartedRequests(budget);
 
     private static Request request(long id, double readAt, int descriptionBytes) {
         RequestAttributes attributes = new RequestAttributes(0, 1, 2, "viewer", false, null);
@@ -66,4 +67,16 @@
         requests.remove(1);
         assertTrue(requests.add(request(2, 0, 60 * 1024)));
     }
+
+    /** Guards against memory that hundreds of connections fill, each within its own bound (issue 60, picture a). */
+    @Test
+    void connectionsShareTheBoundInBytes() {
+        UnstartedRequests other = new UnstartedRequests(budget);
+        assertTrue(other.add(request(1, 0, 250 * 1024)));
+        assertFalse(requests.add(request(1, 0, 16 * 1024)));
+        other.clear();
+        assertTrue(requests.add(request(1, 0, 16 * 1024)));
+        assertEquals(List.of(1L), takeDue(0, true));
+        assertTrue(other.add(request(1, 0, 256 * 1024)), "started requests give their bytes back");
+    }
 }
